--- /dev/null
+++ b/crates/direct/src/dispatcher/choice.rs
@@ -0,0 +1,117 @@
+//! Choice of an upstream for one task.
+
+use types::Resources;
+
+use crate::{
+    JobStep,
+    dispatcher::{AgentKey, Dispatcher, job_state::JobState},
+};
+
+/// Run times vary around what is expected; a slower upstream is used only with this reserve.
+const RESERVE: f64 = 1.2;
+/// Utilisation of a pool from which on slower upstreams are taken first, where they suffice, so
+/// that the fast ones are left to tasks that need them.
+const SPARING_UTILISATION: f64 = 0.5;
+
+types::plain! {
+    /// What the choice is made on.
+    #[derive(Copy)]
+    pub(crate) struct Want {
+        pub(crate) need: Resources,
+        /// Expected run time at speed 1, milliseconds.
+        pub(crate) expected_ms: f64,
+        /// Time until the objective, milliseconds.
+        pub(crate) left_ms: f64,
+        pub(crate) now_ms: u64,
+        pub(crate) is_sparing: bool,
+    }
+}
+
+impl Dispatcher {
+    pub(crate) fn want(&self, state: &JobState, step: &JobStep, now_ms: u64) -> Want {
+        #[allow(clippy::cast_precision_loss)]
+        let left_ms = state.objective_at_ms.saturating_sub(now_ms) as f64;
+        Want {
+            need: step.need,
+            expected_ms: f64::from(step.estimate_ms) * self.kind_ratio(&state.job.kind),
+            left_ms,
+            now_ms,
+            is_sparing: self.utilisation(&state.job.pool, now_ms) >= SPARING_UTILISATION,
+        }
+    }
+
+    /// Returns the best agent with room for one task of the step, if any.
+    pub(crate) fn choose(
+        &self,
+        state: &JobState,
+        step_index: u16,
+        task: u32,
+        want: &Want,
+        taken: &[(AgentKey, u32)],
+    ) -> Option<AgentKey> {
+        let step = &state.job.steps[usize::from(step_index)];
+        let avoided = state.histories.get(&(step_index, task)).map(|history| &history.avoided);
+        let mut best: Option<(f64, AgentKey)> = None;
+        for (key, view) in self.agents_of(&state.job.pool) {
+            let used = taken.iter().find(|(agent, _)| *agent == key).map_or(0, |(_, n)| *n);
+            let Some(upstream) = &view.upstream else { continue };
+            if !view.is_open(want.now_ms, self.timing.silence_ms)
+                || view.health.is_closed(want.now_ms, view.orders.len() + used as usize)
+                || !want.need.fits_in(remaining(view.free(), want.need, used))
+                || step.label.as_ref().is_some_and(|label| !upstream.labels.contains(label))
+                || step.most_per_upstream.is_some_and(|most| used + self.running_at(key, state, step_index) >= most)
+                || avoided.is_some_and(|agents| agents.contains(&key))
+            {
+                continue;
+            }
+            let is_near = *upstream.zone == *self.zone;
+            let is_on_rack = step.rack.as_ref().is_none_or(|rack| upstream.labels.contains(rack));
+            let cost = cost(view.speed.value(), is_near, is_on_rack, used > 0, want);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Returns the share of the pool's processors in use, by what is known.
+    fn utilisation(&self, pool: &str, now_ms: u64) -> f64 {
+        let mut free = 0.0;
+        let mut all = 0.0;
+        for (_, view) in self.agents_of(pool) {
+            if let Some(up) = view.upstream.as_ref().filter(|_| view.is_open(now_ms, self.timing.silence_ms)) {
+                free += f64::from(view.free().milli_cores);
+                all += f64::from(up.capacity.milli_cores);
+            }
+        }
+        if all > 0.0 { 1.0 - free / all } else { 1.0 }
+    }
+}
+
+fn remaining(free: Resources, need: Resources, used: u32) -> Resources {
+    (0..used).fold(free, |free, _| free.saturating_sub(need))
+}
+
+/// Lower is better; a task that would miss its objective costs more than any that would not.
+fn cost(speed: f64, is_near: bool, is_on_rack: bool, is_shared: bool, want: &Want) -> f64 {
+    /// Cost of leaving the zone, as a share of the time until the objective.
+    const FAR: f64 = 0.04;
+    /// Gain of joining tasks of the same job.
+    const SHARED: f64 = 0.02;
+    /// Cost of another rack than the data's.
+    const OFF_RACK: f64 = 0.5;
+    const MISSED: f64 = 100.0;
+    let left = want.left_ms.max(1.0);
+    let run = want.expected_ms / speed;
+    let preference = if run * RESERVE > left {
+        MISSED + run / left
+    } else if want.is_sparing {
+        1.0 - run / left
+    } else {
+        run / left
+    };
+    let far = if is_near { 0.0 } else { FAR };
+    let shared = if is_shared { SHARED } else { 0.0 };
+    let off_rack = if is_on_rack { 0.0 } else { OFF_RACK };
+    preference + far - shared + off_rack
+}
--- /dev/null
+++ b/crates/direct/src/supervisor/mod.rs
@@ -0,0 +1,514 @@
+//! The agent's side: guards the capacity of one upstream and ends what no entry wants any more.
+
+mod messages;
+mod run;
+mod session;
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use types::Resources;
+
+pub use crate::supervisor::messages::{
+    EndKind, HoldResult, RunRow, SessionKey, StartResult, StartRun, SupervisorEffect,
+};
+use crate::{
+    Load, OrderBatch, OrderId, OrderOutcome, Report, TaskId, Timing, Upstream, UpstreamState,
+    supervisor::{
+        run::{Phase, Run, StopReport},
+        session::Session,
+    },
+};
+
+/// Run numbers of ended tasks that are remembered, so that a task that comes back gets a higher
+/// one. Source: tasks that an upstream ends while a client may ask again.
+const RUN_NUMBERS_KEPT: usize = 2_048;
+
+/// Silence after which a session without a connection is forgotten, milliseconds. Source: longer
+/// than any outage after which an entry of the same incarnation asks for its outcomes.
+const SESSION_KEPT_MS: u64 = 60_000;
+
+/// State of an agent.
+#[derive(Debug)]
+pub struct Supervisor {
+    timing: Timing,
+    upstream: Option<Upstream>,
+    heartbeat_seq: i64,
+    runs: IndexMap<TaskId, Run>,
+    numbers: IndexMap<TaskId, u32>,
+    sessions: IndexMap<Arc<str>, (SessionKey, Session)>,
+    next_session: u32,
+    is_open: bool,
+    is_leaving: bool,
+    /// Runs of before this agent that are being stopped.
+    strangers: IndexSet<(TaskId, u32)>,
+    last_lease_sent_ms: u64,
+    /// When the upstream first failed to answer, while it does not.
+    mute_since_ms: Option<u64>,
+}
+
+impl Supervisor {
+    /// Creates the state of an agent that has just started.
+    pub fn new(timing: Timing, now_ms: u64) -> Self {
+        Self {
+            timing,
+            upstream: None,
+            heartbeat_seq: -1,
+            runs: IndexMap::new(),
+            numbers: IndexMap::new(),
+            sessions: IndexMap::new(),
+            next_session: 0,
+            is_open: false,
+            is_leaving: false,
+            strangers: IndexSet::new(),
+            // An earlier agent may have given a lease until now.
+            last_lease_sent_ms: now_ms,
+            mute_since_ms: None,
+        }
+    }
+
+    /// Returns the upstream, once it has said what it is.
+    pub fn upstream(&self) -> Option<&Upstream> {
+        self.upstream.as_ref()
+    }
+
+    /// Returns whether nothing runs and nothing is being stopped.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Returns whether a stop's effect is awaited, so that lists are wanted soon.
+    pub fn awaits_stop(&self) -> bool {
+        !self.strangers.is_empty()
+            || self.runs.values().any(|run| matches!(run.phase, Phase::Stopping { .. }))
+    }
+
+    /// Returns whether leases are to be given with the next call: not while the upstream is mute,
+    /// so that what runs there has an end.
+    pub fn gives_lease(&self) -> bool {
+        self.mute_since_ms.is_none()
+    }
+
+    /// Notes that a call that carries a lease is being sent.
+    pub fn lease_sent(&mut self, now_ms: u64) {
+        self.last_lease_sent_ms = now_ms;
+    }
+
+    /// Takes what the upstream says of itself; a lower `seq` of the same incarnation is late.
+    pub fn on_heartbeat(&mut self, upstream: Upstream, seq: i64) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        if let Some(known) = &self.upstream {
+            let is_same = known.id == upstream.id && known.born == upstream.born;
+            if (is_same && seq <= self.heartbeat_seq) || upstream.born < known.born {
+                return effects;
+            }
+            if !is_same {
+                self.lose_all(&mut effects);
+                self.numbers.clear();
+            }
+        }
+        self.heartbeat_seq = seq;
+        let is_news = self.upstream.as_ref() != Some(&upstream);
+        self.upstream = Some(upstream);
+        if is_news {
+            effects.extend(self.report_all());
+        }
+        effects
+    }
+
+    /// Takes the word of an upstream that it ends.
+    pub fn on_leave(&mut self) -> Vec<SupervisorEffect> {
+        if let Some(upstream) = &mut self.upstream {
+            upstream.state = UpstreamState::Draining;
+        }
+        self.report_all()
+    }
+
+    /// Takes no further orders.
+    pub fn leave(&mut self) -> Vec<SupervisorEffect> {
+        self.is_leaving = true;
+        self.report_all()
+    }
+
+    /// Opens a session with an entry, or goes on with one. Settles the orders that the entry
+    /// awaits and the agent does not know.
+    pub fn on_entry_hello(
+        &mut self,
+        entry: &Arc<str>,
+        incarnation: u64,
+        outstanding: &[OrderId],
+        now_ms: u64,
+    ) -> (SessionKey, Vec<SupervisorEffect>) {
+        let mut effects = Vec::new();
+        let known = self.sessions.get(entry).map(|(key, session)| (*key, session.incarnation));
+        let key = match known {
+            Some((key, number)) if number == incarnation => key,
+            other => {
+                if let Some((old, _)) = other {
+                    self.stop_session(old, &mut effects);
+                }
+                let key = SessionKey(self.next_session);
+                self.next_session += 1;
+                self.sessions.insert(Arc::clone(entry), (key, Session::new(incarnation, now_ms)));
+                key
+            }
+        };
+        let live: Vec<OrderId> = self
+            .runs
+            .values()
+            .filter_map(|run| run.order.filter(|(owner, _)| *owner == key).map(|(_, id)| id))
+            .collect();
+        if let Some((_, session)) = self.sessions.get_mut(entry) {
+            session.heard_ms = now_ms;
+            session.is_connected = true;
+            session.batches_seen = 0;
+            session.unsent.clear();
+            for id in outstanding.iter().filter(|id| !live.contains(id)) {
+                let outcome = session.outcome(*id).unwrap_or(OrderOutcome::NotStarted);
+                session.unsent.push((*id, outcome));
+            }
+        }
+        effects.push(SupervisorEffect::Report(key));
+        (key, effects)
+    }
+
+    /// Notes that an entry has been heard.
+    pub fn on_entry_heard(&mut self, key: SessionKey, now_ms: u64) {
+        if let Some(session) = self.session_mut(key) {
+            session.heard_ms = now_ms;
+        }
+    }
+
+    /// Notes that the connection of a session has ended; the session goes on for its lease.
+    pub fn on_disconnected(&mut self, key: SessionKey) {
+        if let Some(session) = self.session_mut(key) {
+            session.is_connected = false;
+        }
+    }
+
+    /// Takes orders of an entry.
+    pub fn on_orders(&mut self, key: SessionKey, batch: &OrderBatch) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        if let Some(session) = self.session_mut(key) {
+            session.batches_seen += 1;
+        }
+        let mut is_refused = false;
+        for order in &batch.orders {
+            let task = batch.task(order);
+            if self.takes_orders() && self.has_room(batch.need) && !self.runs.contains_key(&task) {
+                let number = order.run.max(self.numbers.get(&task).map_or(0, |n| n + 1));
+                let run = Run {
+                    number,
+                    need: batch.need,
+                    order: Some((key, order.id)),
+                    phase: Phase::Starting,
+                };
+                self.runs.insert(task.clone(), run);
+                let payload = Arc::clone(&batch.payload);
+                effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
+            } else {
+                is_refused = true;
+                self.settle(&task, Some((key, order.id)), OrderOutcome::NotStarted, &mut effects);
+            }
+        }
+        if is_refused {
+            effects.push(SupervisorEffect::Report(key));
+        }
+        effects
+    }
+
+    /// Stops runs at the wish of their entry.
+    pub fn on_stop(&mut self, key: SessionKey, ids: &[OrderId]) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        let wanted = |run: &Run| run.order.is_some_and(|(owner, id)| owner == key && ids.contains(&id));
+        let tasks: Vec<TaskId> =
+            self.runs.iter().filter(|(_, run)| wanted(run)).map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            self.stop_run(&task, StopReport::Stopped, &mut effects);
+        }
+        effects
+    }
+
+    /// Takes the answer to a start.
+    pub fn on_start_result(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        result: StartResult,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
+            return effects;
+        };
+        if run.phase != Phase::Starting {
+            return effects;
+        }
+        match result {
+            StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
+            StartResult::Unknown => self.stop_run(task, StopReport::NotStarted, &mut effects),
+            StartResult::OldRun => {
+                self.numbers.insert(task.clone(), number + 1);
+                self.finish(task, OrderOutcome::NotStarted, &mut effects);
+            }
+            StartResult::Refused => self.finish(task, OrderOutcome::NotStarted, &mut effects),
+            StartResult::Unhealthy => self.finish(task, OrderOutcome::Unhealthy, &mut effects),
+        }
+        effects
+    }
+
+    /// Takes the answer to a stop.
+    pub fn on_stop_result(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        is_acknowledged: bool,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
+        let stranger = (task.clone(), number);
+        if self.strangers.contains(&stranger) {
+            if is_acknowledged {
+                self.strangers.shift_remove(&stranger);
+                return Vec::new();
+            }
+            return vec![SupervisorEffect::Stop(task.clone(), number)];
+        }
+        let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
+            return Vec::new();
+        };
+        match &mut run.phase {
+            Phase::Stopping { acked_ms, .. } if is_acknowledged => {
+                *acked_ms = Some(now_ms);
+                Vec::new()
+            }
+            Phase::Stopping { acked_ms: None, .. } => {
+                vec![SupervisorEffect::Stop(task.clone(), number)]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes the upstream's lists.
+    pub fn on_hold(&mut self, result: &HoldResult) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        if self.mute_since_ms.take().is_some() {
+            effects.extend(self.report_all());
+        }
+        self.check_incarnation(result.born, &mut effects);
+        for (task, number, how) in &result.ended {
+            self.on_end(task, *number, *how, result.received_ms, &mut effects);
+        }
+        self.settle_absent(result, &mut effects);
+        for row in &result.running {
+            let is_ours = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
+            let stranger = (row.task.clone(), row.run);
+            if !is_ours && self.strangers.insert(stranger) {
+                effects.push(SupervisorEffect::Stop(row.task.clone(), row.run));
+            }
+        }
+        if !self.is_open && result.running.is_empty() && self.strangers.is_empty() {
+            self.is_open = true;
+            effects.push(SupervisorEffect::Open);
+        }
+        effects
+    }
+
+    /// Notes that the upstream did not answer a call for its lists.
+    pub fn on_hold_failed(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
+        if self.mute_since_ms.is_some() {
+            return Vec::new();
+        }
+        self.mute_since_ms = Some(now_ms);
+        self.report_all()
+    }
+
+    /// Acts on time that has passed.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        let session_ms = self.timing.session_ms;
+        let silent: Vec<SessionKey> = self
+            .sessions
+            .values()
+            .filter(|(_, session)| now_ms.saturating_sub(session.heard_ms) >= session_ms)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in silent {
+            self.stop_session(key, &mut effects);
+        }
+        self.sessions.retain(|_, (_, session)| {
+            session.is_connected || now_ms.saturating_sub(session.heard_ms) < SESSION_KEPT_MS
+        });
+        let is_past_lease = now_ms >= self.last_lease_sent_ms + self.timing.lease_end_ms();
+        if self.mute_since_ms.is_some() && is_past_lease {
+            self.lose_all(&mut effects);
+            self.strangers.clear();
+            if !self.is_open {
+                self.is_open = true;
+                effects.push(SupervisorEffect::Open);
+            }
+        }
+        effects
+    }
+
+    /// Takes the next report for an entry. `with_upstream` is set on a new connection and after a
+    /// change of the upstream.
+    pub fn report(&mut self, key: SessionKey, with_upstream: bool) -> Option<Report> {
+        let load = Load { batches_seen: 0, free: self.free(), is_open: self.takes_orders() };
+        let upstream = self.upstream.clone().filter(|_| with_upstream);
+        let session = self.session_mut(key).filter(|session| session.is_connected)?;
+        let outcomes = std::mem::take(&mut session.unsent);
+        let load = Load { batches_seen: session.batches_seen, ..load };
+        Some(Report { upstream, load, outcomes })
+    }
+
+    /// Returns capacity that is not charged.
+    pub fn free(&self) -> Resources {
+        let capacity = self.upstream.as_ref().map_or(Resources::default(), |up| up.capacity);
+        self.runs.values().fold(capacity, |free, run| free.saturating_sub(run.need))
+    }
+
+    fn has_room(&self, need: Resources) -> bool {
+        need.fits_in(self.free())
+    }
+
+    fn takes_orders(&self) -> bool {
+        let is_ready = self.upstream.as_ref().is_some_and(|up| up.state == UpstreamState::Ready);
+        is_ready && self.is_open && !self.is_leaving && self.mute_since_ms.is_none()
+            && self.strangers.is_empty()
+    }
+
+    fn on_end(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        how: EndKind,
+        now_ms: u64,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
+        self.strangers.shift_remove(&(task.clone(), number));
+        let Some(run) = self.runs.get(task).filter(|run| run.number == number) else {
+            return;
+        };
+        let outcome = match (how, run.phase) {
+            (EndKind::Done, Phase::Running { since_ms }) => OrderOutcome::Done {
+                run_ms: u32::try_from(now_ms.saturating_sub(since_ms)).unwrap_or(u32::MAX),
+            },
+            (EndKind::Done, _) => OrderOutcome::Done { run_ms: 0 },
+            (EndKind::Failed, _) => OrderOutcome::Failed,
+            (EndKind::Gone, Phase::Stopping { report: StopReport::Stopped, .. }) => {
+                OrderOutcome::Stopped
+            }
+            (EndKind::Gone, _) => OrderOutcome::Lost,
+        };
+        self.finish(task, outcome, effects);
+    }
+
+    /// Forgets an upstream that has been replaced at its address; what ran there is gone.
+    fn check_incarnation(&mut self, born: Option<u64>, effects: &mut Vec<SupervisorEffect>) {
+        let Some(born) = born else { return };
+        if self.upstream.as_ref().is_some_and(|known| known.born < born) {
+            self.upstream = None;
+            self.lose_all(effects);
+            self.numbers.clear();
+            effects.extend(self.report_all());
+        }
+    }
+
+    /// Settles runs that must be in the lists if they were there.
+    fn settle_absent(&mut self, result: &HoldResult, effects: &mut Vec<SupervisorEffect>) {
+        let stop_ms = self.timing.stop_ms;
+        let listed =
+            |task: &TaskId, number: u32| result.running.iter().any(|row| &row.task == task && row.run == number);
+        let mut absent = Vec::new();
+        for (task, run) in &self.runs {
+            if listed(task, run.number) {
+                continue;
+            }
+            match run.phase {
+                Phase::Running { since_ms } if result.sent_ms > since_ms => {
+                    absent.push((task.clone(), OrderOutcome::Lost));
+                }
+                Phase::Stopping { acked_ms: Some(acked_ms), report }
+                    if result.sent_ms >= acked_ms + stop_ms =>
+                {
+                    let outcome = match report {
+                        StopReport::Stopped => OrderOutcome::Stopped,
+                        StopReport::NotStarted => OrderOutcome::NotStarted,
+                    };
+                    absent.push((task.clone(), outcome));
+                }
+                _ => {}
+            }
+        }
+        for (task, outcome) in absent {
+            self.finish(&task, outcome, effects);
+        }
+    }
+
+    fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
+        let owned = |run: &Run| run.order.is_some_and(|(owner, _)| owner == key);
+        let tasks: Vec<TaskId> =
+            self.runs.iter().filter(|(_, run)| owned(run)).map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            self.stop_run(&task, StopReport::Stopped, effects);
+        }
+    }
+
+    fn stop_run(&mut self, task: &TaskId, report: StopReport, effects: &mut Vec<SupervisorEffect>) {
+        let Some(run) = self.runs.get_mut(task) else { return };
+        if matches!(run.phase, Phase::Stopping { .. }) {
+            return;
+        }
+        run.phase = Phase::Stopping { acked_ms: None, report };
+        effects.push(SupervisorEffect::Stop(task.clone(), run.number));
+    }
+
+    fn lose_all(&mut self, effects: &mut Vec<SupervisorEffect>) {
+        let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
+        for task in tasks {
+            self.finish(&task, OrderOutcome::Lost, effects);
+        }
+    }
+
+    /// Ends the charge of a run and tells its entry.
+    fn finish(
+        &mut self,
+        task: &TaskId,
+        outcome: OrderOutcome,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
+        let Some(run) = self.runs.shift_remove(task) else { return };
+        let number = self.numbers.entry(task.clone()).or_insert(0);
+        *number = run.number.max(*number);
+        if self.numbers.len() > RUN_NUMBERS_KEPT {
+            self.numbers.shift_remove_index(0);
+        }
+        self.settle(task, run.order, outcome, effects);
+        if let Some((key, _)) = run.order {
+            effects.push(SupervisorEffect::Report(key));
+        }
+    }
+
+    fn settle(
+        &mut self,
+        task: &TaskId,
+        order: Option<(SessionKey, OrderId)>,
+        outcome: OrderOutcome,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
+        if let Some((key, id)) = order
+            && let Some(session) = self.session_mut(key)
+        {
+            session.record(id, outcome);
+        }
+        effects.push(SupervisorEffect::Settled(task.clone(), order.map(|(_, id)| id), outcome));
+    }
+
+    fn session_mut(&mut self, key: SessionKey) -> Option<&mut Session> {
+        self.sessions.values_mut().find(|(known, _)| *known == key).map(|(_, session)| session)
+    }
+
+    fn report_all(&self) -> Vec<SupervisorEffect> {
+        self.sessions.values().map(|(key, _)| SupervisorEffect::Report(*key)).collect()
+    }
+}
--- a/crates/ebonycroft/src/command.rs
+++ b/crates/ebonycroft/src/command.rs
@@ -7,6 +7,8 @@
         Try,
         Entry,
         Agent,
+        DirectEntry,
+        DirectAgent,
         Emulator,
         Load,
         Check,
@@ -18,10 +20,12 @@
 }
 
 impl Command {
-    pub(crate) const ALL: [Self; 10] = [
+    pub(crate) const ALL: [Self; 12] = [
         Self::Try,
         Self::Entry,
         Self::Agent,
+        Self::DirectEntry,
+        Self::DirectAgent,
         Self::Emulator,
         Self::Load,
         Self::Check,
@@ -36,6 +40,8 @@
             Self::Try => "try",
             Self::Entry => "entry",
             Self::Agent => "agent",
+            Self::DirectEntry => "direct-entry",
+            Self::DirectAgent => "direct-agent",
             Self::Emulator => "emulator",
             Self::Load => "load",
             Self::Check => "check",
@@ -51,6 +57,8 @@
             Self::Try => "run an entry, agents and stand-ins in one process on loopback",
             Self::Entry => "run an entry",
             Self::Agent => "run the agent beside an upstream",
+            Self::DirectEntry => "run an entry for jobs that are answered on their submission",
+            Self::DirectAgent => "run the agent beside an upstream of such jobs",
             Self::Emulator => "run stand-ins of the log, of executors and of workers",
             Self::Load => "send jobs at planned times and report",
             Self::Check => "check settings and report every fault",
--- a/crates/ebonycroft/src/commands/check.rs
+++ b/crates/ebonycroft/src/commands/check.rs
@@ -5,6 +5,7 @@
 use agent::AgentSettings;
 use entry::EntrySettings;
 use getopts::Options;
+use node::{DirectAgentSettings, DirectEntrySettings};
 
 use crate::{
     cli_error::CliError,
@@ -16,6 +17,8 @@
 enum Role {
     Entry,
     Agent,
+    DirectEntry,
+    DirectAgent,
     Emulator,
     Shared,
 }
@@ -23,7 +26,7 @@
 pub(crate) fn run(args: &[String]) -> Result<(), CliError> {
     let mut opts = Options::new();
     opts.optopt("c", "config", "settings file", "FILE");
-    opts.optopt("r", "role", "entry (default), agent, emulator or shared", "ROLE");
+    opts.optopt("r", "role", "entry (default), agent, direct-entry, direct-agent, emulator or shared", "ROLE");
     let Some(matches) = options::parse(Command::Check, opts, args)? else {
         return Ok(());
     };
@@ -31,6 +34,8 @@
     let role = match role.as_str() {
         "entry" => Role::Entry,
         "agent" => Role::Agent,
+        "direct-entry" => Role::DirectEntry,
+        "direct-agent" => Role::DirectAgent,
         "emulator" => Role::Emulator,
         "shared" => Role::Shared,
         other => return Err(CliError::Usage(format!("unknown role `{other}`"))),
@@ -45,6 +50,8 @@
     match role {
         Role::Entry => options::load_file::<EntrySettings>(path).map(drop),
         Role::Agent => options::load_file::<AgentSettings>(path).map(drop),
+        Role::DirectEntry => options::load_file::<DirectEntrySettings>(path).map(drop),
+        Role::DirectAgent => options::load_file::<DirectAgentSettings>(path).map(drop),
         Role::Emulator => options::load_file::<EmulatorSettings>(path).map(drop),
         Role::Shared => crate::commands::shared::load(path).map(drop),
     }
--- a/crates/ebonycroft/src/commands/mod.rs
+++ b/crates/ebonycroft/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each subcommand or family of subcommands.
 
 mod check;
+mod direct;
 mod emulator;
 mod load;
 mod local_system;
@@ -11,6 +12,7 @@
 mod shared;
 mod try_out;
 
+pub(crate) use crate::commands::direct::run as run_direct;
 use crate::{cli_error::CliError, command::Command};
 
 pub(crate) async fn run(command: Command, args: &[String]) -> Result<(), CliError> {
@@ -18,6 +20,7 @@
         Command::Try => try_out::run(args).await,
         Command::Entry => roles::run_entry(args).await,
         Command::Agent => roles::run_agent(args).await,
+        Command::DirectEntry | Command::DirectAgent => run_direct(command, args).await,
         Command::Emulator => emulator::run(args).await,
         Command::Load => load::run(args).await,
         Command::Check => check::run(args),
--- a/crates/ebonycroft/src/run.rs
+++ b/crates/ebonycroft/src/run.rs
@@ -1,6 +1,10 @@
 use std::{env, process::ExitCode};
 
 use flexi_logger::{Logger, LoggerHandle};
+use tokio::{
+    runtime::{Builder, Runtime},
+    task::LocalSet,
+};
 use types::{Peer, StepError};
 
 use crate::{cli_error::CliError, command::Command, commands};
@@ -31,8 +35,13 @@
 
 fn run_command(command: Command, args: &[String]) -> Result<(), CliError> {
     let _logger = start_logger()?;
-    let runtime = tokio::runtime::Runtime::new()
-        .map_err(|e| StepError::new("starting the runtime", Peer::Local, e))?;
+    let start_failed = |e| StepError::new("starting the runtime", Peer::Local, e);
+    if matches!(command, Command::DirectEntry | Command::DirectAgent) {
+        // A host gives these roles a fraction of one core.
+        let runtime = Builder::new_current_thread().enable_all().build().map_err(start_failed)?;
+        return runtime.block_on(LocalSet::new().run_until(commands::run_direct(command, args)));
+    }
+    let runtime = Runtime::new().map_err(start_failed)?;
     let result = runtime.block_on(commands::run(command, args));
     runtime.shutdown_background();
     result
@@ -40,7 +49,7 @@
 
 /// Levels of log lines unless `RUST_LOG` names others.
 const DEFAULT_LOG: &str =
-    "warn,agent=info,ebonycroft=info,emulator=info,entry=info,journal=info,services=info";
+    "warn,agent=info,ebonycroft=info,emulator=info,entry=info,journal=info,node=info,services=info";
 
 fn start_logger() -> Result<LoggerHandle, StepError> {
     Logger::try_with_env_or_str(DEFAULT_LOG)
@@ -49,7 +58,7 @@
 }
 
 fn usage() -> String {
-    let lines = Command::ALL.map(|command| format!("  {:10}{}", command.name(), command.summary()));
+    let lines = Command::ALL.map(|command| format!("  {:14}{}", command.name(), command.summary()));
     format!(
         "ebonycroft: a dispatcher for sub-second tasks\n\nusage: ebonycroft COMMAND [OPTIONS]\n\n\
          {}\n\nebonycroft COMMAND --help shows the options of a command",
--- /dev/null
+++ b/crates/node/src/agent/state.rs
@@ -0,0 +1,322 @@
+//! What the parts of an agent share.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use adapter::ExecutorClient;
+use direct::{
+    AgentHello, EntryHello, HoldResult, OrderOutcome, Report, SessionKey, StartResult, Supervisor,
+    SupervisorEffect, TaskId, Timing, ToAgent, Upstream,
+};
+use indexmap::IndexMap;
+use metrics::counter;
+use serde_json::json;
+use tokio::{sync::{Notify, Semaphore}, task::spawn_local};
+use types::{Resources, StepError};
+
+use crate::{
+    DirectAgentSettings,
+    agent::executor_calls,
+    clock,
+    events::{Events, Weight},
+    known_entries::KnownEntries,
+};
+
+/// Calls to the upstream under way at a time, beside the one that waits for ends. Source: well
+/// below the connections that an upstream takes.
+const CALLS_AT_A_TIME: usize = 12;
+
+pub(crate) struct AgentState {
+    pub(crate) timing: Timing,
+    pub(crate) known: Rc<KnownEntries>,
+    pub(crate) events: Events,
+    pub(crate) executor: ExecutorClient,
+    pub(crate) calls: Semaphore,
+    name: Arc<str>,
+    incarnation: u64,
+    supervisor: RefCell<Supervisor>,
+    wakes: RefCell<IndexMap<SessionKey, Rc<Notify>>>,
+    token: Cell<u64>,
+    /// The upstream's clock less ours, milliseconds; nothing before its first answer.
+    clock_offset_ms: Cell<Option<i64>>,
+    last_ms: Cell<u64>,
+    /// Number of suspensions.
+    epoch: Cell<u64>,
+    is_open: Cell<bool>,
+    last_free: Cell<Resources>,
+}
+
+impl AgentState {
+    pub(crate) fn new(settings: &DirectAgentSettings) -> Result<Rc<Self>, StepError> {
+        let known = Rc::new(KnownEntries::default());
+        for seed in settings.seeds.iter().flatten() {
+            known.add(SocketAddr::new(seed.ip(), settings.links_port));
+        }
+        let now_ms = clock::now_ms();
+        let timeout = Duration::from_millis(settings.timing.call_ms);
+        Ok(Rc::new(Self {
+            timing: settings.timing,
+            known,
+            events: Events::start(&settings.name),
+            executor: ExecutorClient::new(settings.upstream, timeout)?,
+            calls: Semaphore::new(CALLS_AT_A_TIME),
+            name: Arc::clone(&settings.name),
+            incarnation: clock::unix_ms(),
+            supervisor: RefCell::new(Supervisor::new(settings.timing, now_ms)),
+            wakes: RefCell::default(),
+            token: Cell::new(0),
+            clock_offset_ms: Cell::new(None),
+            last_ms: Cell::new(now_ms),
+            epoch: Cell::new(0),
+            is_open: Cell::new(false),
+            last_free: Cell::default(),
+        }))
+    }
+
+    /// Returns the time; notices a suspension before anything else is done after it.
+    fn now_ms(&self) -> u64 {
+        let now_ms = clock::now_ms();
+        let gap_ms = now_ms.saturating_sub(self.last_ms.replace(now_ms));
+        if gap_ms >= self.timing.suspension_ms {
+            self.events.line(Weight::Notable, "suspended", &[("gap_ms", json!(gap_ms))]);
+            self.epoch.set(self.epoch.get() + 1);
+        }
+        now_ms
+    }
+
+    /// Returns the number of suspensions so far.
+    pub(crate) fn epoch(&self) -> u64 {
+        self.now_ms();
+        self.epoch.get()
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.supervisor.borrow().is_idle()
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.is_open.get()
+    }
+
+    pub(crate) fn awaits_stop(&self) -> bool {
+        self.supervisor.borrow().awaits_stop()
+    }
+
+    pub(crate) fn token(&self) -> u64 {
+        self.token.get()
+    }
+
+    /// Takes a fencing token above any that an earlier agent had: the upstream's own clock only
+    /// rises in its life.
+    pub(crate) fn raise_token(&self) {
+        let now_ms = i64::try_from(clock::now_ms()).unwrap_or(i64::MAX);
+        let clock_ms = self.clock_offset_ms.get().map_or(0, |offset| now_ms + offset);
+        let token = u64::try_from(clock_ms).unwrap_or(0).max(self.token.get()) + 1;
+        self.token.set(token);
+        self.events.line(Weight::Notable, "fencing_token", &[("token", json!(token))]);
+    }
+
+    pub(crate) fn clock_seen(&self, clock_ms: Option<u64>, received_ms: u64) {
+        if let Some(clock_ms) = clock_ms.and_then(|ms| i64::try_from(ms).ok()) {
+            let received_ms = i64::try_from(received_ms).unwrap_or(i64::MAX);
+            self.clock_offset_ms.set(Some(clock_ms - received_ms));
+        }
+    }
+
+    /// Returns the end of a lease given now, by the upstream's clock; nothing while none is given.
+    pub(crate) fn next_lease(&self, now_ms: u64) -> Option<u64> {
+        let offset = self.clock_offset_ms.get()?;
+        let mut supervisor = self.supervisor.borrow_mut();
+        if !supervisor.gives_lease() {
+            return None;
+        }
+        supervisor.lease_sent(now_ms);
+        let now = i64::try_from(now_ms).ok()?.checked_add(offset)?;
+        Some(u64::try_from(now).unwrap_or(0) + self.timing.lease_ms)
+    }
+
+    pub(crate) fn heartbeat(self: &Rc<Self>, upstream: Upstream, seq: i64, _clock_ms: Option<u64>) {
+        let known = self.supervisor.borrow().upstream().cloned();
+        if known.as_ref() != Some(&upstream) {
+            let fields = [
+                ("upstream", json!(&*upstream.id)),
+                ("born", json!(upstream.born)),
+                ("state", json!(format!("{:?}", upstream.state))),
+                ("seq", json!(seq)),
+            ];
+            self.events.line(Weight::Notable, "upstream", &fields);
+        }
+        let effects = self.supervisor.borrow_mut().on_heartbeat(upstream, seq);
+        self.apply(effects);
+    }
+
+    pub(crate) fn upstream_leaves(self: &Rc<Self>, id: &str) {
+        self.events.line(Weight::Notable, "upstream_leaves", &[("upstream", json!(id))]);
+        let is_known =
+            self.supervisor.borrow().upstream().is_some_and(|upstream| &*upstream.id == id);
+        if is_known {
+            let effects = self.supervisor.borrow_mut().on_leave();
+            self.apply(effects);
+        }
+    }
+
+    pub(crate) fn leave(self: &Rc<Self>) {
+        let effects = self.supervisor.borrow_mut().leave();
+        self.apply(effects);
+    }
+
+    pub(crate) fn held(self: &Rc<Self>, result: &HoldResult) {
+        self.now_ms();
+        let effects = self.supervisor.borrow_mut().on_hold(result);
+        self.apply(effects);
+    }
+
+    pub(crate) fn hold_failed(self: &Rc<Self>, cause: &StepError) {
+        let now_ms = self.now_ms();
+        let was_answering = self.supervisor.borrow().gives_lease();
+        if was_answering {
+            self.events.line(Weight::Notable, "upstream_mute", &[("cause", json!(cause.to_string()))]);
+        }
+        let effects = self.supervisor.borrow_mut().on_hold_failed(now_ms);
+        self.apply(effects);
+    }
+
+    pub(crate) fn start_answered(self: &Rc<Self>, task: &TaskId, run: u32, result: StartResult) {
+        let now_ms = self.now_ms();
+        if result != StartResult::Started {
+            let fields = [
+                ("job", json!(&*task.job)),
+                ("task", json!(task.to_string())),
+                ("run", json!(run)),
+                ("result", json!(format!("{result:?}"))),
+            ];
+            self.events.line(Weight::Notable, "not_started", &fields);
+        }
+        let effects = self.supervisor.borrow_mut().on_start_result(task, run, result, now_ms);
+        self.apply(effects);
+    }
+
+    pub(crate) fn stop_answered(self: &Rc<Self>, task: &TaskId, run: u32, is_acknowledged: bool) {
+        let now_ms = self.now_ms();
+        let effects =
+            self.supervisor.borrow_mut().on_stop_result(task, run, is_acknowledged, now_ms);
+        self.apply(effects);
+    }
+
+    pub(crate) fn tick(self: &Rc<Self>) {
+        let now_ms = self.now_ms();
+        let effects = self.supervisor.borrow_mut().tick(now_ms);
+        self.apply(effects);
+        let free = self.supervisor.borrow().free();
+        if self.last_free.replace(free) != free {
+            self.wakes.borrow().values().for_each(|wake| wake.notify_one());
+        }
+        self.events.flush();
+    }
+
+    pub(crate) fn hello(&self) -> AgentHello {
+        AgentHello {
+            agent: Arc::clone(&self.name),
+            incarnation: self.incarnation,
+            entries: self.known.connected(),
+        }
+    }
+
+    pub(crate) fn entry_connected(self: &Rc<Self>, hello: &EntryHello) -> (SessionKey, Rc<Notify>) {
+        let now_ms = self.now_ms();
+        let (key, effects) = self.supervisor.borrow_mut().on_entry_hello(
+            &hello.entry,
+            hello.incarnation,
+            &hello.outstanding,
+            now_ms,
+        );
+        let wake = Rc::new(Notify::new());
+        self.wakes.borrow_mut().insert(key, Rc::clone(&wake));
+        let fields = [("entry", json!(&*hello.entry)), ("incarnation", json!(hello.incarnation))];
+        self.events.line(Weight::Notable, "entry_connected", &fields);
+        self.apply(effects);
+        (key, wake)
+    }
+
+    pub(crate) fn entry_said(self: &Rc<Self>, key: SessionKey, message: ToAgent) {
+        let now_ms = self.now_ms();
+        let mut supervisor = self.supervisor.borrow_mut();
+        supervisor.on_entry_heard(key, now_ms);
+        let effects = match message {
+            ToAgent::Start(batch) => supervisor.on_orders(key, &batch),
+            ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
+            ToAgent::Alive(entries) => {
+                self.known.add_all(&entries);
+                Vec::new()
+            }
+            ToAgent::Hello(_) => Vec::new(),
+        };
+        drop(supervisor);
+        self.apply(effects);
+    }
+
+    pub(crate) fn entry_gone(&self, key: SessionKey, wake: &Rc<Notify>, cause: Option<&StepError>) {
+        let mut wakes = self.wakes.borrow_mut();
+        // A newer connection of the same session has another waker.
+        if wakes.get(&key).is_none_or(|known| !Rc::ptr_eq(known, wake)) {
+            return;
+        }
+        wakes.swap_remove(&key);
+        drop(wakes);
+        let cause = cause.map_or_else(|| "silent".to_owned(), ToString::to_string);
+        self.events.line(Weight::Notable, "entry_lost", &[("cause", json!(cause))]);
+        self.supervisor.borrow_mut().on_disconnected(key);
+    }
+
+    /// Takes the next report; `sent` is the upstream as it was last reported on the connection.
+    pub(crate) fn report(&self, key: SessionKey, sent: &mut Option<Upstream>) -> Option<Report> {
+        let mut supervisor = self.supervisor.borrow_mut();
+        let is_news = supervisor.upstream() != sent.as_ref();
+        let report = supervisor.report(key, is_news)?;
+        if is_news {
+            *sent = supervisor.upstream().cloned();
+        }
+        Some(report)
+    }
+
+    fn apply(self: &Rc<Self>, effects: Vec<SupervisorEffect>) {
+        for effect in effects {
+            match effect {
+                SupervisorEffect::Start(start) => {
+                    spawn_local(executor_calls::start(Rc::clone(self), start));
+                }
+                SupervisorEffect::Stop(task, run) => {
+                    spawn_local(executor_calls::stop(Rc::clone(self), task, run));
+                }
+                SupervisorEffect::Report(key) => {
+                    if let Some(wake) = self.wakes.borrow().get(&key) {
+                        wake.notify_one();
+                    }
+                }
+                SupervisorEffect::Open => {
+                    self.is_open.set(true);
+                    self.events.line(Weight::Notable, "open", &[]);
+                }
+                SupervisorEffect::Settled(task, order, outcome) => {
+                    counter!("agent_orders", "outcome" => outcome.name()).increment(1);
+                    let weight = match outcome {
+                        OrderOutcome::Done { .. } => Weight::Routine,
+                        _ => Weight::Notable,
+                    };
+                    let fields = [
+                        ("job", json!(&*task.job)),
+                        ("task", json!(task.to_string())),
+                        ("order", json!(order.map(|id| id.0))),
+                        ("outcome", json!(outcome.name())),
+                    ];
+                    self.events.line(weight, "settled", &fields);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/callers.rs
@@ -0,0 +1,140 @@
+//! Requests of callers.
+
+use std::rc::Rc;
+
+use adapter::{
+    ClientCall, JobError, Reply, decode_call, decode_job, encode_end, encode_error, encode_gone,
+    encode_pending,
+};
+use bytes::Bytes;
+use direct::{JobEnd, JobKey};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Incoming},
+    header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+};
+use metrics::{counter, histogram};
+use serde_json::json;
+
+use crate::{clock, entry::state::EntryState, events::Weight, http_server::Answer};
+
+/// Says how long a client waits for its answer, milliseconds.
+const PATIENCE_HEADER: &str = adapter::PATIENCE_HEADER;
+/// How long a client waits that does not say so, milliseconds.
+const DEFAULT_PATIENCE_MS: u64 = 30_000;
+
+/// Cancels a submission whose client goes before the answer.
+struct CancelOnDrop {
+    state: Rc<EntryState>,
+    key: JobKey,
+    id: String,
+    arrived_ms: u64,
+    is_answered: bool,
+}
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        counter!("entry_jobs", "end" => "client_gone").increment(1);
+        let waited_ms = clock::now_ms().saturating_sub(self.arrived_ms);
+        let fields = [("job", json!(self.id)), ("after_ms", json!(waited_ms))];
+        self.state.events.line(Weight::Notable, "client_gone", &fields);
+        self.state.cancel(self.key);
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn answer(state: Rc<EntryState>, req: Request<Incoming>) -> Answer {
+    http_answer(reply(&state, req).await)
+}
+
+async fn reply(state: &Rc<EntryState>, req: Request<Incoming>) -> Reply {
+    let Some(routing) = state.routing() else {
+        return encode_error(503, "no configuration yet");
+    };
+    let (head, body) = req.into_parts();
+    let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let host = header(HOST.as_str()).or(head.uri.host()).unwrap_or("");
+    let call = match decode_call(&routing, head.method.as_str(), host, head.uri.path()) {
+        Ok(call) => call,
+        Err(e) => return encode_error(e.status(), &e.to_string()),
+    };
+    let (queue, id) = match call {
+        ClientCall::Submit(queue, id) => (queue, id),
+        // Direct jobs are kept nowhere: none is there to be asked for or to wait.
+        ClientCall::State(..) | ClientCall::Cancel(..) => return encode_gone(),
+        ClientCall::Pending(_) => return encode_pending(0),
+    };
+    let patience_ms =
+        header(PATIENCE_HEADER).and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_PATIENCE_MS);
+    let body = match read_body(body, routing.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    match decode_job(id, queue, &body, patience_ms) {
+        Ok(job) => run(state, job, routing.version).await,
+        Err(e @ JobError::Malformed(_)) => encode_error(400, &e.to_string()),
+        Err(e @ JobError::Unsupported(_)) => encode_error(503, &e.to_string()),
+    }
+}
+
+async fn run(state: &Rc<EntryState>, job: direct::DirectJob, version: u64) -> Reply {
+    let id = job.id.to_string();
+    let arrived_ms = clock::now_ms();
+    let fields = [
+        ("job", json!(id)),
+        ("queue", json!(&*job.kind)),
+        ("config", json!(version)),
+        ("tasks", json!(job.task_count())),
+        ("chain_ms", json!(job.longest_chain_ms())),
+        ("patience_ms", json!(job.patience_ms)),
+    ];
+    state.events.line(Weight::Routine, "accepted", &fields);
+    let (key, end) = state.submit(job);
+    let mut guard =
+        CancelOnDrop { state: Rc::clone(state), key, id: id.clone(), arrived_ms, is_answered: false };
+    let Ok(end) = end.await else {
+        guard.is_answered = true;
+        return encode_error(500, "the dispatcher has ended");
+    };
+    guard.is_answered = true;
+    let took_ms = clock::now_ms().saturating_sub(arrived_ms);
+    let (name, weight) = match end {
+        JobEnd::Succeeded => ("succeeded", Weight::Routine),
+        JobEnd::Failed => ("failed", Weight::Notable),
+        JobEnd::NotRun { reason, .. } => (reason.name(), Weight::Notable),
+    };
+    counter!("entry_jobs", "end" => name).increment(1);
+    #[allow(clippy::cast_precision_loss)]
+    histogram!("entry_answer_seconds").record(took_ms as f64 / 1_000.0);
+    let fields = [("job", json!(id)), ("end", json!(name)), ("took_ms", json!(took_ms))];
+    state.events.line(weight, "answered", &fields);
+    encode_end(end)
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Reply> {
+    let too_large = || encode_error(413, &format!("the body is larger than {limit} bytes"));
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(too_large()),
+        Err(e) => Err(encode_error(400, &format!("reading the body: {e}"))),
+    }
+}
+
+fn http_answer(reply: Reply) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(reply.body)));
+    *answer.status_mut() =
+        StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after_s) = reply.retry_after_s {
+        headers.insert(RETRY_AFTER, HeaderValue::from(after_s));
+    }
+    answer
+}
--- /dev/null
+++ b/crates/node/src/entry/mod.rs
@@ -0,0 +1,152 @@
+//! The process in front of callers.
+
+mod agent_links;
+mod callers;
+mod state;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use adapter::{StoreClient, is_readiness_probe};
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+use types::{Peer, StepError};
+
+pub(crate) use crate::entry::agent_links::FirstMessage;
+use crate::{
+    DirectEntrySettings, config_watch, directory,
+    entry::state::EntryState,
+    events::Weight,
+    http_server::{Answer, ConnectionLimits, HttpServer, listen},
+    metrics_server, peer_links,
+};
+
+/// Longest time for an answer of the store, beside what a read waits.
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Period of looking at deadlines while jobs are there, and without.
+const BUSY_TICK: Duration = Duration::from_millis(12);
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Time that the platform takes to send no more connections to a process that is not ready:
+/// two probes, one a second, and their answers.
+const OUT_OF_ROTATION: Duration = Duration::from_millis(2_300);
+/// Left of the grace for the end of the process itself, milliseconds.
+const EXIT_MARGIN_MS: u64 = 700;
+const PROBE_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000 };
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// When an address cannot be listened at.
+pub async fn run_entry(settings: DirectEntrySettings) -> Result<(), StepError> {
+    metrics_server::start(settings.metrics).await?;
+    let is_closing = Rc::new(Cell::new(false));
+    let state = EntryState::new(&settings);
+    let store = StoreClient::new(settings.store, STORE_TIMEOUT)?;
+    let links = listen(settings.links).await?;
+    let readiness = listen(settings.readiness).await?;
+    let callers = listen(settings.callers).await?;
+    state.events.line(
+        Weight::Notable,
+        "start",
+        &[("callers", json!(settings.callers.to_string())), ("links", json!(settings.links.to_string()))],
+    );
+    spawn_local(agent_links::accept(links, Rc::clone(&state)));
+    spawn_local(tick(Rc::clone(&state)));
+    spawn_local(dial_peers(Rc::clone(&state)));
+    let adopting = Rc::clone(&state);
+    spawn_local(config_watch::follow(store.clone(), Rc::new(move |raw| adopting.adopt_config(raw, "store"))));
+    spawn_local(directory::announce(store.clone(), settings.name.as_ref().into(), settings.links));
+    spawn_local(directory::follow(store, Rc::clone(&state.known), Some(settings.links)));
+    spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
+    serve_callers(&callers, &state, &is_closing, settings.grace_ms).await?;
+    state.events.line(Weight::Notable, "stop", &[("unanswered", json!(state.unanswered()))]);
+    state.events.flush();
+    Ok(())
+}
+
+async fn serve_callers(
+    listener: &tokio::net::TcpListener,
+    state: &Rc<EntryState>,
+    is_closing: &Rc<Cell<bool>>,
+    grace_ms: u64,
+) -> Result<(), StepError> {
+    let fail = |e| StepError::new("listening for signals", Peer::Local, e);
+    let mut terminate = signal(SignalKind::terminate()).map_err(fail)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(fail)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(fail)?;
+    let server = HttpServer::new(Rc::clone(is_closing));
+    let stopping = async {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => {
+                    state.events.line(Weight::Notable, "hangup", &[]);
+                }
+            }
+        }
+        is_closing.set(true);
+        state.events.line(Weight::Notable, "stopping", &[("unanswered", json!(state.unanswered()))]);
+        sleep(OUT_OF_ROTATION).await;
+    };
+    let limits = || state.connection_limits();
+    let handling = Rc::clone(state);
+    let handle = move |req: Request<Incoming>| callers::answer(Rc::clone(&handling), req);
+    server.accept_until(listener, limits, handle, stopping).await;
+    let out_of_rotation = u64::try_from(OUT_OF_ROTATION.as_millis()).unwrap_or(u64::MAX);
+    let left_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS + out_of_rotation);
+    if timeout(Duration::from_millis(left_ms), server.shutdown()).await.is_err() {
+        log::warn!("stopped with {} requests unanswered", state.unanswered());
+    }
+    Ok(())
+}
+
+async fn serve_readiness(
+    listener: tokio::net::TcpListener,
+    state: Rc<EntryState>,
+    is_closing: Rc<Cell<bool>>,
+) {
+    let server = HttpServer::new(Rc::new(Cell::new(false)));
+    let handle = move |req: Request<Incoming>| {
+        let is_ready = !is_closing.get() && state.is_ready();
+        let is_probe = is_readiness_probe(req.method().as_str(), req.uri().path());
+        async move { readiness_answer(is_probe, is_ready) }
+    };
+    server.accept_until(&listener, || PROBE_LIMITS, handle, std::future::pending()).await;
+}
+
+fn readiness_answer(is_probe: bool, is_ready: bool) -> Answer {
+    let status = match (is_probe, is_ready) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+async fn tick(state: Rc<EntryState>) {
+    loop {
+        sleep(if state.is_busy() { BUSY_TICK } else { IDLE_TICK }).await;
+        state.tick();
+    }
+}
+
+async fn dial_peers(state: Rc<EntryState>) {
+    loop {
+        for addr in state.known.take_undialled() {
+            if addr != state.links {
+                let holder = Rc::clone(&state) as Rc<dyn peer_links::ConfigHolder>;
+                spawn_local(peer_links::dial(addr, Rc::clone(&state.known), holder));
+            }
+        }
+        sleep(IDLE_TICK).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/events.rs
@@ -0,0 +1,107 @@
+//! One JSON line on standard output for each decision: bounded, and never waiting for the reader.
+
+use std::{
+    cell::RefCell,
+    io::Write,
+    sync::mpsc::{SyncSender, TrySendError, sync_channel},
+    thread,
+};
+
+use serde_json::{Map, Value};
+
+use crate::clock;
+
+/// Most lines a second. Source: the processor time of a role allows about this many.
+const LINES_PER_SECOND: u32 = 300;
+/// Lines of the budget that only failures and changes of belief may use.
+const RESERVED_LINES: u32 = 100;
+/// Chunks that wait for a slow reader before lines are dropped.
+const CHUNKS_WAITING: usize = 16;
+
+/// Whether a line may be left out before others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Weight {
+    /// A request that went well.
+    Routine,
+    /// A failure, a refusal or a change of belief.
+    Notable,
+}
+
+/// The process's log of decisions.
+#[derive(Debug)]
+pub(crate) struct Events {
+    process: String,
+    state: RefCell<State>,
+    tx: SyncSender<Vec<u8>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    buf: Vec<u8>,
+    second: u64,
+    lines: u32,
+    dropped: u64,
+}
+
+impl Events {
+    /// Starts the writer.
+    pub(crate) fn start(process: &str) -> Self {
+        let (tx, rx) = sync_channel::<Vec<u8>>(CHUNKS_WAITING);
+        thread::spawn(move || {
+            let mut out = std::io::stdout();
+            while let Ok(chunk) = rx.recv() {
+                // A reader that has gone must not end the process; there is nowhere to say so.
+                let _ = out.write_all(&chunk).and_then(|()| out.flush());
+            }
+        });
+        Self { process: process.to_owned(), state: RefCell::default(), tx }
+    }
+
+    /// Adds a line: what was decided, and on what.
+    pub(crate) fn line(&self, weight: Weight, event: &str, fields: &[(&str, Value)]) {
+        let unix_ms = clock::unix_ms();
+        let mut state = self.state.borrow_mut();
+        if state.second != unix_ms / 1_000 {
+            state.second = unix_ms / 1_000;
+            state.lines = 0;
+        }
+        let limit = match weight {
+            Weight::Routine => LINES_PER_SECOND - RESERVED_LINES,
+            Weight::Notable => LINES_PER_SECOND,
+        };
+        if state.lines >= limit {
+            state.dropped += 1;
+            return;
+        }
+        state.lines += 1;
+        let mut object = Map::new();
+        object.insert("at_ms".into(), unix_ms.into());
+        object.insert("process".into(), self.process.as_str().into());
+        object.insert("event".into(), event.into());
+        object.extend(fields.iter().map(|(name, value)| ((*name).to_owned(), value.clone())));
+        // Writing to memory cannot fail.
+        let _ = serde_json::to_writer(&mut state.buf, &object);
+        state.buf.push(b'\n');
+    }
+
+    /// Hands the lines to the writer; drops them when it is behind.
+    pub(crate) fn flush(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.buf.is_empty() {
+            return;
+        }
+        let dropped = std::mem::take(&mut state.dropped);
+        if dropped > 0 {
+            let line = format!(
+                "{{\"at_ms\":{},\"process\":\"{}\",\"event\":\"lines_dropped\",\"count\":{dropped}}}\n",
+                clock::unix_ms(),
+                self.process
+            );
+            state.buf.extend(line.as_bytes());
+        }
+        let chunk = std::mem::take(&mut state.buf);
+        if let Err(TrySendError::Full(chunk)) = self.tx.try_send(chunk) {
+            state.dropped += u64::try_from(chunk.iter().filter(|b| **b == b'\n').count()).unwrap_or(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/frames.rs
@@ -0,0 +1,97 @@
+//! Typed messages over TCP: length-delimited frames of postcard.
+
+use std::{marker::PhantomData, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt, stream::SplitSink, stream::SplitStream};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time::timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use types::{Peer, StepError};
+
+/// Most bytes of a message. Source: twice the largest record of the platform's store, since
+/// configurations are handed on whole.
+const MAX_FRAME_BYTES: usize = 1 << 20;
+
+type Raw = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Sends messages of one type.
+pub(crate) struct FrameTx<T> {
+    sink: SplitSink<Raw, Bytes>,
+    peer: SocketAddr,
+    _message: PhantomData<T>,
+}
+
+/// Receives messages of one type.
+pub(crate) struct FrameRx<T> {
+    stream: SplitStream<Raw>,
+    peer: SocketAddr,
+    _message: PhantomData<T>,
+}
+
+/// Makes message streams of a connection.
+pub(crate) fn split<Out, In>(
+    stream: TcpStream,
+    peer: SocketAddr,
+) -> Result<(FrameTx<Out>, FrameRx<In>), StepError> {
+    stream
+        .set_nodelay(true)
+        .map_err(|e| StepError::new("setting up a link", Peer::Address(peer), e))?;
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    let (sink, stream) = Framed::new(stream, codec).split();
+    let tx = FrameTx { sink, peer, _message: PhantomData };
+    Ok((tx, FrameRx { stream, peer, _message: PhantomData }))
+}
+
+/// Connects to a peer.
+pub(crate) async fn connect(addr: SocketAddr, within: Duration) -> Result<TcpStream, StepError> {
+    let fail = |e: &dyn std::fmt::Display| StepError::new("connecting", Peer::Address(addr), e);
+    match timeout(within, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(e)) => Err(fail(&e)),
+        Err(e) => Err(fail(&e)),
+    }
+}
+
+impl<T> FrameTx<T> {
+    /// Sends messages of another type from here on.
+    pub(crate) fn retype<U>(self) -> FrameTx<U> {
+        FrameTx { sink: self.sink, peer: self.peer, _message: PhantomData }
+    }
+}
+
+impl<T> FrameRx<T> {
+    /// Receives messages of another type from here on.
+    pub(crate) fn retype<U>(self) -> FrameRx<U> {
+        FrameRx { stream: self.stream, peer: self.peer, _message: PhantomData }
+    }
+}
+
+impl<T: Serialize> FrameTx<T> {
+    /// Queues a message.
+    pub(crate) async fn feed(&mut self, message: &T) -> Result<(), StepError> {
+        let fail = |e: &dyn std::fmt::Display| StepError::new("sending", Peer::Address(self.peer), e);
+        let bytes = postcard::to_stdvec(message).map_err(|e| fail(&e))?;
+        self.sink.feed(bytes.into()).await.map_err(|e| fail(&e))
+    }
+
+    /// Sends what is queued.
+    pub(crate) async fn flush(&mut self) -> Result<(), StepError> {
+        self.sink
+            .flush()
+            .await
+            .map_err(|e| StepError::new("sending", Peer::Address(self.peer), e))
+    }
+}
+
+impl<T: DeserializeOwned> FrameRx<T> {
+    /// Returns the next message; fails when the connection has ended.
+    pub(crate) async fn next(&mut self) -> Result<T, StepError> {
+        let fail = |e: &dyn std::fmt::Display| StepError::new("receiving", Peer::Address(self.peer), e);
+        match self.stream.next().await {
+            Some(Ok(bytes)) => postcard::from_bytes(&bytes).map_err(|e| fail(&e)),
+            Some(Err(e)) => Err(fail(&e)),
+            None => Err(fail(&"connection closed")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/known_entries.rs
@@ -0,0 +1,53 @@
+use std::{cell::RefCell, net::SocketAddr};
+
+use indexmap::IndexMap;
+
+/// Addresses of entries, from settings, the store and other processes.
+#[derive(Debug, Default)]
+pub(crate) struct KnownEntries {
+    /// Whether each is connected now, and whether it was handed to a dialler.
+    addrs: RefCell<IndexMap<SocketAddr, Known>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    is_dialled: bool,
+    is_connected: bool,
+}
+
+impl KnownEntries {
+    pub(crate) fn add(&self, addr: SocketAddr) {
+        self.addrs.borrow_mut().entry(addr).or_default();
+    }
+
+    pub(crate) fn add_all(&self, addrs: &[SocketAddr]) {
+        addrs.iter().for_each(|addr| self.add(*addr));
+    }
+
+    /// Returns addresses that nobody dials yet; they are held for dialled from now on.
+    pub(crate) fn take_undialled(&self) -> Vec<SocketAddr> {
+        let mut addrs = self.addrs.borrow_mut();
+        let fresh = addrs.iter_mut().filter(|(_, known)| !known.is_dialled);
+        fresh
+            .map(|(addr, known)| {
+                known.is_dialled = true;
+                *addr
+            })
+            .collect()
+    }
+
+    pub(crate) fn set_connected(&self, addr: SocketAddr, is_connected: bool) {
+        self.addrs.borrow_mut().entry(addr).or_default().is_connected = is_connected;
+    }
+
+    /// Drops an address that is not reached; it may be added again.
+    pub(crate) fn forget(&self, addr: SocketAddr) {
+        self.addrs.borrow_mut().swap_remove(&addr);
+    }
+
+    /// Returns the addresses that are connected now, which are worth telling others.
+    pub(crate) fn connected(&self) -> Vec<SocketAddr> {
+        let addrs = self.addrs.borrow();
+        addrs.iter().filter(|(_, known)| known.is_connected).map(|(addr, _)| *addr).collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,21 @@
+//! The processes that answer jobs on their submission: an entry in front of callers, and an agent
+//! beside each upstream. Each runs on one thread; its parts share its state without locks.
+
+mod agent;
+mod clock;
+mod config_watch;
+mod directory;
+mod entry;
+mod events;
+mod frames;
+mod http_server;
+mod known_entries;
+mod metrics_server;
+mod peer_links;
+mod settings;
+
+pub use crate::{
+    agent::run_agent,
+    entry::run_entry,
+    settings::{DirectAgentSettings, DirectEntrySettings},
+};
