--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -505,7 +505,7 @@
         let Some(state) = self.jobs.get(&key) else { return };
         let has_run = state.has_run || state.under_way > 0;
         let end =
-            if has_run { JobEnd::Failed } else { self.refusal(RefusalReason::Overloaded) };
+            if has_run { JobEnd::TimedOut } else { self.refusal(RefusalReason::Overloaded) };
         self.answer(key, end, effects);
     }
 
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -63,8 +63,10 @@
     pub enum JobEnd {
         /// Every task ended well.
         Succeeded,
-        /// A task failed too often, can run nowhere, or the client's time has run out.
+        /// A task failed too often, or can run nowhere.
         Failed,
+        /// The client's time has run out; tasks may have run and are being stopped.
+        TimedOut,
         /// Nothing of it has started and nothing will.
         NotRun {
             /// Why.
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -21,8 +21,6 @@
 
 /// Says how long a client waits for its answer, milliseconds.
 const PATIENCE_HEADER: &str = adapter::PATIENCE_HEADER;
-/// How long a client waits that does not say so, milliseconds.
-const DEFAULT_PATIENCE_MS: u64 = 30_000;
 
 /// Cancels a submission whose client goes before the answer.
 struct CancelOnDrop {
@@ -69,7 +67,7 @@
         ClientCall::Pending(_) => return encode_pending(0),
     };
     let patience_ms =
-        header(PATIENCE_HEADER).and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_PATIENCE_MS);
+        header(PATIENCE_HEADER).and_then(|text| text.parse().ok());
     let body = match read_body(body, routing.limits.body_bytes).await {
         Ok(body) => body,
         Err(reply) => return reply,
@@ -105,6 +103,7 @@
     let (name, weight) = match end {
         JobEnd::Succeeded => ("succeeded", Weight::Routine),
         JobEnd::Failed => ("failed", Weight::Notable),
+        JobEnd::TimedOut => ("timed_out", Weight::Notable),
         JobEnd::NotRun { reason, .. } => (reason.name(), Weight::Notable),
     };
     counter!("entry_jobs", "end" => name).increment(1);
