Serve again sooner after a restart of agents, and repeat unanswered starts

Cause: the first two calls of a restarted agent each waited 300 ms for an end; a single lost answer closed the upstream.

--- a/crates/direct/src/dispatcher/choice.rs
+++ b/crates/direct/src/dispatcher/choice.rs
@@ -59,7 +59,9 @@
                 || view.health.is_closed(want.now_ms, view.orders.len() + used as usize)
                 || !want.need.fits_in(remaining(view.free(), want.need, used))
                 || step.label.as_ref().is_some_and(|label| !upstream.labels.contains(label))
-                || step.most_per_upstream.is_some_and(|most| used + self.running_at(key, state, step_index) >= most)
+                || step
+                    .most_per_upstream
+                    .is_some_and(|most| used + self.running_at(key, state, step_index) >= most)
                 || avoided.is_some_and(|agents| agents.contains(&key))
             {
                 continue;
@@ -79,7 +81,9 @@
         let mut free = 0.0;
         let mut all = 0.0;
         for (_, view) in self.agents_of(pool) {
-            if let Some(up) = view.upstream.as_ref().filter(|_| view.is_open(now_ms, self.timing.silence_ms)) {
+            if let Some(up) =
+                view.upstream.as_ref().filter(|_| view.is_open(now_ms, self.timing.silence_ms))
+            {
                 free += f64::from(view.free().milli_cores);
                 all += f64::from(up.capacity.milli_cores);
             }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -288,10 +288,18 @@
     }
 
     fn new_state(&self, job: DirectJob, key: JobKey, now_ms: u64) -> JobState {
-        #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        #[allow(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss
+        )]
         let chain_ms = (job.longest_chain_ms() as f64 * job.stretch) as u64;
         let objective_ms = chain_ms + job.allowance_ms;
-        #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        #[allow(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss
+        )]
         let wait_ms = (objective_ms as f64 * LONGEST_WAIT_SHARE) as u64;
         let steps = job
             .steps
@@ -299,7 +307,6 @@
             .map(|step| StepState { pending: (0..step.tasks).rev().collect(), open: step.tasks })
             .collect();
         JobState {
-            arrived_ms: now_ms,
             objective_at_ms: now_ms + objective_ms,
             deadline_ms: now_ms + job.patience_ms,
             refuse_at_ms: now_ms + wait_ms,
@@ -329,7 +336,8 @@
             return None;
         }
         // Upstreams that are away for a moment may fit it.
-        let is_whole = self.agents_of(&job.pool).all(|(_, v)| v.is_open(now_ms, self.timing.silence_ms));
+        let is_whole =
+            self.agents_of(&job.pool).all(|(_, v)| v.is_open(now_ms, self.timing.silence_ms));
         Some(if is_whole { JobEnd::Failed } else { self.refusal(RefusalReason::NoUpstream) })
     }
 
@@ -369,7 +377,13 @@
         }
     }
 
-    fn place_step(&mut self, key: JobKey, step: u16, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
+    fn place_step(
+        &mut self,
+        key: JobKey,
+        step: u16,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
         let state = &self.jobs[&key];
         let spec = &state.job.steps[usize::from(step)];
         let want = self.want(state, spec, now_ms);
@@ -396,15 +410,18 @@
             for index in tasks {
                 let id = OrderId(self.next_order);
                 self.next_order += 1;
-                let history = state.histories.entry((step, index)).or_insert_with(TaskHistory::default);
+                let history =
+                    state.histories.entry((step, index)).or_insert_with(TaskHistory::default);
                 history.runs += 1;
                 state.under_way += 1;
                 orders.push(Order { id, index, run: history.runs });
-                let order = OrderState { job: key, id: Arc::clone(&state.job.id), step, index, agent };
+                let order =
+                    OrderState { job: key, id: Arc::clone(&state.job.id), step, index, agent };
                 self.orders.insert(id, order);
                 self.agents[agent.0 as usize].orders.insert(id);
             }
-            let charge = orders.iter().fold(types::Resources::default(), |sum, _| sum.saturating_add(need));
+            let charge =
+                orders.iter().fold(types::Resources::default(), |sum, _| sum.saturating_add(need));
             self.agents[agent.0 as usize].charge(charge);
             let payload = Arc::clone(&state.job.payload);
             let batch = OrderBatch { job: Arc::clone(&state.job.id), step, payload, need, orders };
@@ -412,7 +429,12 @@
         }
     }
 
-    fn settle_all(&mut self, key: AgentKey, outcome: OrderOutcome, now_ms: u64) -> Vec<DispatcherEffect> {
+    fn settle_all(
+        &mut self,
+        key: AgentKey,
+        outcome: OrderOutcome,
+        now_ms: u64,
+    ) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
         let ids: Vec<OrderId> = self.agents[key.0 as usize].orders.iter().copied().collect();
         for id in ids {
@@ -423,7 +445,13 @@
     }
 
     /// Takes the outcome of an order.
-    fn settle(&mut self, id: OrderId, outcome: OrderOutcome, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
+    fn settle(
+        &mut self,
+        id: OrderId,
+        outcome: OrderOutcome,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
         let Some(order) = self.orders.swap_remove(&id) else { return };
         let view = &mut self.agents[order.agent.0 as usize];
         view.orders.swap_remove(&id);
@@ -473,14 +501,21 @@
         self.queue.insert((state.job.priority, order.job), ());
     }
 
-    fn judge(&mut self, order: &OrderState, outcome: OrderOutcome, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
+    fn judge(
+        &mut self,
+        order: &OrderState,
+        outcome: OrderOutcome,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
         let ejected = self.agents.iter().filter(|view| view.health.is_suspect()).count();
         let may_eject = (ejected + 1) * 2 <= self.agents.len();
         let view = &mut self.agents[order.agent.0 as usize];
         let is_ejected = match outcome {
             OrderOutcome::Done { .. } if view.health.succeeded() => false,
             OrderOutcome::Failed | OrderOutcome::Unhealthy
-                if (may_eject || view.health.is_suspect()) && view.health.failed(order.job, now_ms) =>
+                if (may_eject || view.health.is_suspect())
+                    && view.health.failed(order.job, now_ms) =>
             {
                 true
             }
@@ -504,8 +539,7 @@
     fn end_unfinished(&mut self, key: JobKey, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
         let has_run = state.has_run || state.under_way > 0;
-        let end =
-            if has_run { JobEnd::TimedOut } else { self.refusal(RefusalReason::Overloaded) };
+        let end = if has_run { JobEnd::TimedOut } else { self.refusal(RefusalReason::Overloaded) };
         self.answer(key, end, effects);
     }
 
--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -78,6 +78,8 @@
         Start(StartRun),
         /// Send a stop to the upstream: task and number of the run.
         Stop(TaskId, u32),
+        /// Ask the upstream for its lists at once.
+        Look,
         /// Report to the entry at once.
         Report(SessionKey),
         /// Everything has been stopped: entries may be dialled.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -3,6 +3,7 @@
 mod messages;
 mod run;
 mod session;
+mod silence;
 
 use std::sync::Arc;
 
@@ -17,6 +18,7 @@
     supervisor::{
         run::{Phase, Run, StopReport},
         session::Session,
+        silence::Silence,
     },
 };
 
@@ -24,6 +26,9 @@
 /// one. Source: tasks that an upstream ends while a client may ask again.
 const RUN_NUMBERS_KEPT: usize = 2_048;
 
+/// Times that a start is sent before it is given up. A repeated start changes nothing where the run
+/// is there. Source: with one call in three unanswered, three sends reach 26 runs of 27.
+const MAX_START_TRIES: u32 = 3;
 /// Silence after which a session without a connection is forgotten, milliseconds. Source: longer
 /// than any outage after which an entry of the same incarnation asks for its outcomes.
 const SESSION_KEPT_MS: u64 = 60_000;
@@ -43,8 +48,7 @@
     /// Runs of before this agent that are being stopped.
     strangers: IndexSet<(TaskId, u32)>,
     last_lease_sent_ms: u64,
-    /// When the upstream first failed to answer, while it does not.
-    mute_since_ms: Option<u64>,
+    silence: Silence,
 }
 
 impl Supervisor {
@@ -63,7 +67,7 @@
             strangers: IndexSet::new(),
             // An earlier agent may have given a lease until now.
             last_lease_sent_ms: now_ms,
-            mute_since_ms: None,
+            silence: Silence::default(),
         }
     }
 
@@ -86,7 +90,7 @@
     /// Returns whether leases are to be given with the next call: not while the upstream is mute,
     /// so that what runs there has an end.
     pub fn gives_lease(&self) -> bool {
-        self.mute_since_ms.is_none()
+        !self.silence.is_mute()
     }
 
     /// Notes that a call that carries a lease is being sent.
@@ -201,7 +205,8 @@
                     number,
                     need: batch.need,
                     order: Some((key, order.id)),
-                    phase: Phase::Starting,
+                    payload: Arc::clone(&batch.payload),
+                    phase: Phase::Starting { tries: 1 },
                 };
                 self.runs.insert(task.clone(), run);
                 let payload = Arc::clone(&batch.payload);
@@ -220,7 +225,8 @@
     /// Stops runs at the wish of their entry.
     pub fn on_stop(&mut self, key: SessionKey, ids: &[OrderId]) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
-        let wanted = |run: &Run| run.order.is_some_and(|(owner, id)| owner == key && ids.contains(&id));
+        let wanted =
+            |run: &Run| run.order.is_some_and(|(owner, id)| owner == key && ids.contains(&id));
         let tasks: Vec<TaskId> =
             self.runs.iter().filter(|(_, run)| wanted(run)).map(|(task, _)| task.clone()).collect();
         for task in tasks {
@@ -241,11 +247,16 @@
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return effects;
         };
-        if run.phase != Phase::Starting {
+        let Phase::Starting { tries } = run.phase else {
             return effects;
-        }
+        };
         match result {
             StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
+            StartResult::Unknown if tries < MAX_START_TRIES && !self.silence.is_mute() => {
+                run.phase = Phase::Starting { tries: tries + 1 };
+                let (task, payload) = (task.clone(), Arc::clone(&run.payload));
+                effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
+            }
             StartResult::Unknown => self.stop_run(task, StopReport::NotStarted, &mut effects),
             StartResult::OldRun => {
                 self.numbers.insert(task.clone(), number + 1);
@@ -277,9 +288,12 @@
             return Vec::new();
         };
         match &mut run.phase {
-            Phase::Stopping { acked_ms, .. } if is_acknowledged => {
+            Phase::Stopping { acked_ms, report } if is_acknowledged => {
                 *acked_ms = Some(now_ms);
-                Vec::new()
+                match report {
+                    StopReport::Stopped => Vec::new(),
+                    StopReport::NotStarted => vec![SupervisorEffect::Look],
+                }
             }
             Phase::Stopping { acked_ms: None, .. } => {
                 vec![SupervisorEffect::Stop(task.clone(), number)]
@@ -291,7 +305,7 @@
     /// Takes the upstream's lists.
     pub fn on_hold(&mut self, result: &HoldResult) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
-        if self.mute_since_ms.take().is_some() {
+        if self.silence.answered() {
             effects.extend(self.report_all());
         }
         self.check_incarnation(result.born, &mut effects);
@@ -313,13 +327,9 @@
         effects
     }
 
-    /// Notes that the upstream did not answer a call for its lists.
-    pub fn on_hold_failed(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
-        if self.mute_since_ms.is_some() {
-            return Vec::new();
-        }
-        self.mute_since_ms = Some(now_ms);
-        self.report_all()
+    /// Notes that the upstream did not answer a call.
+    pub fn on_call_unanswered(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
+        if self.silence.unanswered(now_ms) { self.report_all() } else { Vec::new() }
     }
 
     /// Acts on time that has passed.
@@ -339,7 +349,7 @@
             session.is_connected || now_ms.saturating_sub(session.heard_ms) < SESSION_KEPT_MS
         });
         let is_past_lease = now_ms >= self.last_lease_sent_ms + self.timing.lease_end_ms();
-        if self.mute_since_ms.is_some() && is_past_lease {
+        if self.silence.is_mute() && is_past_lease {
             self.lose_all(&mut effects);
             self.strangers.clear();
             if !self.is_open {
@@ -373,7 +383,10 @@
 
     fn takes_orders(&self) -> bool {
         let is_ready = self.upstream.as_ref().is_some_and(|up| up.state == UpstreamState::Ready);
-        is_ready && self.is_open && !self.is_leaving && self.mute_since_ms.is_none()
+        is_ready
+            && self.is_open
+            && !self.is_leaving
+            && !self.silence.is_mute()
             && self.strangers.is_empty()
     }
 
@@ -416,9 +429,9 @@
 
     /// Settles runs that must be in the lists if they were there.
     fn settle_absent(&mut self, result: &HoldResult, effects: &mut Vec<SupervisorEffect>) {
-        let stop_ms = self.timing.stop_ms;
-        let listed =
-            |task: &TaskId, number: u32| result.running.iter().any(|row| &row.task == task && row.run == number);
+        let listed = |task: &TaskId, number: u32| {
+            result.running.iter().any(|row| &row.task == task && row.run == number)
+        };
         let mut absent = Vec::new();
         for (task, run) in &self.runs {
             if listed(task, run.number) {
@@ -429,7 +442,7 @@
                     absent.push((task.clone(), OrderOutcome::Lost));
                 }
                 Phase::Stopping { acked_ms: Some(acked_ms), report }
-                    if result.sent_ms >= acked_ms + stop_ms =>
+                    if result.sent_ms >= acked_ms =>
                 {
                     let outcome = match report {
                         StopReport::Stopped => OrderOutcome::Stopped,
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use types::Resources;
 
 use crate::{OrderId, supervisor::SessionKey};
@@ -7,7 +9,10 @@
     #[derive(Copy, Eq)]
     pub(crate) enum Phase {
         /// The start has been sent and not answered.
-        Starting,
+        Starting {
+            /// How often it was sent.
+            tries: u32,
+        },
         /// The upstream has acknowledged the start.
         Running {
             /// When.
@@ -35,6 +40,7 @@
     pub(crate) struct Run {
         pub(crate) number: u32,
         pub(crate) need: Resources,
+        pub(crate) payload: Arc<str>,
         /// Whose order it is; nothing for a run found at the start.
         pub(crate) order: Option<(SessionKey, OrderId)>,
         pub(crate) phase: Phase,
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -36,7 +36,7 @@
             resend_ms: 1_300,
             heartbeat_ms: 200,
             silence_ms: 550,
-            call_ms: 200,
+            call_ms: 100,
             suspension_ms: 400,
         }
     }
--- a/crates/ebonycroft/src/commands/check.rs
+++ b/crates/ebonycroft/src/commands/check.rs
@@ -26,7 +26,12 @@
 pub(crate) fn run(args: &[String]) -> Result<(), CliError> {
     let mut opts = Options::new();
     opts.optopt("c", "config", "settings file", "FILE");
-    opts.optopt("r", "role", "entry (default), agent, direct-entry, direct-agent, emulator or shared", "ROLE");
+    opts.optopt(
+        "r",
+        "role",
+        "entry (default), agent, direct-entry, direct-agent, emulator or shared",
+        "ROLE",
+    );
     let Some(matches) = options::parse(Command::Check, opts, args)? else {
         return Ok(());
     };
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -44,7 +44,11 @@
     state.known.forget(addr);
 }
 
-async fn serve(addr: SocketAddr, state: &Rc<AgentState>, was_connected: &mut bool) -> Result<(), StepError> {
+async fn serve(
+    addr: SocketAddr,
+    state: &Rc<AgentState>,
+    was_connected: &mut bool,
+) -> Result<(), StepError> {
     let stream = frames::connect(addr, CONNECT_TIMEOUT).await?;
     let (mut tx, rx) = frames::split::<FirstMessage, ToAgent>(stream, addr)?;
     tx.feed(&FirstMessage::Agent(state.hello())).await?;
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -2,14 +2,15 @@
 
 use std::{rc::Rc, time::Duration};
 
+use adapter::HoldAnswer;
 use direct::{HoldResult, StartResult, StartRun, TaskId};
 use tokio::time::sleep;
 
 use crate::{agent::state::AgentState, clock};
 
-/// How long a call waits for an end: a third of the shortest lease, so that one lost answer does
-/// not let it lapse.
-const HOLD_WAIT_MS: u64 = 300;
+/// How long a call waits for an end. Source: several lost answers in a row must not let the lease
+/// lapse.
+const HOLD_WAIT_MS: u64 = 150;
 /// How long it waits while the effect of a stop is to be seen.
 const STOP_WAIT_MS: u64 = 30;
 /// Pause after a call that failed.
@@ -19,43 +20,52 @@
 
 /// Keeps the lease of what runs and learns of ends, for ever.
 pub(crate) async fn hold(state: Rc<AgentState>) {
-    let mut last_seen = 0;
-    let mut born = None;
     loop {
         let sent_ms = clock::now_ms();
-        let wait_ms = if state.awaits_stop() { STOP_WAIT_MS } else { HOLD_WAIT_MS };
+        let wait_ms = match (state.is_open(), state.awaits_stop()) {
+            (false, false) => 0,
+            (_, true) => STOP_WAIT_MS,
+            (true, false) => HOLD_WAIT_MS,
+        };
         let lease = state.next_lease(sent_ms);
-        let answer = state.executor.hold(state.token(), last_seen, lease, wait_ms).await;
+        let answer = state.executor.hold(state.token(), state.last_end.get(), lease, wait_ms).await;
         let received_ms = clock::now_ms();
         match answer {
             Ok(answer) => {
-                if born.is_some() && born != answer.born {
-                    last_seen = 0;
-                }
-                born = answer.born;
                 state.clock_seen(answer.clock_ms, received_ms);
                 if answer.is_fenced || state.token() == 0 {
                     state.raise_token();
                     continue;
                 }
-                last_seen = answer.last_end.unwrap_or(last_seen).max(last_seen);
-                let result = HoldResult {
-                    sent_ms,
-                    received_ms,
-                    born: answer.born,
-                    running: answer.running,
-                    ended: answer.ended,
-                };
-                state.held(&result);
+                take_lists(&state, answer, sent_ms, received_ms);
             }
             Err(e) => {
-                state.hold_failed(&e);
+                state.call_unanswered(&e.to_string());
                 sleep(FAILED_PAUSE).await;
             }
         }
     }
 }
 
+/// Asks for the lists once, beside the call that waits.
+pub(crate) async fn look(state: Rc<AgentState>) {
+    let Ok(_permit) = state.calls.acquire().await else { return };
+    let sent_ms = clock::now_ms();
+    let lease = state.next_lease(sent_ms);
+    let answer = state.executor.hold(state.token(), state.last_end.get(), lease, 0).await;
+    match answer {
+        Ok(answer) if !answer.is_fenced => take_lists(&state, answer, sent_ms, clock::now_ms()),
+        Ok(_) => {}
+        Err(e) => state.call_unanswered(&e.to_string()),
+    }
+}
+
+fn take_lists(state: &Rc<AgentState>, answer: HoldAnswer, sent_ms: u64, received_ms: u64) {
+    let (running, ended) = (answer.running, answer.ended);
+    state.ends_listed(answer.born, answer.last_end);
+    state.held(&HoldResult { sent_ms, received_ms, born: answer.born, running, ended });
+}
+
 /// Sends a start.
 pub(crate) async fn start(state: Rc<AgentState>, start: StartRun) {
     let Ok(_permit) = state.calls.acquire().await else { return };
@@ -67,6 +77,9 @@
     };
     let (result, clock_ms) = state.executor.start(&start, state.token(), lease).await;
     state.clock_seen(clock_ms, clock::now_ms());
+    if result == StartResult::Unknown {
+        state.call_unanswered("a start was not answered");
+    }
     state.start_answered(&start.task, start.run, result);
 }
 
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -17,8 +17,9 @@
 use types::{Peer, StepError};
 
 use crate::{
-    DirectAgentSettings, clock, directory,
+    DirectAgentSettings,
     agent::state::AgentState,
+    clock, directory,
     events::Weight,
     http_server::{ConnectionLimits, HttpServer, listen},
     metrics_server,
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -16,7 +16,10 @@
 use indexmap::IndexMap;
 use metrics::counter;
 use serde_json::json;
-use tokio::{sync::{Notify, Semaphore}, task::spawn_local};
+use tokio::{
+    sync::{Notify, Semaphore},
+    task::spawn_local,
+};
 use types::{Resources, StepError};
 
 use crate::{
@@ -49,6 +52,9 @@
     epoch: Cell<u64>,
     is_open: Cell<bool>,
     last_free: Cell<Resources>,
+    /// Number of the last end that the upstream has listed.
+    pub(crate) last_end: Cell<u64>,
+    born: Cell<Option<u64>>,
 }
 
 impl AgentState {
@@ -75,6 +81,8 @@
             epoch: Cell::new(0),
             is_open: Cell::new(false),
             last_free: Cell::default(),
+            last_end: Cell::new(0),
+            born: Cell::new(None),
         }))
     }
 
@@ -176,13 +184,21 @@
         self.apply(effects);
     }
 
-    pub(crate) fn hold_failed(self: &Rc<Self>, cause: &StepError) {
+    /// Notes how far the ends are listed; another incarnation numbers them anew.
+    pub(crate) fn ends_listed(&self, born: Option<u64>, last_end: Option<u64>) {
+        if self.born.replace(born) != born {
+            self.last_end.set(0);
+        }
+        self.last_end.set(self.last_end.get().max(last_end.unwrap_or(0)));
+    }
+
+    pub(crate) fn call_unanswered(self: &Rc<Self>, cause: &str) {
         let now_ms = self.now_ms();
         let was_answering = self.supervisor.borrow().gives_lease();
-        if was_answering {
-            self.events.line(Weight::Notable, "upstream_mute", &[("cause", json!(cause.to_string()))]);
+        let effects = self.supervisor.borrow_mut().on_call_unanswered(now_ms);
+        if was_answering && !self.supervisor.borrow().gives_lease() {
+            self.events.line(Weight::Notable, "upstream_mute", &[("cause", json!(cause))]);
         }
-        let effects = self.supervisor.borrow_mut().on_hold_failed(now_ms);
         self.apply(effects);
     }
 
@@ -293,6 +309,9 @@
                 SupervisorEffect::Stop(task, run) => {
                     spawn_local(executor_calls::stop(Rc::clone(self), task, run));
                 }
+                SupervisorEffect::Look => {
+                    spawn_local(executor_calls::look(Rc::clone(self)));
+                }
                 SupervisorEffect::Report(key) => {
                     if let Some(wake) = self.wakes.borrow().get(&key) {
                         wake.notify_one();
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -10,8 +10,11 @@
 /// the time in which a configuration has to be in force.
 const READ_WAIT: Duration = Duration::from_millis(900);
 
+/// Takes the raw record of a configuration.
+pub(crate) type Adopt = Rc<dyn Fn(&[u8])>;
+
 /// Hands every configuration that the store has to `adopt`.
-pub(crate) async fn follow(store: StoreClient, adopt: Rc<dyn Fn(&[u8])>) {
+pub(crate) async fn follow(store: StoreClient, adopt: Adopt) {
     let mut backoff = Backoff::new();
     let mut is_lost = false;
     loop {
@@ -28,7 +31,7 @@
 
 async fn follow_once(
     store: &StoreClient,
-    adopt: &Rc<dyn Fn(&[u8])>,
+    adopt: &Adopt,
     backoff: &mut Backoff,
     is_lost: &mut bool,
 ) -> Result<(), StoreError> {
@@ -49,7 +52,7 @@
     }
 }
 
-fn hand_on(records: &[Record], adopt: &Rc<dyn Fn(&[u8])>) {
+fn hand_on(records: &[Record], adopt: &Adopt) {
     for record in records.iter().filter(|record| record.is_configuration()) {
         adopt(&record.value);
     }
--- a/crates/node/src/entry/agent_links.rs
+++ b/crates/node/src/entry/agent_links.rs
@@ -52,7 +52,11 @@
     }
 }
 
-async fn serve(stream: TcpStream, peer: SocketAddr, state: &Rc<EntryState>) -> Result<(), StepError> {
+async fn serve(
+    stream: TcpStream,
+    peer: SocketAddr,
+    state: &Rc<EntryState>,
+) -> Result<(), StepError> {
     let (tx, mut rx) = frames::split::<ToAgent, FirstMessage>(stream, peer)?;
     let Ok(first) = timeout(GREETING_TIMEOUT, rx.next()).await else { return Ok(()) };
     match first? {
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -66,8 +66,7 @@
         ClientCall::State(..) | ClientCall::Cancel(..) => return encode_gone(),
         ClientCall::Pending(_) => return encode_pending(0),
     };
-    let patience_ms =
-        header(PATIENCE_HEADER).and_then(|text| text.parse().ok());
+    let patience_ms = header(PATIENCE_HEADER).and_then(|text| text.parse().ok());
     let body = match read_body(body, routing.limits.body_bytes).await {
         Ok(body) => body,
         Err(reply) => return reply,
@@ -92,8 +91,13 @@
     ];
     state.events.line(Weight::Routine, "accepted", &fields);
     let (key, end) = state.submit(job);
-    let mut guard =
-        CancelOnDrop { state: Rc::clone(state), key, id: id.clone(), arrived_ms, is_answered: false };
+    let mut guard = CancelOnDrop {
+        state: Rc::clone(state),
+        key,
+        id: id.clone(),
+        arrived_ms,
+        is_answered: false,
+    };
     let Ok(end) = end.await else {
         guard.is_answered = true;
         return encode_error(500, "the dispatcher has ended");
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -54,13 +54,19 @@
     state.events.line(
         Weight::Notable,
         "start",
-        &[("callers", json!(settings.callers.to_string())), ("links", json!(settings.links.to_string()))],
+        &[
+            ("callers", json!(settings.callers.to_string())),
+            ("links", json!(settings.links.to_string())),
+        ],
     );
     spawn_local(agent_links::accept(links, Rc::clone(&state)));
     spawn_local(tick(Rc::clone(&state)));
     spawn_local(dial_peers(Rc::clone(&state)));
     let adopting = Rc::clone(&state);
-    spawn_local(config_watch::follow(store.clone(), Rc::new(move |raw| adopting.adopt_config(raw, "store"))));
+    spawn_local(config_watch::follow(
+        store.clone(),
+        Rc::new(move |raw| adopting.adopt_config(raw, "store")),
+    ));
     spawn_local(directory::announce(store.clone(), settings.name.as_ref().into(), settings.links));
     spawn_local(directory::follow(store, Rc::clone(&state.known), Some(settings.links)));
     spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
@@ -92,7 +98,11 @@
             }
         }
         is_closing.set(true);
-        state.events.line(Weight::Notable, "stopping", &[("unanswered", json!(state.unanswered()))]);
+        state.events.line(
+            Weight::Notable,
+            "stopping",
+            &[("unanswered", json!(state.unanswered()))],
+        );
         sleep(OUT_OF_ROTATION).await;
     };
     let limits = || state.connection_limits();
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -8,8 +8,8 @@
 };
 
 use direct::{
-    Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, JobEnd, JobKey, OrderId,
-    RefusalReason, Report, Routing, Timing, ToAgent,
+    Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, JobEnd, JobKey,
+    OrderId, RefusalReason, Report, Routing, Timing, ToAgent,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -177,7 +177,8 @@
         self.known.add_all(&hello.entries);
         let number = self.next_connection.get();
         self.next_connection.set(number + 1);
-        let (key, outstanding, effects) = self.dispatcher.borrow_mut().on_agent_hello(hello, now_ms);
+        let (key, outstanding, effects) =
+            self.dispatcher.borrow_mut().on_agent_hello(hello, now_ms);
         self.agents.borrow_mut().insert(key, Connection { number, outbox });
         self.agent_line("agent_connected", key, &[("incarnation", json!(hello.incarnation))]);
         self.apply(effects);
@@ -247,7 +248,10 @@
                 ("step", json!(batch.step)),
                 ("tasks", json!(batch.orders.iter().map(|order| order.index).collect::<Vec<_>>())),
                 ("run", json!(batch.orders.first().map(|order| order.run))),
-                ("agent", json!(self.dispatcher.borrow().agent_name(agent).map(ToString::to_string))),
+                (
+                    "agent",
+                    json!(self.dispatcher.borrow().agent_name(agent).map(ToString::to_string)),
+                ),
             ];
             self.events.line(Weight::Routine, "placed", &fields);
         }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -64,6 +64,10 @@
         if state.second != unix_ms / 1_000 {
             state.second = unix_ms / 1_000;
             state.lines = 0;
+            let dropped = std::mem::take(&mut state.dropped);
+            if dropped > 0 {
+                self.write(&mut state.buf, unix_ms, "lines_dropped", &[("count", dropped.into())]);
+            }
         }
         let limit = match weight {
             Weight::Routine => LINES_PER_SECOND - RESERVED_LINES,
@@ -74,14 +78,18 @@
             return;
         }
         state.lines += 1;
+        self.write(&mut state.buf, unix_ms, event, fields);
+    }
+
+    fn write(&self, buf: &mut Vec<u8>, unix_ms: u64, event: &str, fields: &[(&str, Value)]) {
         let mut object = Map::new();
         object.insert("at_ms".into(), unix_ms.into());
         object.insert("process".into(), self.process.as_str().into());
         object.insert("event".into(), event.into());
         object.extend(fields.iter().map(|(name, value)| ((*name).to_owned(), value.clone())));
         // Writing to memory cannot fail.
-        let _ = serde_json::to_writer(&mut state.buf, &object);
-        state.buf.push(b'\n');
+        let _ = serde_json::to_writer(&mut *buf, &object);
+        buf.push(b'\n');
     }
 
     /// Hands the lines to the writer; drops them when it is behind.
@@ -90,18 +98,10 @@
         if state.buf.is_empty() {
             return;
         }
-        let dropped = std::mem::take(&mut state.dropped);
-        if dropped > 0 {
-            let line = format!(
-                "{{\"at_ms\":{},\"process\":\"{}\",\"event\":\"lines_dropped\",\"count\":{dropped}}}\n",
-                clock::unix_ms(),
-                self.process
-            );
-            state.buf.extend(line.as_bytes());
-        }
         let chunk = std::mem::take(&mut state.buf);
         if let Err(TrySendError::Full(chunk)) = self.tx.try_send(chunk) {
-            state.dropped += u64::try_from(chunk.iter().filter(|b| **b == b'\n').count()).unwrap_or(0);
+            state.dropped +=
+                u64::try_from(chunk.iter().filter(|b| **b == b'\n').count()).unwrap_or(0);
         }
     }
 }
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -70,24 +70,23 @@
 impl<T: Serialize> FrameTx<T> {
     /// Queues a message.
     pub(crate) async fn feed(&mut self, message: &T) -> Result<(), StepError> {
-        let fail = |e: &dyn std::fmt::Display| StepError::new("sending", Peer::Address(self.peer), e);
+        let fail =
+            |e: &dyn std::fmt::Display| StepError::new("sending", Peer::Address(self.peer), e);
         let bytes = postcard::to_stdvec(message).map_err(|e| fail(&e))?;
         self.sink.feed(bytes.into()).await.map_err(|e| fail(&e))
     }
 
     /// Sends what is queued.
     pub(crate) async fn flush(&mut self) -> Result<(), StepError> {
-        self.sink
-            .flush()
-            .await
-            .map_err(|e| StepError::new("sending", Peer::Address(self.peer), e))
+        self.sink.flush().await.map_err(|e| StepError::new("sending", Peer::Address(self.peer), e))
     }
 }
 
 impl<T: DeserializeOwned> FrameRx<T> {
     /// Returns the next message; fails when the connection has ended.
     pub(crate) async fn next(&mut self) -> Result<T, StepError> {
-        let fail = |e: &dyn std::fmt::Display| StepError::new("receiving", Peer::Address(self.peer), e);
+        let fail =
+            |e: &dyn std::fmt::Display| StepError::new("receiving", Peer::Address(self.peer), e);
         match self.stream.next().await {
             Some(Ok(bytes)) => postcard::from_bytes(&bytes).map_err(|e| fail(&e)),
             Some(Err(e)) => Err(fail(&e)),
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -8,7 +8,10 @@
     Request, Response, body::Incoming, header::CONNECTION, header::HeaderValue,
     server::conn::http1, service::service_fn,
 };
-use hyper_util::{rt::{TokioIo, TokioTimer}, server::graceful::GracefulShutdown};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
 use tokio::{net::TcpListener, net::TcpStream, task::spawn_local};
 use types::{Peer, StepError};
 
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -62,7 +62,8 @@
     while failures < ATTEMPTS_TO_FORGET {
         let outcome = async {
             let stream = frames::connect(addr, CONNECT_TIMEOUT).await?;
-            let (mut tx, rx) = frames::split::<crate::entry::FirstMessage, PeerMessage>(stream, addr)?;
+            let (mut tx, rx) =
+                frames::split::<crate::entry::FirstMessage, PeerMessage>(stream, addr)?;
             tx.feed(&crate::entry::FirstMessage::Peer).await?;
             tx.flush().await?;
             known.set_connected(addr, true);
