--- /dev/null
+++ b/crates/direct/tests/common/mod.rs
@@ -0,0 +1,82 @@
+#![allow(dead_code)]
+//! Builders for the tests of direct jobs.
+
+use std::sync::Arc;
+
+use direct::{
+    DirectJob, HoldResult, JobStep, Load, Order, OrderBatch, OrderId, Report, RunRow, TaskId,
+    Upstream, UpstreamState,
+};
+use types::Resources;
+
+pub fn cores(n: u32) -> Resources {
+    Resources { milli_cores: n * 1_000, memory_mb: n * 64, accelerators: 0 }
+}
+
+pub fn upstream(id: &str, born: u64) -> Upstream {
+    Upstream {
+        id: id.into(),
+        born,
+        pool: "kitchen".into(),
+        zone: "mid-a".into(),
+        capacity: cores(8),
+        labels: vec!["a".into(), "r1".into()],
+        state: UpstreamState::Ready,
+    }
+}
+
+pub fn batch(job: &str, ids: &[u64], need: Resources) -> OrderBatch {
+    OrderBatch {
+        job: job.into(),
+        step: 0,
+        payload: "payload".into(),
+        need,
+        orders: (0u32..).zip(ids).map(|(index, id)| Order { id: OrderId(*id), index, run: 1 }).collect(),
+    }
+}
+
+pub fn task(job: &str, index: u32) -> TaskId {
+    TaskId { job: job.into(), step: 0, index }
+}
+
+pub fn lists(sent_ms: u64, running: &[(&TaskId, u32)]) -> HoldResult {
+    let row = |(task, run): &(&TaskId, u32)| RunRow { task: (*task).clone(), run: *run, percent: 0 };
+    HoldResult {
+        sent_ms,
+        received_ms: sent_ms + 1,
+        born: Some(1),
+        running: running.iter().map(row).collect(),
+        ended: Vec::new(),
+    }
+}
+
+pub fn job(id: &str, tasks: u32) -> DirectJob {
+    DirectJob {
+        id: id.into(),
+        pool: "kitchen".into(),
+        kind: "scale".into(),
+        payload: Arc::from("payload"),
+        steps: vec![step(tasks)],
+        priority: 1,
+        max_attempts: 2,
+        stretch: 1.6,
+        allowance_ms: 60,
+        patience_ms: 1_500,
+    }
+}
+
+pub fn step(tasks: u32) -> JobStep {
+    JobStep {
+        tasks,
+        need: cores(1),
+        estimate_ms: 100,
+        after: Vec::new(),
+        label: None,
+        rack: None,
+        most_per_upstream: None,
+    }
+}
+
+pub fn report(upstream: Option<Upstream>, free: Resources, batches_seen: u64) -> Report {
+    Report { upstream, load: Load { free, batches_seen, is_open: true }, outcomes: Vec::new() }
+}
--- /dev/null
+++ b/crates/direct/tests/supervisor.rs
@@ -0,0 +1,241 @@
+//! The agent's decisions: capacity, ends of runs, what is never started twice.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{batch, cores, lists, task, upstream};
+use direct::{
+    EndKind, HoldResult, OrderId, OrderOutcome, SessionKey, StartResult, StartRun, Supervisor,
+    SupervisorEffect, TaskId, Timing, UpstreamState,
+};
+
+struct Agent {
+    supervisor: Supervisor,
+    entry: SessionKey,
+}
+
+/// An agent that has stopped all that it found, with one upstream of 8 cores and one entry.
+fn agent() -> Agent {
+    let mut supervisor = Supervisor::new(Timing::default(), 0);
+    supervisor.on_heartbeat(upstream("u", 1), 1);
+    supervisor.on_hold(&lists(1, &[]));
+    let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &[], 10);
+    supervisor.report(entry, true);
+    Agent { supervisor, entry }
+}
+
+impl Agent {
+    fn starts(&mut self, job: &str, ids: &[u64], n: u32) -> Vec<StartRun> {
+        let effects = self.supervisor.on_orders(self.entry, &batch(job, ids, cores(n)));
+        effects.into_iter().filter_map(as_start).collect()
+    }
+
+    fn outcomes(&mut self) -> Vec<(OrderId, OrderOutcome)> {
+        self.supervisor.report(self.entry, false).map_or_else(Vec::new, |r| r.outcomes)
+    }
+}
+
+fn as_start(effect: SupervisorEffect) -> Option<StartRun> {
+    match effect {
+        SupervisorEffect::Start(start) => Some(start),
+        _ => None,
+    }
+}
+
+fn stops(effects: &[SupervisorEffect]) -> Vec<(TaskId, u32)> {
+    let stop = |effect: &SupervisorEffect| match effect {
+        SupervisorEffect::Stop(task, run) => Some((task.clone(), *run)),
+        _ => None,
+    };
+    effects.iter().filter_map(stop).collect()
+}
+
+#[test]
+fn starts_what_fits_and_denies_the_rest() {
+    let mut agent = agent();
+    assert_eq!(agent.starts("j", &[1, 2, 3], 3).len(), 2);
+    assert_eq!(agent.outcomes(), [(OrderId(3), OrderOutcome::NotStarted)]);
+    assert_eq!(agent.supervisor.free(), cores(2));
+}
+
+#[test]
+fn what_is_being_stopped_is_charged_until_its_end_is_listed() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 8);
+    let t = task("j", 0);
+    agent.supervisor.on_start_result(&t, 1, StartResult::Started, 20);
+    let effects = agent.supervisor.on_stop(agent.entry, &[OrderId(1)]);
+    assert_eq!(stops(&effects), [(t.clone(), 1)]);
+    agent.supervisor.on_stop_result(&t, 1, true, 30);
+    assert!(agent.starts("k", &[2], 1).is_empty());
+    let mut ended = lists(31, &[]);
+    ended.ended.push((t, 1, EndKind::Gone));
+    agent.supervisor.on_hold(&ended);
+    assert_eq!(agent.starts("k", &[3], 1).len(), 1);
+}
+
+#[test]
+fn an_unanswered_start_is_sent_again_then_stopped_and_denied_only_when_the_stop_holds() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let t = task("j", 0);
+    for _ in 0..2 {
+        let effects = agent.supervisor.on_start_result(&t, 1, StartResult::Unknown, 20);
+        assert!(effects.iter().any(|e| matches!(e, SupervisorEffect::Start(_))));
+    }
+    let effects = agent.supervisor.on_start_result(&t, 1, StartResult::Unknown, 40);
+    assert_eq!(stops(&effects), [(t.clone(), 1)]);
+    assert!(agent.outcomes().is_empty());
+    let effects = agent.supervisor.on_stop_result(&t, 1, false, 50);
+    assert_eq!(stops(&effects), [(t.clone(), 1)], "a stop without an answer is repeated");
+    agent.supervisor.on_stop_result(&t, 1, true, 60);
+    agent.supervisor.on_hold(&lists(59, &[]));
+    assert!(agent.outcomes().is_empty(), "lists from before the stop say nothing");
+    agent.supervisor.on_hold(&lists(61, &[]));
+    assert_eq!(agent.outcomes(), [(OrderId(1), OrderOutcome::NotStarted)]);
+}
+
+types::cases! {
+    fn a_refusal_of_a_repeated_start_says_nothing_of_the_first(result: StartResult) {
+        let mut agent = agent();
+        agent.starts("j", &[1], 1);
+        let t = task("j", 0);
+        agent.supervisor.on_start_result(&t, 1, StartResult::Unknown, 20);
+        let effects = agent.supervisor.on_start_result(&t, 1, result, 30);
+        assert!(agent.outcomes().is_empty(), "the first start may have run");
+        assert_eq!(stops(&effects), [(t, 1)]);
+    }
+    refused_start_after_an_unanswered_one: (StartResult::Refused),
+    old_run_after_an_unanswered_start: (StartResult::OldRun),
+    unhealthy_after_an_unanswered_start: (StartResult::Unhealthy),
+}
+
+#[test]
+fn runs_of_a_silent_entry_are_stopped_before_its_clients_ask_again() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let t = task("j", 0);
+    agent.supervisor.on_start_result(&t, 1, StartResult::Started, 20);
+    agent.supervisor.on_disconnected(agent.entry);
+    assert!(stops(&agent.supervisor.tick(900)).is_empty());
+    assert_eq!(stops(&agent.supervisor.tick(911)), [(t, 1)]);
+}
+
+#[test]
+fn a_new_incarnation_of_an_entry_ends_what_the_old_one_started() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let (_, effects) = agent.supervisor.on_entry_hello(&Arc::from("e1"), 2, &[], 30);
+    assert_eq!(stops(&effects), [(task("j", 0), 1)]);
+}
+
+#[test]
+fn a_reconnected_entry_hears_what_it_missed() {
+    let mut agent = agent();
+    agent.starts("j", &[1, 2], 1);
+    for i in 0..2 {
+        agent.supervisor.on_start_result(&task("j", i), 1, StartResult::Started, 20);
+    }
+    agent.supervisor.on_disconnected(agent.entry);
+    let mut ended = lists(30, &[(&task("j", 1), 1)]);
+    ended.ended.push((task("j", 0), 1, EndKind::Done));
+    agent.supervisor.on_hold(&ended);
+    let outstanding = [OrderId(1), OrderId(2), OrderId(3)];
+    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &outstanding, 40);
+    let expected = [
+        (OrderId(1), OrderOutcome::Done { run_ms: 11 }),
+        (OrderId(3), OrderOutcome::NotStarted),
+    ];
+    assert_eq!(agent.outcomes(), expected);
+}
+
+#[test]
+fn a_mute_upstream_gets_no_lease_and_its_runs_are_lost_when_the_last_one_has_ended() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    agent.supervisor.on_start_result(&task("j", 0), 1, StartResult::Started, 20);
+    agent.supervisor.lease_sent(100);
+    for at_ms in [200, 350, 450] {
+        agent.supervisor.on_call_unanswered(at_ms);
+    }
+    assert!(!agent.supervisor.gives_lease());
+    assert!(agent.starts("k", &[2], 1).is_empty());
+    agent.outcomes();
+    let end_ms = 100 + Timing::default().lease_end_ms();
+    agent.supervisor.on_entry_heard(agent.entry, end_ms - 1);
+    agent.supervisor.tick(end_ms - 1);
+    assert!(agent.outcomes().is_empty());
+    agent.supervisor.tick(end_ms);
+    assert_eq!(agent.outcomes(), [(OrderId(1), OrderOutcome::Lost)]);
+}
+
+#[test]
+fn a_single_unanswered_call_closes_nothing() {
+    let mut agent = agent();
+    agent.supervisor.on_call_unanswered(100);
+    agent.supervisor.on_call_unanswered(400);
+    assert!(agent.supervisor.gives_lease());
+    agent.supervisor.on_hold(&lists(410, &[]));
+    agent.supervisor.on_call_unanswered(900);
+    assert_eq!(agent.starts("j", &[1], 1).len(), 1);
+}
+
+#[test]
+fn a_new_incarnation_of_the_upstream_has_lost_all() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    agent.supervisor.on_start_result(&task("j", 0), 1, StartResult::Started, 20);
+    agent.supervisor.on_heartbeat(upstream("u", 2), 1);
+    assert_eq!(agent.outcomes(), [(OrderId(1), OrderOutcome::Lost)]);
+}
+
+#[test]
+fn a_late_heartbeat_of_an_earlier_incarnation_changes_nothing() {
+    let mut agent = agent();
+    agent.supervisor.on_heartbeat(upstream("u", 5), 1);
+    agent.supervisor.on_heartbeat(upstream("u", 1), 900);
+    assert_eq!(agent.supervisor.upstream().map(|up| up.born), Some(5));
+}
+
+#[test]
+fn a_draining_upstream_is_given_nothing() {
+    let mut agent = agent();
+    let mut draining = upstream("u", 1);
+    draining.state = UpstreamState::Draining;
+    agent.supervisor.on_heartbeat(draining, 2);
+    assert!(agent.starts("j", &[1], 1).is_empty());
+    assert_eq!(agent.outcomes(), [(OrderId(1), OrderOutcome::NotStarted)]);
+}
+
+#[test]
+fn a_restarted_agent_stops_what_it_finds_before_it_opens() {
+    let mut supervisor = Supervisor::new(Timing::default(), 0);
+    let found = task("old", 0);
+    let effects = supervisor.on_hold(&lists(1, &[(&found, 3)]));
+    assert_eq!(stops(&effects), [(found.clone(), 3)]);
+    supervisor.on_stop_result(&found, 3, true, 5);
+    let effects = supervisor.on_hold(&lists(6, &[(&found, 3)]));
+    assert!(!effects.contains(&SupervisorEffect::Open), "it is still listed");
+    let result = HoldResult { ended: vec![(found, 3, EndKind::Gone)], ..lists(60, &[]) };
+    assert!(supervisor.on_hold(&result).contains(&SupervisorEffect::Open));
+}
+
+#[test]
+fn a_task_that_comes_back_gets_a_higher_run_number() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let mut ended = lists(30, &[]);
+    ended.ended.push((task("j", 0), 1, EndKind::Failed));
+    agent.supervisor.on_hold(&ended);
+    assert_eq!(agent.starts("j", &[2], 1)[0].run, 2);
+}
+
+types::cases! {
+    fn bounds_that_do_not_add_up_are_refused(timing: Timing, is_good: bool) {
+        assert_eq!(timing.check().is_ok(), is_good);
+    }
+    default_bounds: (Timing::default(), true),
+    long_session: (Timing { session_ms: 1_200, ..Timing::default() }, false),
+    late_silence: (Timing { silence_ms: 900, ..Timing::default() }, false),
+}
