--- a/crates/direct/src/dispatcher/choice.rs
+++ b/crates/direct/src/dispatcher/choice.rs
@@ -7,11 +7,9 @@
     dispatcher::{AgentKey, Dispatcher, job_state::JobState},
 };
 
-/// Run times vary around what is expected; a slower upstream is used only with this reserve.
-const RESERVE: f64 = 1.2;
-/// Utilisation of a pool from which on slower upstreams are taken first, where they suffice, so
-/// that the fast ones are left to tasks that need them.
-const SPARING_UTILISATION: f64 = 0.5;
+/// Run times vary around what is expected; an upstream with less reserve than this is used only
+/// when there is no other.
+const RESERVE: f64 = 1.6;
 
 types::plain! {
     /// What the choice is made on.
@@ -23,7 +21,8 @@
         /// Time until the objective, milliseconds.
         pub(crate) left_ms: f64,
         pub(crate) now_ms: u64,
-        pub(crate) is_sparing: bool,
+        /// Whether tasks of the job have been ordered, so that it is worth ending late.
+        pub(crate) has_begun: bool,
     }
 }
 
@@ -36,7 +35,7 @@
             expected_ms: f64::from(step.estimate_ms) * self.kind_ratio(&state.job.kind),
             left_ms,
             now_ms,
-            is_sparing: self.utilisation(&state.job.pool, now_ms) >= SPARING_UTILISATION,
+            has_begun: state.has_run || state.under_way > 0,
         }
     }
 
@@ -62,6 +61,7 @@
                 || step
                     .most_per_upstream
                     .is_some_and(|most| used + self.running_at(key, state, step_index) >= most)
+                || (!want.has_begun && want.expected_ms / view.speed.value() > want.left_ms)
                 || avoided.is_some_and(|agents| agents.contains(&key))
             {
                 continue;
@@ -75,28 +75,13 @@
         }
         best.map(|(_, key)| key)
     }
-
-    /// Returns the share of the pool's processors in use, by what is known.
-    fn utilisation(&self, pool: &str, now_ms: u64) -> f64 {
-        let mut free = 0.0;
-        let mut all = 0.0;
-        for (_, view) in self.agents_of(pool) {
-            if let Some(up) =
-                view.upstream.as_ref().filter(|_| view.is_open(now_ms, self.timing.silence_ms))
-            {
-                free += f64::from(view.free().milli_cores);
-                all += f64::from(up.capacity.milli_cores);
-            }
-        }
-        if all > 0.0 { 1.0 - free / all } else { 1.0 }
-    }
 }
 
 fn remaining(free: Resources, need: Resources, used: u32) -> Resources {
     (0..used).fold(free, |free, _| free.saturating_sub(need))
 }
 
-/// Lower is better; a task that would miss its objective costs more than any that would not.
+/// Lower is better.
 fn cost(speed: f64, is_near: bool, is_on_rack: bool, is_shared: bool, want: &Want) -> f64 {
     /// Cost of leaving the zone, as a share of the time until the objective.
     const FAR: f64 = 0.04;
@@ -104,18 +89,13 @@
     const SHARED: f64 = 0.02;
     /// Cost of another rack than the data's.
     const OFF_RACK: f64 = 0.5;
-    const MISSED: f64 = 100.0;
+    /// Cost of a likely miss of the objective: more than all others together.
+    const RISKED: f64 = 100.0;
     let left = want.left_ms.max(1.0);
     let run = want.expected_ms / speed;
-    let preference = if run * RESERVE > left {
-        MISSED + run / left
-    } else if want.is_sparing {
-        1.0 - run / left
-    } else {
-        run / left
-    };
+    let risk = if run * RESERVE > left { RISKED } else { 0.0 };
     let far = if is_near { 0.0 } else { FAR };
     let shared = if is_shared { SHARED } else { 0.0 };
     let off_rack = if is_on_rack { 0.0 } else { OFF_RACK };
-    preference + far - shared + off_rack
+    run / left + risk + far - shared + off_rack
 }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -321,9 +321,8 @@
 
     /// Returns how a job ends that can run nowhere.
     fn hopeless(&self, job: &DirectJob, now_ms: u64) -> Option<JobEnd> {
-        if self.agents_of(&job.pool).next().is_none() {
-            return Some(self.refusal(RefusalReason::NoUpstream));
-        }
+        // Without any, upstreams may be on their way to an entry that has just started.
+        self.agents_of(&job.pool).next()?;
         let fits = |step: &crate::JobStep| {
             self.agents_of(&job.pool).any(|(_, view)| {
                 view.upstream.as_ref().is_some_and(|up| {
@@ -357,7 +356,10 @@
             let Some(state) = self.jobs.get(&key) else { continue };
             let is_waiting = !state.has_run && state.under_way == 0;
             if is_waiting && now_ms >= state.refuse_at_ms {
-                let end = self.refusal(RefusalReason::Overloaded);
+                let is_served = self.agents_of(&state.job.pool).next().is_some();
+                let reason =
+                    if is_served { RefusalReason::Overloaded } else { RefusalReason::NoUpstream };
+                let end = self.refusal(reason);
                 self.answer(key, end, &mut effects);
             }
         }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -31,7 +31,10 @@
         step: 0,
         payload: "payload".into(),
         need,
-        orders: (0u32..).zip(ids).map(|(index, id)| Order { id: OrderId(*id), index, run: 1 }).collect(),
+        orders: (0u32..)
+            .zip(ids)
+            .map(|(index, id)| Order { id: OrderId(*id), index, run: 1 })
+            .collect(),
     }
 }
 
@@ -40,7 +43,8 @@
 }
 
 pub fn lists(sent_ms: u64, running: &[(&TaskId, u32)]) -> HoldResult {
-    let row = |(task, run): &(&TaskId, u32)| RunRow { task: (*task).clone(), run: *run, percent: 0 };
+    let row =
+        |(task, run): &(&TaskId, u32)| RunRow { task: (*task).clone(), run: *run, percent: 0 };
     HoldResult {
         sent_ms,
         received_ms: sent_ms + 1,
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -143,10 +143,8 @@
     agent.supervisor.on_hold(&ended);
     let outstanding = [OrderId(1), OrderId(2), OrderId(3)];
     agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &outstanding, 40);
-    let expected = [
-        (OrderId(1), OrderOutcome::Done { run_ms: 11 }),
-        (OrderId(3), OrderOutcome::NotStarted),
-    ];
+    let expected =
+        [(OrderId(1), OrderOutcome::Done { run_ms: 11 }), (OrderId(3), OrderOutcome::NotStarted)];
     assert_eq!(agent.outcomes(), expected);
 }
 
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -19,9 +19,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Bounds of the pause between attempts to connect, milliseconds.
 const FIRST_PAUSE_MS: u64 = 50;
-const LONGEST_PAUSE_MS: u64 = 800;
+const LONGEST_PAUSE_MS: u64 = 250;
 /// Failed attempts in a row after which an address is forgotten.
-const ATTEMPTS_TO_FORGET: u32 = 40;
+const ATTEMPTS_TO_FORGET: u32 = 120;
 
 /// Keeps a connection to an entry until it is forgotten.
 pub(crate) async fn dial(addr: SocketAddr, state: Rc<AgentState>) {
