Add stand-ins of the platform's store and executors, and test whole processes against them

One failed first: an entry given seeds at another port never reached them; seeds keep their port unless the settings name one.

--- a/crates/ebonycroft/src/commands/direct.rs
+++ b/crates/ebonycroft/src/commands/direct.rs
@@ -1,7 +1,7 @@
 //! The roles for direct jobs, each on one thread.
 
 use getopts::Options;
-use node::{DirectAgentSettings, DirectEntrySettings};
+use node::{DirectAgent, DirectAgentSettings, DirectEntry, DirectEntrySettings, stop_signal};
 
 use crate::{cli_error::CliError, command::Command, commands::options};
 
@@ -13,10 +13,10 @@
     };
     if command == Command::DirectEntry {
         let settings: DirectEntrySettings = options::load(&matches)?;
-        node::run_entry(settings).await?;
+        DirectEntry::bind(settings).await?.run(stop_signal()).await?;
     } else {
         let settings: DirectAgentSettings = options::load(&matches)?;
-        node::run_agent(settings).await?;
+        DirectAgent::bind(settings).await?.run(stop_signal()).await?;
     }
     Ok(())
 }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -19,6 +19,7 @@
 mod log_settings;
 mod log_state;
 mod log_store;
+mod platform_stand_in;
 mod processor;
 mod reply;
 mod run_headers;
@@ -43,6 +44,10 @@
     log_faults::LogFaults,
     log_server::LogServer,
     log_settings::LogSettings,
+    platform_stand_in::{
+        Ledger, StandInExecutor, StandInExecutorFaults, StandInExecutorSettings, StandInStore,
+        StandInStoreFaults, StandInStoreRates,
+    },
     processor::{Capacity, Processor},
     start_counts::{StartCount, StartsBody},
     task_control::TaskControl,
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -5,23 +5,23 @@
 mod executor_calls;
 mod state;
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
 
 use adapter::StoreClient;
 use serde_json::json;
 use tokio::{
-    signal::unix::{SignalKind, signal},
-    task::spawn_local,
+    net::TcpListener,
+    task::{JoinSet, spawn_local},
     time::sleep,
 };
-use types::{Peer, StepError};
+use types::StepError;
 
 use crate::{
     DirectAgentSettings,
     agent::state::AgentState,
     clock, directory,
     events::Weight,
-    http_server::{ConnectionLimits, HttpServer, listen},
+    http_server::{ConnectionLimits, HttpServer, listen, local_addr},
     metrics_server,
 };
 
@@ -34,49 +34,70 @@
 const EXIT_MARGIN_MS: u64 = 700;
 const CONTROL_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 16_384, idle_ms: 60_000 };
 
-/// Runs an agent until it is told to stop.
-///
-/// # Errors
-///
-/// When an address cannot be listened at.
-pub async fn run_agent(settings: DirectAgentSettings) -> Result<(), StepError> {
-    metrics_server::start(settings.metrics).await?;
-    let state = AgentState::new(&settings)?;
-    let control = listen(settings.control).await?;
-    let store = StoreClient::new(settings.store, STORE_TIMEOUT)?;
-    let fields = [
-        ("control", json!(settings.control.to_string())),
-        ("upstream", json!(settings.upstream.to_string())),
-    ];
-    state.events.line(Weight::Notable, "start", &fields);
-    let serving = Rc::clone(&state);
-    spawn_local(async move {
-        let server = HttpServer::new(Rc::new(Cell::new(false)));
-        let handle = move |req| control::answer(Rc::clone(&serving), req);
-        server.accept_until(&control, || CONTROL_LIMITS, handle, std::future::pending()).await;
-    });
-    spawn_local(executor_calls::hold(Rc::clone(&state)));
-    spawn_local(tick(Rc::clone(&state)));
-    spawn_local(directory::follow(store, Rc::clone(&state.known), None));
-    spawn_local(dial_entries(Rc::clone(&state)));
-    wait_for_end(&state, settings.grace_ms).await?;
-    state.events.line(Weight::Notable, "stop", &[("is_idle", json!(state.is_idle()))]);
-    state.events.flush();
-    Ok(())
+/// An agent whose addresses are bound.
+pub struct DirectAgent {
+    settings: DirectAgentSettings,
+    state: Rc<AgentState>,
+    control: TcpListener,
 }
 
-async fn wait_for_end(state: &Rc<AgentState>, grace_ms: u64) -> Result<(), StepError> {
-    let fail = |e| StepError::new("listening for signals", Peer::Local, e);
-    let mut terminate = signal(SignalKind::terminate()).map_err(fail)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(fail)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(fail)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => state.events.line(Weight::Notable, "hangup", &[]),
-        }
+impl DirectAgent {
+    /// Binds the addresses of the settings; port 0 stands for any.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be listened at.
+    pub async fn bind(mut settings: DirectAgentSettings) -> Result<Self, StepError> {
+        let control = listen(settings.control).await?;
+        settings.control = local_addr(&control)?;
+        let state = AgentState::new(&settings)?;
+        Ok(Self { settings, state, control })
+    }
+
+    /// Returns the settings, with the addresses that are bound.
+    pub fn settings(&self) -> &DirectAgentSettings {
+        &self.settings
+    }
+
+    /// Serves until `stop` is ready, then waits for the end of what runs. Runs on a local set.
+    ///
+    /// # Errors
+    ///
+    /// When a client of another system cannot be built, or `stop` fails.
+    pub async fn run(
+        self,
+        stop: impl Future<Output = Result<(), StepError>>,
+    ) -> Result<(), StepError> {
+        let Self { settings, state, control } = self;
+        metrics_server::start(settings.metrics).await?;
+        let store = StoreClient::new(settings.store, STORE_TIMEOUT)?;
+        let fields = [
+            ("control", json!(settings.control.to_string())),
+            ("upstream", json!(settings.upstream.to_string())),
+        ];
+        state.events.line(Weight::Notable, "start", &fields);
+        let mut parts = JoinSet::new();
+        parts.spawn_local(serve_control(control, Rc::clone(&state)));
+        parts.spawn_local(executor_calls::hold(Rc::clone(&state)));
+        parts.spawn_local(tick(Rc::clone(&state)));
+        parts.spawn_local(directory::follow(store, Rc::clone(&state.known), None));
+        parts.spawn_local(dial_entries(Rc::clone(&state)));
+        let stopped = stop.await;
+        finish(&state, settings.grace_ms).await;
+        state.events.line(Weight::Notable, "stop", &[("is_idle", json!(state.is_idle()))]);
+        state.events.flush();
+        stopped
     }
+}
+
+async fn serve_control(listener: TcpListener, state: Rc<AgentState>) {
+    let server = HttpServer::new(Rc::new(Cell::new(false)));
+    let handle = move |req| control::answer(Rc::clone(&state), req);
+    server.accept_until(&listener, || CONTROL_LIMITS, handle, std::future::pending()).await;
+}
+
+/// Takes no further orders and waits for the end of what runs.
+async fn finish(state: &Rc<AgentState>, grace_ms: u64) {
     state.events.line(Weight::Notable, "stopping", &[]);
     state.leave();
     let end_ms = clock::now_ms() + grace_ms.saturating_sub(EXIT_MARGIN_MS);
@@ -86,7 +107,6 @@
         sleep(BUSY_TICK).await;
     }
     sleep(BUSY_TICK).await;
-    Ok(())
 }
 
 async fn tick(state: Rc<AgentState>) {
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -59,16 +58,14 @@
 
 impl AgentState {
     pub(crate) fn new(settings: &DirectAgentSettings) -> Result<Rc<Self>, StepError> {
-        let known = Rc::new(KnownEntries::default());
-        for seed in settings.seeds.iter().flatten() {
-            known.add(SocketAddr::new(seed.ip(), settings.links_port));
-        }
+        let (seeds, port) = (settings.seeds.as_deref(), settings.seeds_port);
+        let known = Rc::new(KnownEntries::from_seeds(seeds, port, None));
         let now_ms = clock::now_ms();
         let timeout = Duration::from_millis(settings.timing.call_ms);
         Ok(Rc::new(Self {
             timing: settings.timing,
             known,
-            events: Events::start(&settings.name),
+            events: Events::start(&settings.name, settings.log_decisions),
             executor: ExecutorClient::new(settings.upstream, timeout)?,
             calls: Semaphore::new(CALLS_AT_A_TIME),
             name: Arc::clone(&settings.name),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,25 +4,25 @@
 mod callers;
 mod state;
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
 
 use adapter::{StoreClient, is_readiness_probe};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde_json::json;
 use tokio::{
-    signal::unix::{SignalKind, signal},
-    task::spawn_local,
+    net::TcpListener,
+    task::{JoinSet, spawn_local},
     time::{sleep, timeout},
 };
-use types::{Peer, StepError};
+use types::StepError;
 
 pub(crate) use crate::entry::agent_links::FirstMessage;
 use crate::{
     DirectEntrySettings, config_watch, directory,
     entry::state::EntryState,
     events::Weight,
-    http_server::{Answer, ConnectionLimits, HttpServer, listen},
+    http_server::{Answer, ConnectionLimits, HttpServer, listen, local_addr},
     metrics_server, peer_links,
 };
 
@@ -38,71 +38,88 @@
 const EXIT_MARGIN_MS: u64 = 700;
 const PROBE_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000 };
 
-/// Runs an entry until it is told to stop.
-///
-/// # Errors
-///
-/// When an address cannot be listened at.
-pub async fn run_entry(settings: DirectEntrySettings) -> Result<(), StepError> {
-    metrics_server::start(settings.metrics).await?;
-    let is_closing = Rc::new(Cell::new(false));
-    let state = EntryState::new(&settings);
-    let store = StoreClient::new(settings.store, STORE_TIMEOUT)?;
-    let links = listen(settings.links).await?;
-    let readiness = listen(settings.readiness).await?;
-    let callers = listen(settings.callers).await?;
-    state.events.line(
-        Weight::Notable,
-        "start",
-        &[
+/// An entry whose addresses are bound.
+pub struct DirectEntry {
+    settings: DirectEntrySettings,
+    state: Rc<EntryState>,
+    callers: TcpListener,
+    readiness: TcpListener,
+    links: TcpListener,
+}
+
+impl DirectEntry {
+    /// Binds the addresses of the settings; port 0 stands for any.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be listened at.
+    pub async fn bind(mut settings: DirectEntrySettings) -> Result<Self, StepError> {
+        let links = listen(settings.links).await?;
+        let readiness = listen(settings.readiness).await?;
+        let callers = listen(settings.callers).await?;
+        settings.links = local_addr(&links)?;
+        settings.readiness = local_addr(&readiness)?;
+        settings.callers = local_addr(&callers)?;
+        let state = EntryState::new(&settings);
+        Ok(Self { settings, state, callers, readiness, links })
+    }
+
+    /// Returns the settings, with the addresses that are bound.
+    pub fn settings(&self) -> &DirectEntrySettings {
+        &self.settings
+    }
+
+    /// Serves until `stop` is ready, then finishes what is being answered. Runs on a local set.
+    ///
+    /// # Errors
+    ///
+    /// When a client of another system cannot be built, or `stop` fails.
+    pub async fn run(
+        self,
+        stop: impl Future<Output = Result<(), StepError>>,
+    ) -> Result<(), StepError> {
+        let Self { settings, state, callers, readiness, links } = self;
+        metrics_server::start(settings.metrics).await?;
+        let is_closing = Rc::new(Cell::new(false));
+        let store = StoreClient::new(settings.store, STORE_TIMEOUT)?;
+        let fields = [
             ("callers", json!(settings.callers.to_string())),
             ("links", json!(settings.links.to_string())),
-        ],
-    );
-    spawn_local(agent_links::accept(links, Rc::clone(&state)));
-    spawn_local(tick(Rc::clone(&state)));
-    spawn_local(dial_peers(Rc::clone(&state)));
-    let adopting = Rc::clone(&state);
-    spawn_local(config_watch::follow(
-        store.clone(),
-        Rc::new(move |raw| adopting.adopt_config(raw, "store")),
-    ));
-    spawn_local(directory::announce(store.clone(), settings.name.as_ref().into(), settings.links));
-    spawn_local(directory::follow(store, Rc::clone(&state.known), Some(settings.links)));
-    spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
-    serve_callers(&callers, &state, &is_closing, settings.grace_ms).await?;
-    state.events.line(Weight::Notable, "stop", &[("unanswered", json!(state.unanswered()))]);
-    state.events.flush();
-    Ok(())
+        ];
+        state.events.line(Weight::Notable, "start", &fields);
+        let adopting = Rc::clone(&state);
+        let adopt = Rc::new(move |raw: &[u8]| adopting.adopt_config(raw, "store"));
+        let known = Rc::clone(&state.known);
+        let mut parts = JoinSet::new();
+        parts.spawn_local(agent_links::accept(links, Rc::clone(&state)));
+        parts.spawn_local(tick(Rc::clone(&state)));
+        parts.spawn_local(dial_peers(Rc::clone(&state)));
+        parts.spawn_local(config_watch::follow(store.clone(), adopt));
+        let name = settings.name.as_ref().into();
+        parts.spawn_local(directory::announce(store.clone(), name, settings.links));
+        parts.spawn_local(directory::follow(store, known, Some(settings.links)));
+        parts.spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
+        serve_callers(&callers, &state, &is_closing, settings.grace_ms, stop).await?;
+        state.events.line(Weight::Notable, "stop", &[("unanswered", json!(state.unanswered()))]);
+        state.events.flush();
+        Ok(())
+    }
 }
 
 async fn serve_callers(
-    listener: &tokio::net::TcpListener,
+    listener: &TcpListener,
     state: &Rc<EntryState>,
     is_closing: &Rc<Cell<bool>>,
     grace_ms: u64,
+    stop: impl Future<Output = Result<(), StepError>>,
 ) -> Result<(), StepError> {
-    let fail = |e| StepError::new("listening for signals", Peer::Local, e);
-    let mut terminate = signal(SignalKind::terminate()).map_err(fail)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(fail)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(fail)?;
     let server = HttpServer::new(Rc::clone(is_closing));
+    let mut stopped = Ok(());
     let stopping = async {
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
-                _ = hangup.recv() => {
-                    state.events.line(Weight::Notable, "hangup", &[]);
-                }
-            }
-        }
+        stopped = stop.await;
         is_closing.set(true);
-        state.events.line(
-            Weight::Notable,
-            "stopping",
-            &[("unanswered", json!(state.unanswered()))],
-        );
+        let fields = [("unanswered", json!(state.unanswered()))];
+        state.events.line(Weight::Notable, "stopping", &fields);
         sleep(OUT_OF_ROTATION).await;
     };
     let limits = || state.connection_limits();
@@ -114,14 +131,10 @@
     if timeout(Duration::from_millis(left_ms), server.shutdown()).await.is_err() {
         log::warn!("stopped with {} requests unanswered", state.unanswered());
     }
-    Ok(())
+    stopped
 }
 
-async fn serve_readiness(
-    listener: tokio::net::TcpListener,
-    state: Rc<EntryState>,
-    is_closing: Rc<Cell<bool>>,
-) {
+async fn serve_readiness(listener: TcpListener, state: Rc<EntryState>, is_closing: Rc<Cell<bool>>) {
     let server = HttpServer::new(Rc::new(Cell::new(false)));
     let handle = move |req: Request<Incoming>| {
         let is_ready = !is_closing.get() && state.is_ready();
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -57,19 +57,14 @@
 
 impl EntryState {
     pub(crate) fn new(settings: &DirectEntrySettings) -> Rc<Self> {
-        let known = Rc::new(KnownEntries::default());
-        for seed in settings.seeds.iter().flatten() {
-            let addr = SocketAddr::new(seed.ip(), settings.links.port());
-            if addr != settings.links {
-                known.add(addr);
-            }
-        }
+        let (seeds, port) = (settings.seeds.as_deref(), settings.seeds_port);
+        let known = Rc::new(KnownEntries::from_seeds(seeds, port, Some(settings.links)));
         Rc::new(Self {
             timing: settings.timing,
             incarnation: clock::unix_ms(),
             links: settings.links,
             known,
-            events: Events::start(&settings.name),
+            events: Events::start(&settings.name, settings.log_decisions),
             name: Arc::clone(&settings.name),
             dispatcher: RefCell::new(Dispatcher::new(settings.timing, Arc::clone(&settings.zone))),
             answers: RefCell::default(),
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -32,7 +32,7 @@
 pub(crate) struct Events {
     process: String,
     state: RefCell<State>,
-    tx: SyncSender<Vec<u8>>,
+    tx: Option<SyncSender<Vec<u8>>>,
 }
 
 #[derive(Debug, Default)]
@@ -45,8 +45,11 @@
 
 impl Events {
     /// Starts the writer.
-    pub(crate) fn start(process: &str) -> Self {
+    pub(crate) fn start(process: &str, is_written: bool) -> Self {
         let (tx, rx) = sync_channel::<Vec<u8>>(CHUNKS_WAITING);
+        if !is_written {
+            return Self { process: process.to_owned(), state: RefCell::default(), tx: None };
+        }
         thread::spawn(move || {
             let mut out = std::io::stdout();
             while let Ok(chunk) = rx.recv() {
@@ -54,11 +57,14 @@
                 let _ = out.write_all(&chunk).and_then(|()| out.flush());
             }
         });
-        Self { process: process.to_owned(), state: RefCell::default(), tx }
+        Self { process: process.to_owned(), state: RefCell::default(), tx: Some(tx) }
     }
 
     /// Adds a line: what was decided, and on what.
     pub(crate) fn line(&self, weight: Weight, event: &str, fields: &[(&str, Value)]) {
+        if self.tx.is_none() {
+            return;
+        }
         let unix_ms = clock::unix_ms();
         let mut state = self.state.borrow_mut();
         if state.second != unix_ms / 1_000 {
@@ -94,12 +100,13 @@
 
     /// Hands the lines to the writer; drops them when it is behind.
     pub(crate) fn flush(&self) {
+        let Some(tx) = &self.tx else { return };
         let mut state = self.state.borrow_mut();
         if state.buf.is_empty() {
             return;
         }
         let chunk = std::mem::take(&mut state.buf);
-        if let Err(TrySendError::Full(chunk)) = self.tx.try_send(chunk) {
+        if let Err(TrySendError::Full(chunk)) = tx.try_send(chunk) {
             state.dropped +=
                 u64::try_from(chunk.iter().filter(|b| **b == b'\n').count()).unwrap_or(0);
         }
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -35,6 +35,11 @@
     TcpListener::bind(addr).await.map_err(|e| StepError::new("listening", Peer::Address(addr), e))
 }
 
+/// Returns the address that a listener is bound to.
+pub(crate) fn local_addr(listener: &TcpListener) -> Result<SocketAddr, StepError> {
+    listener.local_addr().map_err(|e| StepError::new("listening", Peer::Local, e))
+}
+
 /// Takes connections.
 pub(crate) struct HttpServer {
     graceful: GracefulShutdown,
--- a/crates/node/src/known_entries.rs
+++ b/crates/node/src/known_entries.rs
@@ -16,6 +16,22 @@
 }
 
 impl KnownEntries {
+    /// Creates the list from the settings, without the process's own address.
+    pub(crate) fn from_seeds(
+        seeds: Option<&[SocketAddr]>,
+        port: Option<u16>,
+        own: Option<SocketAddr>,
+    ) -> Self {
+        let known = Self::default();
+        for seed in seeds.into_iter().flatten() {
+            let addr = SocketAddr::new(seed.ip(), port.unwrap_or(seed.port()));
+            if Some(addr) != own {
+                known.add(addr);
+            }
+        }
+        known
+    }
+
     pub(crate) fn add(&self, addr: SocketAddr) {
         self.addrs.borrow_mut().entry(addr).or_default();
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,9 +13,11 @@
 mod metrics_server;
 mod peer_links;
 mod settings;
+mod signals;
 
 pub use crate::{
-    agent::run_agent,
-    entry::run_entry,
+    agent::DirectAgent,
+    entry::DirectEntry,
     settings::{DirectAgentSettings, DirectEntrySettings},
+    signals::stop_signal,
 };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -22,11 +22,17 @@
         pub metrics: Option<SocketAddr>,
         /// The platform's store.
         pub store: SocketAddr,
-        /// Hosts of entries that may be known already; their port is that of `links`.
+        /// Addresses of entries that may be known already; some may be gone.
         #[serde(default)]
         pub seeds: Option<Vec<SocketAddr>>,
+        /// Port for links at the seeds, where their addresses name another one.
+        #[serde(default)]
+        pub seeds_port: Option<u16>,
         /// Longest time from a signal to stop to the end, milliseconds.
         pub grace_ms: u64,
+        /// Whether decisions are written to standard output.
+        #[serde(default = "default_log_decisions")]
+        pub log_decisions: bool,
         /// Times that the end of runs depends on.
         #[serde(default)]
         pub timing: Timing,
@@ -43,24 +49,32 @@
         pub control: SocketAddr,
         /// The upstream on this machine.
         pub upstream: SocketAddr,
-        /// Port at which entries take connections of agents.
-        pub links_port: u16,
         /// Where metrics are fetched.
         #[serde(default)]
         pub metrics: Option<SocketAddr>,
         /// The platform's store.
         pub store: SocketAddr,
-        /// Hosts of entries that may be known already.
+        /// Addresses of entries that may be known already; some may be gone.
         #[serde(default)]
         pub seeds: Option<Vec<SocketAddr>>,
+        /// Port for links at the seeds, where their addresses name another one.
+        #[serde(default)]
+        pub seeds_port: Option<u16>,
         /// Longest time from a signal to stop to the end, milliseconds.
         pub grace_ms: u64,
+        /// Whether decisions are written to standard output.
+        #[serde(default = "default_log_decisions")]
+        pub log_decisions: bool,
         /// Times that the end of runs depends on.
         #[serde(default)]
         pub timing: Timing,
     }
 }
 
+fn default_log_decisions() -> bool {
+    true
+}
+
 fn check_timing(timing: &Timing, faults: &mut Faults) {
     if let Err(e) = timing.check() {
         faults.require(false, "timing", &e.to_string());
--- /dev/null
+++ b/crates/node/tests/system/configuration.rs
@@ -0,0 +1,89 @@
+use emulator::{StandInStore, StandInStoreFaults, StandInStoreRates};
+use reqwest::StatusCode;
+
+use crate::support::{Fleet, config, run, send, start_entry, until};
+
+async fn status(fleet: &Fleet, entry: usize, path: &str) -> Option<StatusCode> {
+    let addr = fleet.entries[entry].addr;
+    send(&fleet.client, addr, "GET", path, String::new()).await.map(|(status, _)| status)
+}
+
+#[test]
+fn a_new_version_adds_and_removes_queues_at_every_entry() {
+    run(async {
+        let fleet = Fleet::start(2, 1, 5).await;
+        fleet.store.put_config(&config(9, &["/k/"]));
+        for entry in 0..2 {
+            until("the new queue is there", || async {
+                status(&fleet, entry, "/k/").await == Some(StatusCode::OK)
+            })
+            .await;
+            assert_eq!(status(&fleet, entry, "/j/").await, Some(StatusCode::NOT_FOUND));
+        }
+    });
+}
+
+#[test]
+fn an_older_version_is_never_taken() {
+    run(async {
+        let fleet = Fleet::start(1, 1, 5).await;
+        fleet.store.put_config(&config(9, &["/k/"]));
+        fleet.store.put_config(&config(5, &["/old/"]));
+        fleet.store.put_config(&config(10, &["/k/", "/l/"]));
+        until("the newest queue is there", || async {
+            assert_ne!(status(&fleet, 0, "/old/").await, Some(StatusCode::OK));
+            status(&fleet, 0, "/l/").await == Some(StatusCode::OK)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_change_after_a_lost_history_is_found() {
+    run(async {
+        let fleet = Fleet::start(1, 1, 5).await;
+        fleet.store.put_config(&config(3, &["/m/"]));
+        fleet.store.forget_history();
+        until("the queue is there", || async {
+            status(&fleet, 0, "/m/").await == Some(StatusCode::OK)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn an_entry_that_the_store_refuses_learns_the_configuration_from_another() {
+    run(async {
+        let mut fleet = Fleet::start(1, 1, 5).await;
+        let refusing =
+            StandInStore::start(StandInStoreRates::default()).await.expect("a store starts");
+        refusing.set_faults(StandInStoreFaults { is_busy: true, ..StandInStoreFaults::default() });
+        let seeds = Some(vec![fleet.entries[0].links]);
+        fleet.entries.push(start_entry("entry-refused", refusing.addr(), seeds).await);
+        until("the refused entry has the queue", || async {
+            status(&fleet, 1, "/j/").await == Some(StatusCode::OK)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn an_entry_without_a_configuration_refuses_and_is_not_ready() {
+    run(async {
+        let fleet = Fleet::start(1, 1, 5).await;
+        let empty =
+            StandInStore::start(StandInStoreRates::default()).await.expect("a store starts");
+        let entry = start_entry("entry-empty", empty.addr(), None).await;
+        let answer = send(&fleet.client, entry.addr, "GET", "/j/", String::new()).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(StatusCode::SERVICE_UNAVAILABLE));
+        let url = format!("http://{}/-/readyz", entry.readiness);
+        let probe = fleet.client.get(url).send().await.expect("the probe is answered");
+        assert_eq!(probe.status(), StatusCode::SERVICE_UNAVAILABLE);
+        empty.put_config(&crate::support::config(1, &["/j/"]));
+        until("the configuration is in force", || async {
+            let answer = send(&fleet.client, entry.addr, "GET", "/j/", String::new()).await;
+            answer.is_some_and(|(status, _)| status == StatusCode::OK)
+        })
+        .await;
+    });
+}
