--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -44,6 +44,18 @@
         },
     }
 
+    /// What a choice of an agent is made on.
+    pub struct AgentSummary {
+        /// Its name.
+        pub name: Arc<str>,
+        /// Age of its last report, milliseconds.
+        pub heard_ms_ago: u64,
+        /// Capacity left by that report, less what was ordered since.
+        pub free: types::Resources,
+        /// Learned speed of its upstream; 1 is the mean.
+        pub speed: f64,
+    }
+
     /// Whether submissions are taken.
     #[derive(Copy, Eq)]
     pub enum Admission {
@@ -135,6 +147,17 @@
         self.queue.len()
     }
 
+    /// Returns what a choice of an agent is made on.
+    pub fn agent_view(&self, key: AgentKey, now_ms: u64) -> Option<AgentSummary> {
+        let view = self.agents.get(key.0 as usize)?;
+        Some(AgentSummary {
+            name: Arc::clone(&view.name),
+            heard_ms_ago: now_ms.saturating_sub(view.heard_ms),
+            free: view.free(),
+            speed: view.speed.value(),
+        })
+    }
+
     /// Returns the name of an agent.
     pub fn agent_name(&self, key: AgentKey) -> Option<&Arc<str>> {
         self.agents.get(key.0 as usize).map(|view| &view.name)
--- a/crates/ebonycroft/src/command.rs
+++ b/crates/ebonycroft/src/command.rs
@@ -16,11 +16,12 @@
         Patch,
         Status,
         Drain,
+        Explain,
     }
 }
 
 impl Command {
-    pub(crate) const ALL: [Self; 12] = [
+    pub(crate) const ALL: [Self; 13] = [
         Self::Try,
         Self::Entry,
         Self::Agent,
@@ -33,6 +34,7 @@
         Self::Patch,
         Self::Status,
         Self::Drain,
+        Self::Explain,
     ];
 
     pub(crate) fn name(self) -> &'static str {
@@ -49,6 +51,7 @@
             Self::Patch => "patch",
             Self::Status => "status",
             Self::Drain => "drain",
+            Self::Explain => "explain",
         }
     }
 
@@ -66,6 +69,7 @@
             Self::Patch => "patch the shared configuration",
             Self::Status => "print the state of an entry or its upstreams",
             Self::Drain => "stop an entry or agent without cutting requests",
+            Self::Explain => "show the way of one request through the logs of several processes",
         }
     }
 
--- a/crates/ebonycroft/src/commands/mod.rs
+++ b/crates/ebonycroft/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod direct;
 mod emulator;
+mod explain;
 mod load;
 mod local_system;
 mod operator;
@@ -24,6 +25,7 @@
         Command::Emulator => emulator::run(args).await,
         Command::Load => load::run(args).await,
         Command::Check => check::run(args),
+        Command::Explain => explain::run(args),
         Command::Get | Command::Patch | Command::Status | Command::Drain => {
             operator::run(command, args).await
         }
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -201,15 +201,18 @@
 
     pub(crate) fn start_answered(self: &Rc<Self>, task: &TaskId, run: u32, result: StartResult) {
         let now_ms = self.now_ms();
-        if result != StartResult::Started {
-            let fields = [
-                ("job", json!(&*task.job)),
-                ("task", json!(task.to_string())),
-                ("run", json!(run)),
-                ("result", json!(format!("{result:?}"))),
-            ];
-            self.events.line(Weight::Notable, "not_started", &fields);
-        }
+        let (event, weight) = match result {
+            StartResult::Started => ("started", Weight::Routine),
+            _ => ("not_started", Weight::Notable),
+        };
+        let fields = [
+            ("job", json!(&*task.job)),
+            ("task", json!(task.to_string())),
+            ("run", json!(run)),
+            ("token", json!(self.token.get())),
+            ("result", json!(format!("{result:?}"))),
+        ];
+        self.events.line(weight, event, &fields);
         let effects = self.supervisor.borrow_mut().on_start_result(task, run, result, now_ms);
         self.apply(effects);
     }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -237,16 +237,17 @@
     /// Sends to an agent; what cannot be sent is settled when the agent connects again.
     fn send(&self, agent: AgentKey, message: ToAgent) {
         if let ToAgent::Start(batch) = &message {
+            let view = self.dispatcher.borrow().agent_view(agent, self.last_ms.get());
             counter!("entry_orders").increment(batch.orders.len() as u64);
             let fields = [
                 ("job", json!(&*batch.job)),
                 ("step", json!(batch.step)),
                 ("tasks", json!(batch.orders.iter().map(|order| order.index).collect::<Vec<_>>())),
                 ("run", json!(batch.orders.first().map(|order| order.run))),
-                (
-                    "agent",
-                    json!(self.dispatcher.borrow().agent_name(agent).map(ToString::to_string)),
-                ),
+                ("agent", json!(view.as_ref().map(|view| &*view.name))),
+                ("view_age_ms", json!(view.as_ref().map(|view| view.heard_ms_ago))),
+                ("free_milli_cores", json!(view.as_ref().map(|view| view.free.milli_cores))),
+                ("speed", json!(view.as_ref().map(|view| (view.speed * 100.0).round() / 100.0))),
             ];
             self.events.line(Weight::Routine, "placed", &fields);
         }
