--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -85,7 +85,7 @@
         let stopped = stop.await;
         finish(&state, settings.grace_ms).await;
         state.events.line(Weight::Notable, "stop", &[("is_idle", json!(state.is_idle()))]);
-        state.events.flush();
+        state.events.close();
         stopped
     }
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -101,7 +101,7 @@
         parts.spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
         serve_callers(&callers, &state, &is_closing, settings.grace_ms, stop).await?;
         state.events.line(Weight::Notable, "stop", &[("unanswered", json!(state.unanswered()))]);
-        state.events.flush();
+        state.events.close();
         Ok(())
     }
 }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -5,6 +5,7 @@
     io::Write,
     sync::mpsc::{SyncSender, TrySendError, sync_channel},
     thread,
+    time::Duration,
 };
 
 use serde_json::{Map, Value};
@@ -12,12 +13,22 @@
 use crate::clock;
 
 /// Most lines a second. Source: the processor time of a role allows about this many.
-const LINES_PER_SECOND: u32 = 300;
+const LINES_PER_SECOND: u32 = 1_000;
 /// Lines of the budget that only failures and changes of belief may use.
-const RESERVED_LINES: u32 = 100;
+const RESERVED_LINES: u32 = 200;
 /// Chunks that wait for a slow reader before lines are dropped.
 const CHUNKS_WAITING: usize = 16;
 
+/// Longest time that the end of the process waits for the reader.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the writer is handed.
+#[derive(Debug)]
+enum Chunk {
+    Lines(Vec<u8>),
+    End(SyncSender<()>),
+}
+
 /// Whether a line may be left out before others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Weight {
@@ -32,7 +43,7 @@
 pub(crate) struct Events {
     process: String,
     state: RefCell<State>,
-    tx: Option<SyncSender<Vec<u8>>>,
+    tx: Option<SyncSender<Chunk>>,
 }
 
 #[derive(Debug, Default)]
@@ -46,20 +57,39 @@
 impl Events {
     /// Starts the writer.
     pub(crate) fn start(process: &str, is_written: bool) -> Self {
-        let (tx, rx) = sync_channel::<Vec<u8>>(CHUNKS_WAITING);
+        let (tx, rx) = sync_channel(CHUNKS_WAITING);
         if !is_written {
             return Self { process: process.to_owned(), state: RefCell::default(), tx: None };
         }
         thread::spawn(move || {
             let mut out = std::io::stdout();
             while let Ok(chunk) = rx.recv() {
-                // A reader that has gone must not end the process; there is nowhere to say so.
-                let _ = out.write_all(&chunk).and_then(|()| out.flush());
+                match chunk {
+                    // A reader that has gone must not end the process; there is nowhere to say so.
+                    Chunk::Lines(lines) => {
+                        let _ = out.write_all(&lines).and_then(|()| out.flush());
+                    }
+                    Chunk::End(done) => {
+                        // The process does not wait any more.
+                        let _ = done.try_send(());
+                        return;
+                    }
+                }
             }
         });
         Self { process: process.to_owned(), state: RefCell::default(), tx: Some(tx) }
     }
 
+    /// Writes what is left and waits for the writer, but not for a reader that does not read.
+    pub(crate) fn close(&self) {
+        self.flush();
+        let (done_tx, done_rx) = sync_channel(1);
+        if self.tx.as_ref().is_some_and(|tx| tx.try_send(Chunk::End(done_tx)).is_ok()) {
+            // A reader that is stuck costs the lines that it has not read.
+            let _ = done_rx.recv_timeout(CLOSE_TIMEOUT);
+        }
+    }
+
     /// Adds a line: what was decided, and on what.
     pub(crate) fn line(&self, weight: Weight, event: &str, fields: &[(&str, Value)]) {
         if self.tx.is_none() {
@@ -106,7 +136,7 @@
             return;
         }
         let chunk = std::mem::take(&mut state.buf);
-        if let Err(TrySendError::Full(chunk)) = tx.try_send(chunk) {
+        if let Err(TrySendError::Full(Chunk::Lines(chunk))) = tx.try_send(Chunk::Lines(chunk)) {
             state.dropped +=
                 u64::try_from(chunk.iter().filter(|b| **b == b'\n').count()).unwrap_or(0);
         }
