--- /dev/null
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -0,0 +1,51 @@
+//! Random faults on real processes under load. `SOAK_SEED` and `SOAK_SECONDS` choose another
+//! sequence of faults and another length; the verdict is what must hold at all times.
+
+mod caller;
+mod faults;
+mod process;
+mod system;
+
+use std::{env, time::Duration};
+
+use crate::system::{SLOTS, System};
+
+const DEFAULT_SEED: u64 = 1;
+const DEFAULT_SECONDS: u64 = 8;
+
+fn number(name: &str, default: u64) -> u64 {
+    env::var(name).ok().map_or(default, |text| text.parse().expect("the variable is a number"))
+}
+
+#[test]
+fn what_must_always_hold_holds_under_random_faults() {
+    let (seed, seconds) =
+        (number("SOAK_SEED", DEFAULT_SEED), number("SOAK_SECONDS", DEFAULT_SECONDS));
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime can be built").block_on(async {
+        let mut system = System::start().await;
+        let calls = caller::start(&system, seed);
+        let done = faults::play(&mut system, seed, Duration::from_secs(seconds)).await;
+        let jobs = calls.finish().await;
+        system.until_serving().await;
+        let ledger = &system.ledger;
+        println!(
+            "seed {seed}: {} faults {done:?}; {} jobs, {} succeeded, {} refused, {} unknown; {} runs",
+            done.values().sum::<usize>(),
+            jobs.len(),
+            jobs.iter().filter(|job| job.is_succeeded()).count(),
+            jobs.iter().filter(|job| job.is_refused()).count(),
+            jobs.iter().filter(|job| job.is_unknown()).count(),
+            ledger.runs_of(""),
+        );
+        assert_eq!(ledger.overlaps(), Vec::<String>::new(), "seed {seed}: a task ran twice at a time");
+        assert!(ledger.most_at_once() <= SLOTS, "seed {seed}: an executor was over its capacity");
+        for job in &jobs {
+            let runs = ledger.runs_of(&job.id);
+            assert!(!job.is_refused() || runs == 0, "seed {seed}: {} ran though refused", job.id);
+            assert!(!job.is_succeeded() || runs >= job.tasks, "seed {seed}: {} is partial", job.id);
+        }
+        assert!(jobs.iter().any(caller::Job::is_succeeded), "seed {seed}: nothing was served");
+    });
+}
--- /dev/null
+++ b/crates/ebonycroft/tests/soak/process.rs
@@ -0,0 +1,71 @@
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+/// A role of the program, started from a settings file.
+pub(crate) struct Process {
+    role: &'static str,
+    settings: PathBuf,
+    child: Child,
+    /// The fields of its line `start`.
+    start: Value,
+}
+
+impl Process {
+    /// Starts a role and waits until its addresses are bound.
+    pub(crate) fn start(role: &'static str, settings: &Path) -> Self {
+        let (child, start) = spawn(role, settings);
+        Self { role, settings: settings.to_owned(), child, start }
+    }
+
+    /// Returns an address that the process has bound.
+    pub(crate) fn addr(&self, name: &str) -> SocketAddr {
+        let text = self.start.get(name).and_then(Value::as_str);
+        text.and_then(|text| text.parse().ok()).expect("the line start has the address")
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("a process id is small");
+        let pid = Pid::from_raw(id).expect("a process id is not 0");
+        kill_process(pid, signal).expect("the process is there");
+    }
+
+    /// Waits for the end of a process that was told to end.
+    pub(crate) fn wait(&mut self) {
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Starts the process again after its end.
+    pub(crate) fn start_again(&mut self) {
+        (self.child, self.start) = spawn(self.role, &self.settings);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(role: &'static str, settings: &Path) -> (Child, Value) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ebonycroft"))
+        .args([role, "--config"])
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("its output is piped"));
+    let mut first = String::new();
+    lines.read_line(&mut first).expect("the first line can be read");
+    let start = serde_json::from_str(&first).expect("the first line is an object");
+    std::thread::spawn(move || for _ in lines.lines() {});
+    (child, start)
+}
--- a/crates/emulator/src/platform_stand_in/ledger.rs
+++ b/crates/emulator/src/platform_stand_in/ledger.rs
@@ -47,6 +47,20 @@
         self.lock().iter().filter(|run| run.is_done).count()
     }
 
+    /// Returns the most runs that any executor had at a time.
+    pub fn most_at_once(&self) -> usize {
+        let runs = self.lock();
+        let at = |moment: Instant, executor: &str| {
+            let is_there = |run: &&LedgerRun| {
+                run.executor == executor
+                    && run.from <= moment
+                    && run.to.is_none_or(|to| to > moment)
+            };
+            runs.iter().filter(is_there).count()
+        };
+        runs.iter().map(|run| at(run.from, &run.executor)).max().unwrap_or(0)
+    }
+
     /// Returns the tasks of which two runs overlapped, with the executors.
     pub fn overlaps(&self) -> Vec<String> {
         let runs = self.lock();
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -76,6 +76,7 @@
             ("upstream", json!(settings.upstream.to_string())),
         ];
         state.events.line(Weight::Notable, "start", &fields);
+        state.events.flush();
         let mut parts = JoinSet::new();
         parts.spawn_local(serve_control(control, Rc::clone(&state)));
         parts.spawn_local(executor_calls::hold(Rc::clone(&state)));
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -85,8 +85,10 @@
         let fields = [
             ("callers", json!(settings.callers.to_string())),
             ("links", json!(settings.links.to_string())),
+            ("readiness", json!(settings.readiness.to_string())),
         ];
         state.events.line(Weight::Notable, "start", &fields);
+        state.events.flush();
         let adopting = Rc::clone(&state);
         let adopt = Rc::new(move |raw: &[u8]| adopting.adopt_config(raw, "store"));
         let known = Rc::clone(&state.known);
