--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use types::Resources;
 
 use crate::{
     DirectJob,
@@ -53,6 +54,12 @@
         !self.steps[step].pending.is_empty() && self.job.steps[step].after.iter().all(ended)
     }
 
+    /// Returns the least that any step needs for a task, in each dimension by itself.
+    pub(crate) fn least_need(&self) -> Resources {
+        let needs = self.job.steps.iter().map(|step| step.need);
+        needs.reduce(Resources::min_each).unwrap_or_default()
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.open == 0)
     }
--- /dev/null
+++ b/crates/direct/src/dispatcher/placing.rs
@@ -0,0 +1,113 @@
+//! Orders for tasks that wait.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use types::Resources;
+
+use crate::{
+    Order, OrderBatch, OrderId, RefusalReason, ToAgent,
+    dispatcher::{
+        AgentKey, Dispatcher, DispatcherEffect, JobKey, OrderState, agent_view::AgentView,
+    },
+};
+
+impl Dispatcher {
+    pub(crate) fn pump(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
+        let mut effects = Vec::new();
+        let keys: Vec<JobKey> = self.queue.iter().map(|(_, key)| *key).collect();
+        let mut room = self.room(now_ms);
+        for key in keys {
+            let Some(state) = self.jobs.get(&key) else { continue };
+            if self.ending.contains_key(state.id()) {
+                continue;
+            }
+            if state.least_need().fits_in(room) && self.place(key, now_ms, &mut effects) {
+                room = self.room(now_ms);
+            }
+            let Some(state) = self.jobs.get(&key) else { continue };
+            let is_waiting = !state.has_run && state.under_way == 0;
+            if is_waiting && now_ms >= state.refuse_at_ms {
+                let is_served = self.agents_of(&state.job.pool).next().is_some();
+                let reason =
+                    if is_served { RefusalReason::Overloaded } else { RefusalReason::NoUpstream };
+                let end = self.refusal(reason);
+                self.answer(key, end, &mut effects);
+            }
+        }
+        effects
+    }
+
+    /// Returns the most that is free anywhere, in each dimension by itself.
+    fn room(&self, now_ms: u64) -> Resources {
+        let silence_ms = self.timing.silence_ms;
+        let open = self.agents.iter().filter(|view| view.is_open(now_ms, silence_ms));
+        open.map(AgentView::free).fold(Resources::default(), Resources::max_each)
+    }
+
+    /// Orders as many of a job's tasks as there is room for; returns whether it ordered any.
+    fn place(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) -> bool {
+        let before = effects.len();
+        let Some(state) = self.jobs.get(&key) else { return false };
+        let steps: Vec<u16> = state.eligible_steps().collect();
+        for step in steps {
+            self.place_step(key, step, now_ms, effects);
+        }
+        let Some(state) = self.jobs.get(&key) else { return false };
+        if state.eligible_steps().next().is_none() {
+            self.queue.remove(&(state.job.priority, key));
+        }
+        effects.len() > before
+    }
+
+    fn place_step(
+        &mut self,
+        key: JobKey,
+        step: u16,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
+        let state = &self.jobs[&key];
+        let spec = &state.job.steps[usize::from(step)];
+        let want = self.want(state, spec, now_ms);
+        let need = spec.need;
+        let mut taken: Vec<(AgentKey, u32)> = Vec::new();
+        let mut chosen: IndexMap<AgentKey, Vec<u32>> = IndexMap::new();
+        let mut left = Vec::new();
+        for &task in state.steps[usize::from(step)].pending.iter().rev() {
+            let Some(agent) = self.choose(state, step, task, &want, &taken) else {
+                left.push(task);
+                continue;
+            };
+            match taken.iter_mut().find(|(known, _)| *known == agent) {
+                Some((_, count)) => *count += 1,
+                None => taken.push((agent, 1)),
+            }
+            chosen.entry(agent).or_default().push(task);
+        }
+        left.reverse();
+        let Some(state) = self.jobs.get_mut(&key) else { return };
+        state.steps[usize::from(step)].pending = left;
+        for (agent, tasks) in chosen {
+            let mut orders = Vec::with_capacity(tasks.len());
+            for index in tasks {
+                let id = OrderId(self.next_order);
+                self.next_order += 1;
+                let history = state.histories.entry((step, index)).or_default();
+                history.runs += 1;
+                state.under_way += 1;
+                orders.push(Order { id, index, run: history.runs });
+                let order =
+                    OrderState { job: key, id: Arc::clone(&state.job.id), step, index, agent };
+                self.orders.insert(id, order);
+                self.agents[agent.0 as usize].orders.insert(id);
+            }
+            let charge =
+                orders.iter().fold(Resources::default(), |sum, _| sum.saturating_add(need));
+            self.agents[agent.0 as usize].charge(charge);
+            let payload = Arc::clone(&state.job.payload);
+            let batch = OrderBatch { job: Arc::clone(&state.job.id), step, payload, need, orders };
+            effects.push(DispatcherEffect::Send(agent, ToAgent::Start(batch)));
+        }
+    }
+}
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -1,9 +1,11 @@
 //! The agent's side: guards the capacity of one upstream and ends what no entry wants any more.
 
+mod ends;
 mod messages;
 mod run;
 mod session;
 mod silence;
+mod stops;
 
 use std::sync::Arc;
 
@@ -22,10 +24,6 @@
     },
 };
 
-/// Run numbers of ended tasks that are remembered, so that a task that comes back gets a higher
-/// one. Source: tasks that an upstream ends while a client may ask again.
-const RUN_NUMBERS_KEPT: usize = 2_048;
-
 /// Times that a start is sent before it is given up. A repeated start changes nothing where the run
 /// is there. Source: with one call in three unanswered, three sends reach 26 runs of 27.
 const MAX_START_TRIES: u32 = 3;
@@ -222,19 +220,6 @@
         effects
     }
 
-    /// Stops runs at the wish of their entry.
-    pub fn on_stop(&mut self, key: SessionKey, ids: &[OrderId]) -> Vec<SupervisorEffect> {
-        let mut effects = Vec::new();
-        let wanted =
-            |run: &Run| run.order.is_some_and(|(owner, id)| owner == key && ids.contains(&id));
-        let tasks: Vec<TaskId> =
-            self.runs.iter().filter(|(_, run)| wanted(run)).map(|(task, _)| task.clone()).collect();
-        for task in tasks {
-            self.stop_run(&task, StopReport::Stopped, &mut effects);
-        }
-        effects
-    }
-
     /// Takes the answer to a start.
     pub fn on_start_result(
         &mut self,
@@ -270,40 +255,6 @@
         effects
     }
 
-    /// Takes the answer to a stop.
-    pub fn on_stop_result(
-        &mut self,
-        task: &TaskId,
-        number: u32,
-        is_acknowledged: bool,
-        now_ms: u64,
-    ) -> Vec<SupervisorEffect> {
-        let stranger = (task.clone(), number);
-        if self.strangers.contains(&stranger) {
-            if is_acknowledged {
-                self.strangers.shift_remove(&stranger);
-                return Vec::new();
-            }
-            return vec![SupervisorEffect::Stop(task.clone(), number)];
-        }
-        let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
-            return Vec::new();
-        };
-        match &mut run.phase {
-            Phase::Stopping { acked_ms, report } if is_acknowledged => {
-                *acked_ms = Some(now_ms);
-                match report {
-                    StopReport::Stopped => Vec::new(),
-                    StopReport::NotStarted => vec![SupervisorEffect::Look],
-                }
-            }
-            Phase::Stopping { acked_ms: None, .. } => {
-                vec![SupervisorEffect::Stop(task.clone(), number)]
-            }
-            _ => Vec::new(),
-        }
-    }
-
     /// Takes the upstream's lists.
     pub fn on_hold(&mut self, result: &HoldResult) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
@@ -392,133 +343,6 @@
             && self.strangers.is_empty()
     }
 
-    fn on_end(
-        &mut self,
-        task: &TaskId,
-        number: u32,
-        how: EndKind,
-        now_ms: u64,
-        effects: &mut Vec<SupervisorEffect>,
-    ) {
-        self.strangers.shift_remove(&(task.clone(), number));
-        let Some(run) = self.runs.get(task).filter(|run| run.number == number) else {
-            return;
-        };
-        let outcome = match (how, run.phase) {
-            (EndKind::Done, Phase::Running { since_ms }) => OrderOutcome::Done {
-                run_ms: u32::try_from(now_ms.saturating_sub(since_ms)).unwrap_or(u32::MAX),
-            },
-            (EndKind::Done, _) => OrderOutcome::Done { run_ms: 0 },
-            (EndKind::Failed, _) => OrderOutcome::Failed,
-            (EndKind::Gone, Phase::Stopping { report: StopReport::Stopped, .. }) => {
-                OrderOutcome::Stopped
-            }
-            (EndKind::Gone, _) => OrderOutcome::Lost,
-        };
-        self.finish(task, outcome, effects);
-    }
-
-    /// Forgets an upstream that has been replaced at its address; what ran there is gone.
-    fn check_incarnation(&mut self, born: Option<u64>, effects: &mut Vec<SupervisorEffect>) {
-        let Some(born) = born else { return };
-        if self.upstream.as_ref().is_some_and(|known| known.born < born) {
-            self.upstream = None;
-            self.lose_all(effects);
-            self.numbers.clear();
-            effects.extend(self.report_all());
-        }
-    }
-
-    /// Settles runs that must be in the lists if they were there.
-    fn settle_absent(&mut self, result: &HoldResult, effects: &mut Vec<SupervisorEffect>) {
-        let listed = |task: &TaskId, number: u32| {
-            result.running.iter().any(|row| &row.task == task && row.run == number)
-        };
-        let mut absent = Vec::new();
-        for (task, run) in &self.runs {
-            if listed(task, run.number) {
-                continue;
-            }
-            match run.phase {
-                Phase::Running { since_ms } if result.sent_ms > since_ms => {
-                    absent.push((task.clone(), OrderOutcome::Lost));
-                }
-                Phase::Stopping { acked_ms: Some(acked_ms), report }
-                    if result.sent_ms >= acked_ms =>
-                {
-                    let outcome = match report {
-                        StopReport::Stopped => OrderOutcome::Stopped,
-                        StopReport::NotStarted => OrderOutcome::NotStarted,
-                    };
-                    absent.push((task.clone(), outcome));
-                }
-                _ => {}
-            }
-        }
-        for (task, outcome) in absent {
-            self.finish(&task, outcome, effects);
-        }
-    }
-
-    fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
-        let owned = |run: &Run| run.order.is_some_and(|(owner, _)| owner == key);
-        let tasks: Vec<TaskId> =
-            self.runs.iter().filter(|(_, run)| owned(run)).map(|(task, _)| task.clone()).collect();
-        for task in tasks {
-            self.stop_run(&task, StopReport::Stopped, effects);
-        }
-    }
-
-    fn stop_run(&mut self, task: &TaskId, report: StopReport, effects: &mut Vec<SupervisorEffect>) {
-        let Some(run) = self.runs.get_mut(task) else { return };
-        if matches!(run.phase, Phase::Stopping { .. }) {
-            return;
-        }
-        run.phase = Phase::Stopping { acked_ms: None, report };
-        effects.push(SupervisorEffect::Stop(task.clone(), run.number));
-    }
-
-    fn lose_all(&mut self, effects: &mut Vec<SupervisorEffect>) {
-        let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
-        for task in tasks {
-            self.finish(&task, OrderOutcome::Lost, effects);
-        }
-    }
-
-    /// Ends the charge of a run and tells its entry.
-    fn finish(
-        &mut self,
-        task: &TaskId,
-        outcome: OrderOutcome,
-        effects: &mut Vec<SupervisorEffect>,
-    ) {
-        let Some(run) = self.runs.shift_remove(task) else { return };
-        let number = self.numbers.entry(task.clone()).or_insert(0);
-        *number = run.number.max(*number);
-        if self.numbers.len() > RUN_NUMBERS_KEPT {
-            self.numbers.shift_remove_index(0);
-        }
-        self.settle(task, run.order, outcome, effects);
-        if let Some((key, _)) = run.order {
-            effects.push(SupervisorEffect::Report(key));
-        }
-    }
-
-    fn settle(
-        &mut self,
-        task: &TaskId,
-        order: Option<(SessionKey, OrderId)>,
-        outcome: OrderOutcome,
-        effects: &mut Vec<SupervisorEffect>,
-    ) {
-        if let Some((key, id)) = order
-            && let Some(session) = self.session_mut(key)
-        {
-            session.record(id, outcome);
-        }
-        effects.push(SupervisorEffect::Settled(task.clone(), order.map(|(_, id)| id), outcome));
-    }
-
     fn session_mut(&mut self, key: SessionKey) -> Option<&mut Session> {
         self.sessions.values_mut().find(|(known, _)| *known == key).map(|(_, session)| session)
     }
--- /dev/null
+++ b/crates/direct/src/supervisor/stops.rs
@@ -0,0 +1,81 @@
+//! Stops of runs.
+
+use crate::{
+    OrderId, SessionKey, TaskId,
+    supervisor::{
+        Supervisor, SupervisorEffect,
+        run::{Phase, Run, StopReport},
+    },
+};
+
+impl Supervisor {
+    /// Stops runs at the wish of their entry.
+    pub fn on_stop(&mut self, key: SessionKey, ids: &[OrderId]) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        let wanted =
+            |run: &Run| run.order.is_some_and(|(owner, id)| owner == key && ids.contains(&id));
+        let tasks: Vec<TaskId> =
+            self.runs.iter().filter(|(_, run)| wanted(run)).map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            self.stop_run(&task, StopReport::Stopped, &mut effects);
+        }
+        effects
+    }
+
+    /// Takes the answer to a stop.
+    pub fn on_stop_result(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        is_acknowledged: bool,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
+        let stranger = (task.clone(), number);
+        if self.strangers.contains(&stranger) {
+            if is_acknowledged {
+                self.strangers.shift_remove(&stranger);
+                return Vec::new();
+            }
+            return vec![SupervisorEffect::Stop(task.clone(), number)];
+        }
+        let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
+            return Vec::new();
+        };
+        match &mut run.phase {
+            Phase::Stopping { acked_ms, report } if is_acknowledged => {
+                *acked_ms = Some(now_ms);
+                match report {
+                    StopReport::Stopped => Vec::new(),
+                    StopReport::NotStarted => vec![SupervisorEffect::Look],
+                }
+            }
+            Phase::Stopping { acked_ms: None, .. } => {
+                vec![SupervisorEffect::Stop(task.clone(), number)]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    pub(crate) fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
+        let owned = |run: &Run| run.order.is_some_and(|(owner, _)| owner == key);
+        let tasks: Vec<TaskId> =
+            self.runs.iter().filter(|(_, run)| owned(run)).map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            self.stop_run(&task, StopReport::Stopped, effects);
+        }
+    }
+
+    pub(crate) fn stop_run(
+        &mut self,
+        task: &TaskId,
+        report: StopReport,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
+        let Some(run) = self.runs.get_mut(task) else { return };
+        if matches!(run.phase, Phase::Stopping { .. }) {
+            return;
+        }
+        run.phase = Phase::Stopping { acked_ms: None, report };
+        effects.push(SupervisorEffect::Stop(task.clone(), run.number));
+    }
+}
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -31,6 +31,26 @@
         }
     }
 
+    /// Returns the larger amount in every dimension.
+    #[must_use]
+    pub fn max_each(self, other: Self) -> Self {
+        Self {
+            milli_cores: self.milli_cores.max(other.milli_cores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns the smaller amount in every dimension.
+    #[must_use]
+    pub fn min_each(self, other: Self) -> Self {
+        Self {
+            milli_cores: self.milli_cores.min(other.milli_cores),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Subtracts in every dimension, stopping at zero.
     pub fn saturating_sub(self, other: Self) -> Self {
         Self {
