--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -71,7 +71,7 @@
         Start(OrderBatch),
         /// Stop these, or never start them.
         Stop(Vec<OrderId>),
-        /// Nothing but a sign of life, with the entries known.
+        /// A sign of life, with the entries known if they have changed.
         Alive(Vec<SocketAddr>),
     }
 
--- a/crates/node/src/entry/agent_links.rs
+++ b/crates/node/src/entry/agent_links.rs
@@ -107,11 +107,18 @@
     heartbeat: Duration,
     state: Rc<EntryState>,
 ) -> Result<(), StepError> {
+    let mut told = Vec::new();
     loop {
         match timeout(heartbeat, inbox.recv()).await {
             Ok(Some(message)) => tx.feed(&message).await?,
             Ok(None) => return Ok(()),
-            Err(_) => tx.feed(&ToAgent::Alive(state.entries())).await?,
+            Err(_) => {
+                let entries = state.entries();
+                let is_news = entries != told;
+                tx.feed(&ToAgent::Alive(if is_news { entries.clone() } else { Vec::new() }))
+                    .await?;
+                told = entries;
+            }
         }
         while let Ok(message) = inbox.try_recv() {
             tx.feed(&message).await?;
