--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,7 +17,6 @@
     job::{DirectJob, JobEnd, JobStep, RefusalReason},
     link_message::{
         AgentHello, EntryHello, Load, Order, OrderBatch, OrderId, OrderOutcome, Report, ToAgent,
-        ToEntry,
     },
     routing::{Queue, RequestLimits, Routing},
     supervisor::{
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -106,7 +106,7 @@
         Unhealthy,
     }
 
-    /// A report of an agent.
+    /// A report of an agent; also its sign of life.
     #[derive(Eq)]
     pub struct Report {
         /// The upstream, when it has changed since the last report on this connection.
@@ -116,15 +116,6 @@
         /// Outcomes of this entry's orders.
         pub outcomes: Vec<(OrderId, OrderOutcome)>,
     }
-
-    /// What an agent tells an entry.
-    #[derive(Eq)]
-    pub enum ToEntry {
-        /// Opens the connection.
-        Hello(AgentHello),
-        /// Reports; also the sign of life.
-        Report(Report),
-    }
 }
 
 impl OrderOutcome {
--- a/crates/direct/src/routing.rs
+++ b/crates/direct/src/routing.rs
@@ -32,8 +32,6 @@
         pub header_bytes: usize,
         /// Most bytes of the body.
         pub body_bytes: usize,
-        /// Longest time for the head, milliseconds.
-        pub header_ms: u64,
         /// Longest time that a connection is idle, milliseconds.
         pub idle_ms: u64,
     }
@@ -50,7 +48,7 @@
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self { header_bytes: 16_384, body_bytes: 262_144, header_ms: 3_000, idle_ms: 15_000 }
+        Self { header_bytes: 16_384, body_bytes: 262_144, idle_ms: 15_000 }
     }
 }
 
--- a/crates/ebonycroft/tests/blocked_output.rs
+++ b/crates/ebonycroft/tests/blocked_output.rs
@@ -87,7 +87,7 @@
         };
         let executor = StandInExecutor::start(executor, Ledger::default()).await;
         let executor = executor.expect("an executor starts");
-        let settings = json!({ "name": "agent", "zone": "a", "control": any,
+        let settings = json!({ "name": "agent", "control": any,
             "upstream": executor.addr().to_string(), "store": store.addr().to_string(),
             "grace_ms": 6_000 });
         let agent = Role::start(&dir, "direct-agent", &settings);
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -138,7 +138,7 @@
 
 fn start_agent(dir: &Path, i: usize, store: SocketAddr, upstream: SocketAddr) -> Process {
     let name = format!("agent-{i}");
-    let settings = json!({ "name": name, "zone": "mid-a", "control": "127.0.0.1:0",
+    let settings = json!({ "name": name, "control": "127.0.0.1:0",
         "upstream": upstream.to_string(), "store": store.to_string(), "grace_ms": 6_000 });
     start_pinned(dir, "direct-agent", &name, settings, &["control"])
 }
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -19,8 +19,8 @@
         return with_status(400, "the body cannot be read");
     };
     match decode_upstream_call(head.method.as_str(), head.uri.path(), &body.to_bytes()) {
-        Some(UpstreamCall::Heartbeat { upstream, seq, clock_ms }) => {
-            state.heartbeat(upstream, seq, clock_ms);
+        Some(UpstreamCall::Heartbeat { upstream, seq }) => {
+            state.heartbeat(upstream, seq);
             Response::new(Full::new(Bytes::from_static(b"{}")))
         }
         Some(UpstreamCall::Leave { id }) => {
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use direct::{SessionKey, ToAgent, ToEntry};
+use direct::{Report, SessionKey, ToAgent};
 use tokio::{
     sync::Notify,
     task::spawn_local,
@@ -78,7 +78,7 @@
 }
 
 async fn write(
-    mut tx: FrameTx<ToEntry>,
+    mut tx: FrameTx<Report>,
     key: SessionKey,
     wake: Rc<Notify>,
     state: Rc<AgentState>,
@@ -87,7 +87,7 @@
     let mut sent = None;
     loop {
         if let Some(report) = state.report(key, &mut sent) {
-            tx.feed(&ToEntry::Report(report)).await?;
+            tx.feed(&report).await?;
             tx.flush().await?;
         }
         // Without news the report is the sign of life.
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -145,7 +145,7 @@
         Some(u64::try_from(now).unwrap_or(0) + self.timing.lease_ms)
     }
 
-    pub(crate) fn heartbeat(self: &Rc<Self>, upstream: Upstream, seq: i64, _clock_ms: Option<u64>) {
+    pub(crate) fn heartbeat(self: &Rc<Self>, upstream: Upstream, seq: i64) {
         let known = self.supervisor.borrow().upstream().cloned();
         if known.as_ref() != Some(&upstream) {
             let fields = [
--- a/crates/node/src/entry/agent_links.rs
+++ b/crates/node/src/entry/agent_links.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use direct::{AgentHello, EntryHello, ToAgent, ToEntry};
+use direct::{AgentHello, EntryHello, Report, ToAgent};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -71,7 +71,7 @@
 async fn serve_agent(
     hello: &AgentHello,
     tx: FrameTx<ToAgent>,
-    mut rx: FrameRx<ToEntry>,
+    mut rx: FrameRx<Report>,
     state: &Rc<EntryState>,
 ) -> Result<(), StepError> {
     let (outbox, inbox) = mpsc::channel(OUTBOX);
@@ -90,8 +90,7 @@
     let silence = Duration::from_millis(state.timing.silence_ms);
     let result = loop {
         match timeout(silence, rx.next()).await {
-            Ok(Ok(ToEntry::Report(report))) => state.agent_reported(agent, connection, report),
-            Ok(Ok(ToEntry::Hello(_))) => {}
+            Ok(Ok(report)) => state.agent_reported(agent, connection, report),
             Ok(Err(e)) => break Err(e),
             Err(_) => break Ok(()),
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,8 +43,6 @@
     pub struct DirectAgentSettings {
         /// Name of the host.
         pub name: Arc<str>,
-        /// Its availability zone.
-        pub zone: Arc<str>,
         /// Where the upstream on this machine sends its heartbeats.
         pub control: SocketAddr,
         /// The upstream on this machine.
--- a/crates/node/tests/system/support.rs
+++ b/crates/node/tests/system/support.rs
@@ -193,7 +193,6 @@
 ) -> Process {
     let settings = DirectAgentSettings {
         name: name.into(),
-        zone: "mid-a".into(),
         control,
         upstream,
         metrics: None,
