Keep one watch for suspensions, one way to stop runs and one question whether a job may have run

Found by reading the change again: both roles noticed suspensions by copies of the same lines, two stops differed in their condition only, and three places asked the same of a job.

--- a/crates/direct/src/dispatcher/choice.rs
+++ b/crates/direct/src/dispatcher/choice.rs
@@ -35,7 +35,7 @@
             expected_ms: f64::from(step.estimate_ms) * self.kind_ratio(&state.job.kind),
             left_ms,
             now_ms,
-            has_begun: state.has_run || state.under_way > 0,
+            has_begun: state.may_have_run(),
         }
     }
 
--- a/crates/direct/src/dispatcher/ends.rs
+++ b/crates/direct/src/dispatcher/ends.rs
@@ -13,8 +13,11 @@
     /// Ends a job whose client's time is over.
     pub(crate) fn end_unfinished(&mut self, key: JobKey, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
-        let has_run = state.has_run || state.under_way > 0;
-        let end = if has_run { JobEnd::TimedOut } else { self.refusal(RefusalReason::Overloaded) };
+        let end = if state.may_have_run() {
+            JobEnd::TimedOut
+        } else {
+            self.refusal(RefusalReason::Overloaded)
+        };
         self.answer(key, end, effects);
     }
 
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -37,7 +37,7 @@
     pub(crate) histories: IndexMap<(u16, u32), TaskHistory>,
     /// Orders whose outcome is awaited.
     pub(crate) under_way: u32,
-    /// Whether a task has, or may have, started.
+    /// Whether an order has ended with more than a denial.
     pub(crate) has_run: bool,
     /// Submissions that wait for the end; the first one is the job's own.
     pub(crate) waiters: Vec<JobKey>,
@@ -60,6 +60,11 @@
         needs.reduce(Resources::min_each).unwrap_or_default()
     }
 
+    /// Returns whether a task has started, or has been ordered and not denied.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.has_run || self.under_way > 0
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.open == 0)
     }
--- a/crates/direct/src/dispatcher/placing.rs
+++ b/crates/direct/src/dispatcher/placing.rs
@@ -13,6 +13,7 @@
 };
 
 impl Dispatcher {
+    /// Orders what there is room for, most urgent first, and refuses what has waited too long.
     pub(crate) fn pump(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
         let keys: Vec<JobKey> = self.queue.iter().map(|(_, key)| *key).collect();
@@ -26,8 +27,7 @@
                 room = self.room(now_ms);
             }
             let Some(state) = self.jobs.get(&key) else { continue };
-            let is_waiting = !state.has_run && state.under_way == 0;
-            if is_waiting && now_ms >= state.refuse_at_ms {
+            if !state.may_have_run() && now_ms >= state.refuse_at_ms {
                 let is_served = self.agents_of(&state.job.pool).next().is_some();
                 let reason =
                     if is_served { RefusalReason::Overloaded } else { RefusalReason::NoUpstream };
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -242,9 +242,9 @@
                 let (task, payload) = (task.clone(), Arc::clone(&run.payload));
                 effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
             }
+            StartResult::Unknown => self.stop_run(task, StopReport::NotStarted, &mut effects),
             // An earlier try may have started, whatever this one was told.
             _ if tries > 1 => self.stop_run(task, StopReport::NotStarted, &mut effects),
-            StartResult::Unknown => self.stop_run(task, StopReport::NotStarted, &mut effects),
             StartResult::OldRun => {
                 self.numbers.insert(task.clone(), number + 1);
                 self.finish(task, OrderOutcome::NotStarted, &mut effects);
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -12,13 +12,7 @@
     /// Stops runs at the wish of their entry.
     pub fn on_stop(&mut self, key: SessionKey, ids: &[OrderId]) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
-        let wanted =
-            |run: &Run| run.order.is_some_and(|(owner, id)| owner == key && ids.contains(&id));
-        let tasks: Vec<TaskId> =
-            self.runs.iter().filter(|(_, run)| wanted(run)).map(|(task, _)| task.clone()).collect();
-        for task in tasks {
-            self.stop_run(&task, StopReport::Stopped, &mut effects);
-        }
+        self.stop_ordered(|owner, id| owner == key && ids.contains(&id), &mut effects);
         effects
     }
 
@@ -57,9 +51,18 @@
     }
 
     pub(crate) fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
-        let owned = |run: &Run| run.order.is_some_and(|(owner, _)| owner == key);
+        self.stop_ordered(|owner, _| owner == key, effects);
+    }
+
+    /// Stops the runs whose order is wanted by its owner and number.
+    fn stop_ordered(
+        &mut self,
+        is_wanted: impl Fn(SessionKey, OrderId) -> bool,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
+        let wanted = |run: &Run| run.order.is_some_and(|(owner, id)| is_wanted(owner, id));
         let tasks: Vec<TaskId> =
-            self.runs.iter().filter(|(_, run)| owned(run)).map(|(task, _)| task.clone()).collect();
+            self.runs.iter().filter(|(_, run)| wanted(run)).map(|(task, _)| task.clone()).collect();
         for task in tasks {
             self.stop_run(&task, StopReport::Stopped, effects);
         }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -17,7 +17,7 @@
 use types::StepError;
 
 use crate::{
-    DirectAgentSettings,
+    DirectAgentSettings, EXIT_MARGIN_MS, STORE_TIMEOUT,
     agent::state::AgentState,
     clock, directory,
     events::Weight,
@@ -25,13 +25,9 @@
     metrics_server,
 };
 
-/// Longest time for an answer of the store, beside what a read waits.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Period of looking at deadlines while something runs, and without.
 const BUSY_TICK: Duration = Duration::from_millis(20);
 const IDLE_TICK: Duration = Duration::from_millis(80);
-/// Left of the grace for the end of the process itself, milliseconds.
-const EXIT_MARGIN_MS: u64 = 700;
 const CONTROL_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 16_384, idle_ms: 60_000 };
 
 /// An agent whose addresses are bound.
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -24,7 +24,7 @@
 use crate::{
     DirectAgentSettings,
     agent::executor_calls,
-    clock,
+    clock::{self, SuspensionWatch},
     events::{Events, Weight},
     known_entries::KnownEntries,
 };
@@ -46,7 +46,7 @@
     token: Cell<u64>,
     /// The upstream's clock less ours, milliseconds; nothing before its first answer.
     clock_offset_ms: Cell<Option<i64>>,
-    last_ms: Cell<u64>,
+    suspensions: SuspensionWatch,
     /// Number of suspensions.
     epoch: Cell<u64>,
     is_open: Cell<bool>,
@@ -74,7 +74,7 @@
             wakes: RefCell::default(),
             token: Cell::new(0),
             clock_offset_ms: Cell::new(None),
-            last_ms: Cell::new(now_ms),
+            suspensions: SuspensionWatch::new(settings.timing.suspension_ms),
             epoch: Cell::new(0),
             is_open: Cell::new(false),
             last_free: Cell::default(),
@@ -85,9 +85,8 @@
 
     /// Returns the time; notices a suspension before anything else is done after it.
     fn now_ms(&self) -> u64 {
-        let now_ms = clock::now_ms();
-        let gap_ms = now_ms.saturating_sub(self.last_ms.replace(now_ms));
-        if gap_ms >= self.timing.suspension_ms {
+        let (now_ms, suspended_ms) = self.suspensions.look();
+        if let Some(gap_ms) = suspended_ms {
             self.events.line(Weight::Notable, "suspended", &[("gap_ms", json!(gap_ms))]);
             self.epoch.set(self.epoch.get() + 1);
         }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -19,23 +19,19 @@
 
 pub(crate) use crate::entry::agent_links::FirstMessage;
 use crate::{
-    DirectEntrySettings, config_watch, directory,
+    DirectEntrySettings, EXIT_MARGIN_MS, STORE_TIMEOUT, config_watch, directory,
     entry::state::EntryState,
     events::Weight,
     http_server::{Answer, ConnectionLimits, HttpServer, listen, local_addr},
     metrics_server, peer_links,
 };
 
-/// Longest time for an answer of the store, beside what a read waits.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Period of looking at deadlines while jobs are there, and without.
 const BUSY_TICK: Duration = Duration::from_millis(12);
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time that the platform takes to send no more connections to a process that is not ready:
 /// two probes, one a second, and their answers.
 const OUT_OF_ROTATION: Duration = Duration::from_millis(2_300);
-/// Left of the grace for the end of the process itself, milliseconds.
-const EXIT_MARGIN_MS: u64 = 700;
 const PROBE_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000 };
 
 /// An entry whose addresses are bound.
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -18,7 +18,8 @@
 use types::StepError;
 
 use crate::{
-    DirectEntrySettings, clock,
+    DirectEntrySettings,
+    clock::{self, SuspensionWatch},
     events::{Events, Weight},
     http_server::ConnectionLimits,
     known_entries::KnownEntries,
@@ -41,7 +42,7 @@
     agents: RefCell<IndexMap<AgentKey, Connection>>,
     next_connection: Cell<u64>,
     config: RefCell<Option<Config>>,
-    last_ms: Cell<u64>,
+    suspensions: SuspensionWatch,
     refuse_until_ms: Cell<u64>,
 }
 
@@ -71,7 +72,7 @@
             agents: RefCell::default(),
             next_connection: Cell::new(0),
             config: RefCell::default(),
-            last_ms: Cell::new(clock::now_ms()),
+            suspensions: SuspensionWatch::new(settings.timing.suspension_ms),
             refuse_until_ms: Cell::new(0),
         })
     }
@@ -82,9 +83,8 @@
 
     /// Returns the time; notices a suspension before anything else is done after it.
     fn now_ms(&self) -> u64 {
-        let now_ms = clock::now_ms();
-        let gap_ms = now_ms.saturating_sub(self.last_ms.replace(now_ms));
-        if gap_ms >= self.timing.suspension_ms {
+        let (now_ms, suspended_ms) = self.suspensions.look();
+        if let Some(gap_ms) = suspended_ms {
             self.events.line(Weight::Notable, "suspended", &[("gap_ms", json!(gap_ms))]);
             self.refuse_until_ms.set(now_ms + SUSPENDED_REFUSAL_MS);
             self.dispatcher.borrow_mut().set_admission(Admission::Closed(RefusalReason::Suspended));
@@ -237,7 +237,7 @@
     /// Sends to an agent; what cannot be sent is settled when the agent connects again.
     fn send(&self, agent: AgentKey, message: ToAgent) {
         if let ToAgent::Start(batch) = &message {
-            let view = self.dispatcher.borrow().agent_view(agent, self.last_ms.get());
+            let view = self.dispatcher.borrow().agent_view(agent, self.suspensions.last_ms());
             counter!("entry_orders").increment(batch.orders.len() as u64);
             let fields = [
                 ("job", json!(&*batch.job)),
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -55,8 +55,7 @@
     fn learn(&self, entries: &[SocketAddr]);
 }
 
-/// Keeps a connection to another entry until it is forgotten. `greet` makes the first message
-/// that tells this link from an agent's.
+/// Keeps a connection to another entry until it is forgotten.
 pub(crate) async fn dial(addr: SocketAddr, known: Rc<KnownEntries>, holder: Rc<dyn ConfigHolder>) {
     let mut failures = 0;
     while failures < ATTEMPTS_TO_FORGET {
