--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -5,7 +5,7 @@
 
 use kameo::actor::{ActorRef, Spawn};
 use metrics_exporter_prometheus::PrometheusHandle;
-use platform::{Executor, HttpExecutor, HttpWorker};
+use ports::{Executor, HttpExecutor, HttpWorker};
 use rpc::{AgentIdentity, MemberState};
 use telemetry::Traces;
 use tokio::{
--- a/crates/agent/src/agent/supervision_tests.rs
+++ b/crates/agent/src/agent/supervision_tests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use platform::{Executor, ExecutorError, RunRequest};
+use ports::{Executor, ExecutorError, RunRequest};
 use settings::TokenDigest;
 use types::{Location, Payload, Resources};
 
--- a/crates/agent/src/lease_hold.rs
+++ b/crates/agent/src/lease_hold.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::{LeaseId, LeaseStatus, Worker, WorkerError};
+use ports::{LeaseId, LeaseStatus, Worker, WorkerError};
 use rpc::TaskResult;
 use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 use types::Resources;
--- a/crates/agent/src/leased_worker.rs
+++ b/crates/agent/src/leased_worker.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use platform::{LeaseId, LeaseStart, Worker, WorkerError};
+use ports::{LeaseId, LeaseStart, Worker, WorkerError};
 use rpc::{NotStarted, TaskResult, TaskStart};
 use tokio::time::{Duration, Instant, timeout_at};
 use types::{AttemptKey, Digest};
--- a/crates/agent/src/leased_worker/tests.rs
+++ b/crates/agent/src/leased_worker/tests.rs
@@ -6,7 +6,7 @@
 };
 
 use futures::future::BoxFuture;
-use platform::{
+use ports::{
     Checkpoint, LeaseId, LeaseStart, LeaseStatus, LeaseUsage, Worker, WorkerError, WorkerUsage,
 };
 use rpc::{EntryIdentity, NotStarted, TaskResult, TaskStart};
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::{Executor, ExecutorError, RunRequest};
+use ports::{Executor, ExecutorError, RunRequest};
 use rpc::{NotStarted, TaskResult, TaskStart};
 use telemetry::{Hop, HopSpan};
 use tokio::time::Instant;
--- a/crates/ebonycroft/examples/control_cost/counting_log.rs
+++ b/crates/ebonycroft/examples/control_cost/counting_log.rs
@@ -1,18 +1,19 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use futures::future::BoxFuture;
-use platform::{HttpLog, Log, LogError, LogPage, Offset, StreamName};
+use platform::StoreClient;
+use ports::{Log, LogError, LogPage, Offset, StreamName};
 
 /// A client of the log that counts what is asked of it.
 pub(crate) struct CountingLog {
-    log: HttpLog,
+    log: StoreClient,
     appends: AtomicU64,
     append_bytes: AtomicU64,
     reads: AtomicU64,
 }
 
 impl CountingLog {
-    pub(crate) fn new(log: HttpLog) -> Self {
+    pub(crate) fn new(log: StoreClient) -> Self {
         Self {
             log,
             appends: AtomicU64::new(0),
--- a/crates/ebonycroft/examples/control_cost/fleet.rs
+++ b/crates/ebonycroft/examples/control_cost/fleet.rs
@@ -11,7 +11,8 @@
 use emulator::{LogServer, LogSettings};
 use entry::{CallerSettings, Entry, EntryParts, EntrySettings};
 use futures::future::BoxFuture;
-use platform::{Executor, ExecutorError, HttpLog, RunRequest};
+use platform::StoreClient;
+use ports::{Executor, ExecutorError, RunRequest};
 use services::{ConfigPatch, PatchId, SharedConfig, Version};
 use settings::TokenDigest;
 use tokio::runtime::{Builder, Runtime};
@@ -25,6 +26,8 @@
 const THREADS: usize = 2;
 const ZONES: usize = 5;
 const SLOTS: u32 = 8;
+/// Longest time for an answer of the log.
+const LOG_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time that the stand-in of an executor takes for a task.
 const RUN_TIME: Duration = Duration::from_millis(50);
 
@@ -55,7 +58,7 @@
         let stand_ins = runtime("stand-in")?;
         let log_server =
             stand_ins.block_on(LogServer::start(LogSettings::default(), loopback()))?;
-        let log = Arc::new(CountingLog::new(HttpLog::new(log_server.url())?));
+        let log = Arc::new(CountingLog::new(StoreClient::new(log_server.url(), LOG_TIMEOUT)?));
         let zones =
             (0..ZONES).map(|_| runtime(AGENT_THREAD).map(Some)).collect::<Result<_, _>>()?;
         let mut fleet = Self {
--- a/crates/ebonycroft/src/commands/direct.rs
+++ b/crates/ebonycroft/src/commands/direct.rs
@@ -11,12 +11,13 @@
     let Some(matches) = options::parse(command, opts, args)? else {
         return Ok(());
     };
+    let file = Some(options::required(&matches, "config")?.into());
     if command == Command::DirectEntry {
         let settings: DirectEntrySettings = options::load(&matches)?;
-        DirectEntry::bind(settings).await?.run(stop_signal()).await?;
+        DirectEntry::bind(settings).await?.run(stop_signal(), file).await?;
     } else {
         let settings: DirectAgentSettings = options::load(&matches)?;
-        DirectAgent::bind(settings).await?.run(stop_signal()).await?;
+        DirectAgent::bind(settings).await?.run(stop_signal(), file).await?;
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -0,0 +1,5 @@
+//! The roles for direct jobs as processes of their own, and what they write.
+
+mod blocked_output;
+mod reload;
+mod role;
--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use emulator::{StandInExecutorFaults, StandInStoreFaults};
+use emulator::{LogFaults, StandInExecutorFaults};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rustix::process::Signal;
 use tokio::time::sleep;
@@ -85,12 +85,11 @@
                 on_executor(system, &mut rng, faults, for_).await;
             }
             Fault::StoreOutage => {
-                let is_silent = rng.random_bool(0.5);
-                let faults =
-                    StandInStoreFaults { is_silent, is_busy: !is_silent, loses_answers: false };
-                system.store.set_faults(faults);
+                let silent = rng.random_bool(0.5);
+                let faults = LogFaults { silent, down: !silent, ..LogFaults::default() };
+                system.store.faults().set(faults);
                 sleep(for_).await;
-                system.store.set_faults(StandInStoreFaults::default());
+                system.store.faults().clear();
             }
             Fault::ConfigChange => {
                 version += rng.random_range(1..5);
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use emulator::{Ledger, StandInExecutor, StandInExecutorSettings, StandInStore, StandInStoreRates};
+use emulator::{Ledger, LogServer, LogSettings, StandInExecutor, StandInExecutorSettings};
 use reqwest::{Client, StatusCode};
 use serde_json::json;
 use tokio::{task::JoinHandle, time::sleep};
@@ -23,7 +23,7 @@
 
 /// Entries, agents, executors and the store.
 pub(crate) struct System {
-    pub(crate) store: StandInStore,
+    pub(crate) store: LogServer,
     pub(crate) ledger: Ledger,
     pub(crate) executors: Vec<StandInExecutor>,
     pub(crate) entries: Vec<Process>,
@@ -38,8 +38,8 @@
     pub(crate) async fn start() -> Self {
         let dir = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a folder can be made");
-        let store =
-            StandInStore::start(StandInStoreRates::default()).await.expect("a store starts");
+        let any = "127.0.0.1:0".parse().expect("it is an address");
+        let store = LogServer::start(LogSettings::default(), any).await.expect("a store starts");
         store.put_config(&config(1));
         let ledger = Ledger::default();
         let (mut executors, mut agents, mut heartbeats) = (Vec::new(), Vec::new(), Vec::new());
@@ -128,17 +128,21 @@
     process
 }
 
+fn process(name: &str, store: SocketAddr) -> serde_json::Value {
+    json!({ "name": name, "store": { "address": store.to_string() }, "grace_ms": 6_000 })
+}
+
 fn start_entry(dir: &Path, i: usize, store: SocketAddr) -> Process {
     let name = format!("entry-{i}");
     let any = "127.0.0.1:0";
-    let settings = json!({ "name": name, "zone": "mid-a", "callers": any, "readiness": any,
-        "links": any, "store": store.to_string(), "grace_ms": 6_000 });
+    let settings = json!({ "process": process(&name, store), "zone": "mid-a", "callers": any,
+        "readiness": any, "links": any });
     start_pinned(dir, "direct-entry", &name, settings, &["callers", "links", "readiness"])
 }
 
 fn start_agent(dir: &Path, i: usize, store: SocketAddr, upstream: SocketAddr) -> Process {
     let name = format!("agent-{i}");
-    let settings = json!({ "name": name, "control": "127.0.0.1:0",
-        "upstream": upstream.to_string(), "store": store.to_string(), "grace_ms": 6_000 });
+    let settings = json!({ "process": process(&name, store), "control": "127.0.0.1:0",
+        "upstream": upstream.to_string() });
     start_pinned(dir, "direct-agent", &name, settings, &["control"])
 }
--- a/crates/ebonycroft/tests/system/examples.rs
+++ b/crates/ebonycroft/tests/system/examples.rs
@@ -87,7 +87,7 @@
     }
     unknown_key: ("unknown", "window_s: 600", "window_minutes: 10", "jobs"),
     zero_limit: ("zero", "body_bytes: 8388608", "body_bytes: 0", "limits.body_bytes"),
-    negative_limit: ("negative", "appends_per_s: 50", "appends_per_s: -5", "journal.appends_per_s"),
+    negative_limit: ("negative", "appends_per_s: 80", "appends_per_s: -5", "journal.appends_per_s"),
     wrong_type: ("type", "listen: 127.0.0.1:8080", "listen: here", "listen"),
     not_yaml: ("syntax", "jobs: {", "jobs: [", "not valid yaml"),
 }
--- a/crates/ebonycroft/tests/system/retention.rs
+++ b/crates/ebonycroft/tests/system/retention.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use jobs::{ClaimRecord, OwnershipState, PositionedClaim};
-use journal::{AppendBudget, Writer, WriterSettings, decode_record};
-use platform::{HttpLog, Offset, StreamName};
+use journal::{Writer, WriterSettings, decode_record};
+use platform::StoreClient;
+use ports::{CallBudget, Offset, StreamName};
 use types::{Incarnation, JobId, Partition, PartitionCount};
 
-use crate::support::{PARTITIONS, System, run, tasks, until};
+use crate::support::{LOG_TIMEOUT, PARTITIONS, System, run, tasks, until};
 
 /// Returns the claims that the log holds.
 fn claims(system: &System) -> Vec<PositionedClaim> {
@@ -29,11 +30,11 @@
         let mut system = System::builder().entries(2).upstreams(2).start().await;
         let count = PartitionCount(PARTITIONS);
         let state = OwnershipState::recover(count, Offset(0), &claims(&system)).unwrap();
-        let log = Arc::new(HttpLog::new(system.log.url()).unwrap());
+        let log = Arc::new(StoreClient::new(system.log.url(), LOG_TIMEOUT).unwrap());
         let settings = WriterSettings::new(
             StreamName::claims(),
             Incarnation::generate(),
-            AppendBudget::new(100.0, 1),
+            CallBudget::new(100.0, 1),
         );
         let writer: Writer<ClaimRecord> = Writer::spawn(log, settings);
         writer.commit(&ClaimRecord::Snapshot(state.snapshot())).await.unwrap();
--- a/crates/ebonycroft/tests/system/split_entries.rs
+++ b/crates/ebonycroft/tests/system/split_entries.rs
@@ -4,12 +4,13 @@
 
 use jobs::ClaimRecord;
 use journal::Reader;
-use platform::{HttpLog, Offset, StreamName};
+use platform::StoreClient;
+use ports::{Offset, StreamName};
 use types::{JobId, Partition, PartitionCount};
 
 use crate::{
     relay::Condition,
-    support::{PARTITIONS, System, bookings, run, until},
+    support::{LOG_TIMEOUT, PARTITIONS, System, bookings, run, until},
 };
 
 /// Jobs that run one after the other while the entries are apart.
@@ -26,7 +27,7 @@
 }
 
 async fn claims(system: &System) -> usize {
-    let log = Arc::new(HttpLog::new(system.log.url()).unwrap());
+    let log = Arc::new(StoreClient::new(system.log.url(), LOG_TIMEOUT).unwrap());
     let mut reader: Reader<ClaimRecord> = Reader::new(log, StreamName::claims(), Offset::default());
     let mut count = 0;
     loop {
--- a/crates/ebonycroft/tests/system/support.rs
+++ b/crates/ebonycroft/tests/system/support.rs
@@ -18,7 +18,7 @@
 use entry::{CallerSettings, Entry, EntryParts, EntrySettings, JobSettings};
 use jobs::JobRecord;
 use journal::{Submission, decode_record};
-use platform::StreamName;
+use ports::StreamName;
 use reqwest::{Client, Method};
 use serde_json::{Value, json};
 use services::{ConfigPatch, PatchId, SharedConfig, Verdict, Version};
@@ -35,6 +35,8 @@
 /// Threads of each process.
 const PROCESS_THREADS: usize = 2;
 const POLL: Duration = Duration::from_millis(5);
+/// Longest time for an answer of the log.
+pub(crate) const LOG_TIMEOUT: Duration = Duration::from_secs(5);
 pub(crate) const PARTITIONS: u16 = 16;
 const DEADLINE_MS: u64 = 40_000;
 
--- a/crates/emulator/src/executor_server.rs
+++ b/crates/emulator/src/executor_server.rs
@@ -49,7 +49,7 @@
         self.server.addr()
     }
 
-    /// Returns the base URL for [`platform::HttpExecutor`].
+    /// Returns the base URL for [`ports::HttpExecutor`].
     pub fn url(&self) -> String {
         format!("http://{}", self.addr())
     }
--- a/crates/emulator/src/lease.rs
+++ b/crates/emulator/src/lease.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use platform::LeaseStatus;
+use ports::LeaseStatus;
 use tokio::{
     sync::watch,
     time::{Instant, sleep_until, timeout},
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -3,7 +3,7 @@
 //! what it was told to start.
 
 mod answers;
-mod append_budget;
+mod call_window;
 mod connection;
 mod connection_permit;
 mod connections;
@@ -15,7 +15,6 @@
 mod lease;
 mod listener;
 mod log_faults;
-mod log_server;
 mod log_settings;
 mod log_state;
 mod log_store;
@@ -42,11 +41,9 @@
     executor_settings::ExecutorSettings,
     faults::{FaultControl, FaultSet},
     log_faults::LogFaults,
-    log_server::LogServer,
     log_settings::LogSettings,
     platform_stand_in::{
-        Ledger, StandInExecutor, StandInExecutorFaults, StandInExecutorSettings, StandInStore,
-        StandInStoreFaults, StandInStoreRates,
+        Ledger, LogServer, StandInExecutor, StandInExecutorFaults, StandInExecutorSettings,
     },
     processor::{Capacity, Processor},
     start_counts::{StartCount, StartsBody},
--- a/crates/emulator/src/log_faults.rs
+++ b/crates/emulator/src/log_faults.rs
@@ -21,8 +21,10 @@
         pub keep_records: Option<u64>,
         /// Longest age of a record in milliseconds in place of the one in the settings.
         pub keep_ms: Option<u64>,
-        /// Answers name another stream than the one asked for.
-        pub wrong_stream: bool,
+        /// Appends take effect and are never answered.
+        pub lose_answers: bool,
+        /// Calls take effect and are answered with what cannot be read.
+        pub garbage_answers: bool,
         /// Number of coming pages with records whose first record is garbage.
         pub garbage_records: u32,
         /// Makes the connections that are open now silent for good.
--- a/crates/emulator/src/log_state.rs
+++ b/crates/emulator/src/log_state.rs
@@ -7,11 +7,10 @@
 };
 
 use axum::{
-    Json,
     http::StatusCode,
     response::{IntoResponse, Response},
 };
-use platform::{AppendBody, LogRecord, Offset, PageBody, RecordBody, StreamName};
+use ports::{LogRecord, Offset, StreamName};
 use tokio::{
     sync::watch,
     time::{Instant, sleep, timeout_at},
@@ -19,21 +18,30 @@
 
 use crate::{
     FaultControl, LogFaults, LogSettings,
-    append_budget::AppendBudget,
-    log_store::{LogStore, Retention},
+    call_window::CallWindow,
+    log_store::{Content, LogStore, Retention},
     reply,
 };
 
 /// Longest wait of one read.
-const MAX_WAIT: Duration = Duration::from_secs(60);
+const MAX_WAIT: Duration = Duration::from_secs(30);
 
-/// Records, budget and faults of one log.
+/// What a read found.
+#[derive(Debug)]
+pub(crate) struct Page {
+    pub(crate) oldest: u64,
+    pub(crate) end: u64,
+    pub(crate) records: Vec<Vec<u8>>,
+}
+
+/// Records, budgets and faults of one store.
 #[derive(Debug)]
 pub(crate) struct LogState {
     settings: LogSettings,
     faults: FaultControl<LogFaults>,
     store: Mutex<LogStore>,
-    budget: Mutex<AppendBudget>,
+    append_window: Mutex<CallWindow>,
+    read_window: Mutex<CallWindow>,
     appends: AtomicU64,
     appended: watch::Sender<()>,
 }
@@ -44,7 +52,8 @@
             settings,
             faults,
             store: Mutex::default(),
-            budget: Mutex::new(AppendBudget::new(Instant::now())),
+            append_window: Mutex::new(CallWindow::new(Instant::now())),
+            read_window: Mutex::new(CallWindow::new(Instant::now())),
             appends: AtomicU64::new(0),
             appended: watch::Sender::new(()),
         }
@@ -63,32 +72,43 @@
         self.appends.load(Ordering::Relaxed)
     }
 
-    pub(crate) async fn append(&self, stream: &StreamName, data: Vec<u8>) -> Response {
-        if let Err(refused) = self.delay().await {
-            return refused;
-        }
-        if !self.spend_append() {
-            return reply::not_run(StatusCode::TOO_MANY_REQUESTS, "too many appends a second");
+    /// Appends a record; the error is the answer of a store that refuses, or does not say.
+    pub(crate) async fn append(
+        &self,
+        stream: &StreamName,
+        content: Content,
+    ) -> Result<Offset, Response> {
+        self.delay().await?;
+        let limit =
+            self.faults.get().appends_per_second.unwrap_or(self.settings.appends_per_second);
+        if !spend(&self.append_window, limit) {
+            return Err(over_rate());
         }
         sleep(Duration::from_millis(self.settings.append_latency_ms)).await;
         if self.faults.take(|f| reply::count_down(&mut f.lose_before_effect)) {
-            return reply::lost();
+            return Err(reply::lost());
         }
-        let offset = self.store_record(stream, data);
+        let offset = self.store_record(stream, content);
         if self.faults.take(|f| reply::count_down(&mut f.lose_after_effect)) {
-            return reply::lost();
+            return Err(reply::lost());
         }
-        Json(AppendBody { stream: self.named(stream), offset: offset.0 }).into_response()
+        if self.faults.get().lose_answers {
+            return Err(reply::silent().await);
+        }
+        if self.faults.get().garbage_answers {
+            return Err("{}".into_response());
+        }
+        Ok(offset)
     }
 
-    /// Reads a page; the error is the answer of a log that refuses.
+    /// Reads a page; the error is the answer of a store that refuses.
     pub(crate) async fn read(
         &self,
         stream: &StreamName,
         from: u64,
         wait_ms: u64,
-    ) -> Result<PageBody, Response> {
-        self.delay().await?;
+    ) -> Result<Page, Response> {
+        self.start_read().await?;
         let deadline = Instant::now() + Duration::from_millis(wait_ms).min(MAX_WAIT);
         let mut appended = self.appended.subscribe();
         let mut page = self.page(stream, from);
@@ -102,12 +122,46 @@
         if !page.records.is_empty()
             && self.faults.take(|f| reply::count_down(&mut f.garbage_records))
         {
-            spoil(&mut page.records[0]);
+            page.records[0].fill(0xff);
+        }
+        if self.faults.get().garbage_answers {
+            return Err("{}".into_response());
         }
-        page.stream = self.named(stream);
         Ok(page)
     }
 
+    /// Returns the newest record of each key (key, value and offset) and the end of the stream.
+    pub(crate) async fn newest(
+        &self,
+        stream: &StreamName,
+    ) -> Result<(Vec<(Vec<u8>, Vec<u8>, u64)>, u64), Response> {
+        self.start_read().await?;
+        let retention = self.retention();
+        let mut store = self.store();
+        let kept = store.stream(stream, retention, Instant::now());
+        Ok((kept.newest(), kept.end().0))
+    }
+
+    pub(crate) fn forget_history(&self) {
+        self.store().forget_history();
+        self.appended.send_replace(());
+    }
+
+    pub(crate) fn store_record(&self, stream: &StreamName, content: Content) -> Offset {
+        let offset = self.store().append(stream, content, Instant::now());
+        self.appends.fetch_add(1, Ordering::Relaxed);
+        self.appended.send_replace(());
+        offset
+    }
+
+    async fn start_read(&self) -> Result<(), Response> {
+        self.delay().await?;
+        if !spend(&self.read_window, self.settings.reads_per_second) {
+            return Err(over_rate());
+        }
+        Ok(())
+    }
+
     /// Waits and refuses as the faults say.
     async fn delay(&self) -> Result<(), Response> {
         let slow_ms = self.faults.get().slow_ms;
@@ -125,30 +179,16 @@
         }
     }
 
-    fn spend_append(&self) -> bool {
-        let limit =
-            self.faults.get().appends_per_second.unwrap_or(self.settings.appends_per_second);
-        self.budget.lock().expect("no holder of the lock panics").spend(Instant::now(), limit)
-    }
-
-    fn store_record(&self, stream: &StreamName, data: Vec<u8>) -> Offset {
-        let offset = self.store().append(stream, data, Instant::now());
-        self.appends.fetch_add(1, Ordering::Relaxed);
-        self.appended.send_replace(());
-        offset
-    }
-
-    fn page(&self, stream: &StreamName, from: u64) -> PageBody {
+    fn page(&self, stream: &StreamName, from: u64) -> Page {
         let retention = self.retention();
         let mut store = self.store();
         let kept = store.stream(stream, retention, Instant::now());
         let is_kept = kept.oldest().0 <= from;
         let limit = if is_kept { self.settings.page_records } else { 0 };
-        PageBody {
-            stream: stream.clone(),
+        Page {
             oldest: kept.oldest().0,
             end: kept.end().0,
-            records: kept.records(Offset(from), limit).into_iter().map(encode).collect(),
+            records: kept.records(Offset(from), limit).into_iter().map(|r| r.data).collect(),
         }
     }
 
@@ -160,22 +200,15 @@
         }
     }
 
-    fn named(&self, stream: &StreamName) -> StreamName {
-        if self.faults.get().wrong_stream {
-            return StreamName::from_text(&format!("not-{stream}"));
-        }
-        stream.clone()
-    }
-
     fn store(&self) -> MutexGuard<'_, LogStore> {
         self.store.lock().expect("no holder of the lock panics")
     }
 }
 
-fn encode(record: LogRecord) -> RecordBody {
-    RecordBody { offset: record.offset.0, data: hex::encode(record.data) }
+fn spend(window: &Mutex<CallWindow>, limit: u32) -> bool {
+    window.lock().expect("no holder of the lock panics").spend(Instant::now(), limit)
 }
 
-fn spoil(record: &mut RecordBody) {
-    record.data = "ff".repeat(record.data.len() / 2);
+fn over_rate() -> Response {
+    reply::not_run(StatusCode::TOO_MANY_REQUESTS, "too many calls a second")
 }
--- a/crates/emulator/src/log_store.rs
+++ b/crates/emulator/src/log_store.rs
@@ -1,7 +1,10 @@
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use indexmap::IndexMap;
-use platform::{LogRecord, Offset, StreamName};
+use ports::{LogRecord, Offset, StreamName};
 use tokio::time::Instant;
 
 /// How long records are kept.
@@ -17,11 +20,21 @@
     streams: IndexMap<StreamName, Stream>,
 }
 
+/// What a record holds.
+#[derive(Clone, Debug)]
+pub(crate) struct Content {
+    raw: Vec<u8>,
+    /// Length of the key that the content begins with, behind one byte for that length.
+    key_length: Option<usize>,
+}
+
 /// The records of one stream; consecutive offsets from `oldest` on.
 #[derive(Debug, Default)]
 pub(crate) struct Stream {
     oldest: u64,
     records: VecDeque<StoredRecord>,
+    /// Newest value of each key and its offset; kept whatever happens to the records.
+    newest: BTreeMap<Vec<u8>, (Vec<u8>, u64)>,
 }
 
 #[derive(Debug)]
@@ -30,9 +43,42 @@
     data: Vec<u8>,
 }
 
+impl Content {
+    /// Reads a record's content; returns nothing for one that should have a key and has none.
+    pub(crate) fn decode(raw: &[u8], is_keyed: bool) -> Option<Self> {
+        let key_length = match raw.split_first() {
+            Some((length, rest)) if is_keyed && rest.len() >= usize::from(*length) => {
+                Some(usize::from(*length))
+            }
+            _ if is_keyed => return None,
+            _ => None,
+        };
+        Some(Self { raw: raw.to_vec(), key_length })
+    }
+
+    /// Creates the content of a record with a key of at most 255 bytes.
+    pub(crate) fn keyed(key: &[u8], value: &[u8]) -> Self {
+        let length = u8::try_from(key.len()).expect("keys are short");
+        Self { raw: [&[length], key, value].concat(), key_length: Some(key.len()) }
+    }
+
+    /// Returns key and value.
+    fn parts(&self) -> Option<(&[u8], &[u8])> {
+        self.key_length.map(|length| self.raw[1..].split_at(length))
+    }
+}
+
 impl LogStore {
-    pub(crate) fn append(&mut self, stream: &StreamName, data: Vec<u8>, now: Instant) -> Offset {
-        self.streams.entry(stream.clone()).or_default().append(data, now)
+    pub(crate) fn append(&mut self, stream: &StreamName, content: Content, now: Instant) -> Offset {
+        self.streams.entry(stream.clone()).or_default().append(content, now)
+    }
+
+    /// Drops all records; the newest of each key can still be asked for.
+    pub(crate) fn forget_history(&mut self) {
+        for stream in self.streams.values_mut() {
+            stream.oldest = stream.end().0;
+            stream.records.clear();
+        }
     }
 
     /// Returns a stream after dropping what is no longer kept.
@@ -68,9 +114,26 @@
             .collect()
     }
 
-    fn append(&mut self, data: Vec<u8>, now: Instant) -> Offset {
+    /// Returns the newest record of each key: key, value and offset.
+    pub(crate) fn newest(&self) -> Vec<(Vec<u8>, Vec<u8>, u64)> {
+        let row = |(key, (value, offset)): (&Vec<u8>, &(Vec<u8>, u64))| {
+            (key.clone(), value.clone(), *offset)
+        };
+        self.newest.iter().map(row).collect()
+    }
+
+    fn append(&mut self, content: Content, now: Instant) -> Offset {
         let offset = self.end();
-        self.records.push_back(StoredRecord { appended: now, data });
+        match content.parts() {
+            Some((key, [])) => {
+                self.newest.remove(key);
+            }
+            Some((key, value)) => {
+                self.newest.insert(key.to_vec(), (value.to_vec(), offset.0));
+            }
+            None => {}
+        }
+        self.records.push_back(StoredRecord { appended: now, data: content.raw });
         offset
     }
 
--- a/crates/emulator/src/platform_stand_in/mod.rs
+++ b/crates/emulator/src/platform_stand_in/mod.rs
@@ -1,13 +1,12 @@
 //! Stand-ins that speak the users' platform's published protocol: its store, and executors that
 //! announce themselves to the agent beside them.
 
-mod call_rate;
 mod executor;
 mod ledger;
-mod store;
+mod log_server;
 
 pub use crate::platform_stand_in::{
     executor::{StandInExecutor, StandInExecutorFaults, StandInExecutorSettings},
     ledger::Ledger,
-    store::{StandInStore, StandInStoreFaults, StandInStoreRates},
+    log_server::LogServer,
 };
--- a/crates/emulator/src/reply.rs
+++ b/crates/emulator/src/reply.rs
@@ -7,7 +7,7 @@
     response::{IntoResponse, Response},
 };
 use futures::stream;
-use platform::ErrorBody;
+use ports::ErrorBody;
 
 /// An error answer that says that nothing was done.
 pub(crate) fn not_run(status: StatusCode, error: impl Into<String>) -> Response {
--- a/crates/emulator/src/usage_history.rs
+++ b/crates/emulator/src/usage_history.rs
@@ -1,6 +1,6 @@
 use std::{collections::VecDeque, time::Duration};
 
-use platform::{LeaseId, LeaseUsage};
+use ports::{LeaseId, LeaseUsage};
 use tokio::time::Instant;
 
 /// Usage by lease, now and some time ago.
--- a/crates/emulator/src/worker_routes.rs
+++ b/crates/emulator/src/worker_routes.rs
@@ -1,4 +1,4 @@
-//! Handlers of the worker's HTTP protocol, as spoken by [`platform::HttpWorker`].
+//! Handlers of the worker's HTTP protocol, as spoken by [`ports::HttpWorker`].
 
 use std::{sync::Arc, time::Duration};
 
@@ -9,7 +9,7 @@
     middleware::Next,
     response::{IntoResponse, Response},
 };
-use platform::{Checkpoint, LeaseId, LeaseStart, RenewBody, ThrottleBody};
+use ports::{Checkpoint, LeaseId, LeaseStart, RenewBody, ThrottleBody};
 
 use crate::{lease::Lease, reply, worker_state::WorkerState};
 
--- a/crates/emulator/src/worker_server.rs
+++ b/crates/emulator/src/worker_server.rs
@@ -38,7 +38,7 @@
         self.server.addr()
     }
 
-    /// Returns the base URL for [`platform::HttpWorker`].
+    /// Returns the base URL for [`ports::HttpWorker`].
     pub fn url(&self) -> String {
         format!("http://{}", self.addr())
     }
--- a/crates/emulator/src/worker_state.rs
+++ b/crates/emulator/src/worker_state.rs
@@ -4,7 +4,7 @@
 };
 
 use indexmap::{IndexMap, map::Entry};
-use platform::{LeaseId, LeaseStart, LeaseStatus, LeaseUsage, WorkerUsage};
+use ports::{LeaseId, LeaseStart, LeaseStatus, LeaseUsage, WorkerUsage};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use types::{Answer, AttemptKey, Payload, Resources};
--- a/crates/emulator/tests/executor.rs
+++ b/crates/emulator/tests/executor.rs
@@ -1,7 +1,7 @@
 //! The executor stand-in through the platform's client.
 
 use emulator::{ExecutorFaults, ExecutorServer, ExecutorSettings, FailedTask};
-use platform::{Executor, ExecutorError, HttpExecutor, RunRequest};
+use ports::{Executor, ExecutorError, HttpExecutor, RunRequest};
 use rstest::rstest;
 use types::{Attempt, AttemptKey, JobId, Payload, TaskIndex, TaskKey};
 
--- a/crates/emulator/tests/log.rs
+++ b/crates/emulator/tests/log.rs
@@ -1,16 +1,22 @@
-//! The log stand-in through the platform's client.
+//! The store's stand-in through the platform's client.
+
+use std::time::Duration;
 
 use emulator::{LogFaults, LogServer, LogSettings};
-use platform::{HttpLog, Log, LogError, Offset, StreamName};
+use platform::{ReadOutcome, Record, StoreClient, Topic};
+use ports::{Log, LogError, Offset, StreamName};
 use rstest::rstest;
+use serde_json::json;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
 
-async fn log(settings: LogSettings) -> (LogServer, HttpLog) {
+async fn log(settings: LogSettings) -> (LogServer, StoreClient) {
     let server = LogServer::start(settings, "127.0.0.1:0".parse().unwrap()).await.unwrap();
-    let client = HttpLog::new(server.url()).unwrap();
+    let client = StoreClient::new(server.url(), TIMEOUT).unwrap();
     (server, client)
 }
 
-async fn append_all(client: &HttpLog, records: &[&str]) {
+async fn append_all(client: &StoreClient, records: &[&str]) {
     for record in records {
         client.append(&StreamName::config(), record.as_bytes().to_vec()).await.unwrap();
     }
@@ -56,6 +62,55 @@
     assert_eq!(server.appends(), 0);
 }
 
+#[tokio::test]
+async fn reads_beyond_the_budget_are_refused() {
+    let (_server, client) = log(LogSettings { reads_per_second: 0, ..Default::default() }).await;
+    let error = client.read(&StreamName::config(), Offset(0), 0).await.unwrap_err();
+    assert!(matches!(error, LogError::Refused(_)), "{error}");
+}
+
+#[tokio::test]
+async fn a_page_that_cannot_be_read_is_malformed() {
+    let (server, client) = log(LogSettings::default()).await;
+    server.faults().update(|f| f.garbage_answers = true);
+    let error = client.read(&StreamName::config(), Offset(0), 0).await.unwrap_err();
+    assert!(matches!(error, LogError::Malformed(_)), "{error}");
+}
+
+#[tokio::test]
+async fn the_newest_record_of_a_key_outlives_the_history() {
+    let (server, client) = log(LogSettings::default()).await;
+    client.put(Topic::Entries, "a", b"1").await.unwrap();
+    client.put(Topic::Entries, "a", b"2").await.unwrap();
+    client.put(Topic::Entries, "b", b"3").await.unwrap();
+    server.forget_history();
+    assert_eq!(
+        client.read_keyed(Topic::Entries, 0, Duration::ZERO).await.unwrap(),
+        ReadOutcome::Expired
+    );
+    let (records, end) = client.newest(Topic::Entries).await.unwrap();
+    let record = |key: &str, value: &'static [u8]| Record { key: key.into(), value: value.into() };
+    assert_eq!((records, end), (vec![record("a", b"2"), record("b", b"3")], 3));
+}
+
+#[tokio::test]
+async fn a_key_without_a_value_is_dropped() {
+    let (_server, client) = log(LogSettings::default()).await;
+    client.put(Topic::Entries, "a", b"1").await.unwrap();
+    client.put(Topic::Entries, "a", b"").await.unwrap();
+    assert_eq!(client.newest(Topic::Entries).await.unwrap(), (Vec::new(), 2));
+}
+
+#[tokio::test]
+async fn only_the_operator_writes_configurations() {
+    let (server, client) = log(LogSettings::default()).await;
+    let error = client.put(Topic::Operator, "config", b"{}").await.unwrap_err();
+    assert!(matches!(error, LogError::Refused(_)), "{error}");
+    server.put_config(&json!({ "version": 1 }));
+    let (records, _) = client.newest(Topic::Operator).await.unwrap();
+    assert!(records.iter().all(Record::is_configuration) && records.len() == 1);
+}
+
 #[derive(Debug, PartialEq)]
 enum Outcome {
     Done,
@@ -78,7 +133,7 @@
 #[case::slow(LogFaults { slow_ms: 20, ..Default::default() }, Outcome::Done, 1)]
 #[case::after(LogFaults { lose_after_effect: 1, ..Default::default() }, Outcome::NoAnswer, 1)]
 #[case::before(LogFaults { lose_before_effect: 1, ..Default::default() }, Outcome::NoAnswer, 0)]
-#[case::other_stream(LogFaults { wrong_stream: true, ..Default::default() }, Outcome::Malformed, 1)]
+#[case::garbage(LogFaults { garbage_answers: true, ..Default::default() }, Outcome::Malformed, 1)]
 #[case::dead(LogFaults { dead: true, ..Default::default() }, Outcome::Refused, 0)]
 #[tokio::test]
 async fn append_faults(
--- a/crates/emulator/tests/worker.rs
+++ b/crates/emulator/tests/worker.rs
@@ -1,7 +1,7 @@
 //! The worker stand-in through the platform's client.
 
 use emulator::{WorkerFaults, WorkerServer, WorkerSettings};
-use platform::{Checkpoint, HttpWorker, LeaseId, LeaseStart, LeaseStatus, Worker, WorkerError};
+use ports::{Checkpoint, HttpWorker, LeaseId, LeaseStart, LeaseStatus, Worker, WorkerError};
 use rstest::rstest;
 use types::{Attempt, AttemptKey, JobId, Payload, Resources, TaskIndex, TaskKey};
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -11,12 +11,12 @@
 
 use jobs::{ClaimRecord, JobRecord, TableSettings};
 use journal::{
-    AppendBudget, ConfigFollower, ConfigPublisher, ConfigRecord, PublisherSettings, Writer,
-    WriterSettings,
+    ConfigFollower, ConfigPublisher, ConfigRecord, PublisherSettings, Writer, WriterSettings,
 };
 use kameo::actor::{ActorRef, Spawn};
 use metrics_exporter_prometheus::PrometheusHandle;
-use platform::{HttpLog, Log, Offset, StreamName};
+use platform::StoreClient;
+use ports::{CallBudget, Log, Offset, StreamName};
 use rpc::EntryIdentity;
 use services::SharedConfig;
 use telemetry::Traces;
@@ -45,6 +45,9 @@
 
 /// Time for answers on their way to leave the process after a drain.
 const LINGER: Duration = Duration::from_millis(200);
+/// Longest time for an answer of the store, beside what a read waits. Source: a grouped append
+/// of the largest size behind two seconds of other appends.
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// What an entry is started from besides its settings.
 #[derive(Clone, Default)]
@@ -85,7 +88,7 @@
 
 impl Writers {
     fn open(log: &Arc<dyn Log>, identity: &EntryIdentity, settings: &JournalSettings) -> Self {
-        let budget = AppendBudget::new(f64::from(settings.appends_per_s), 1);
+        let budget = CallBudget::new(f64::from(settings.appends_per_s), 1);
         let open = |stream| {
             WriterSettings::new(stream, identity.incarnation, budget.clone())
                 .max_backlog_bytes(settings.backlog_bytes)
@@ -178,7 +181,7 @@
         };
         let log = match parts.log.clone() {
             Some(log) => log,
-            None => Arc::new(HttpLog::new(settings.log.clone())?),
+            None => Arc::new(StoreClient::new(settings.log.clone(), STORE_TIMEOUT)?),
         };
         let writers = Writers::open(&log, &identity, &settings.journal);
         let config = ConfigFollower::spawn(Arc::clone(&log), rand::random());
--- a/crates/entry/src/entry/supervision_tests.rs
+++ b/crates/entry/src/entry/supervision_tests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use platform::{Log, LogError, LogPage, Offset, StreamName};
+use ports::{Log, LogError, LogPage, Offset, StreamName};
 use settings::TokenDigest;
 use types::{Location, Peer, StepError};
 
--- a/crates/entry/src/keeper/life_signs.rs
+++ b/crates/entry/src/keeper/life_signs.rs
@@ -3,7 +3,7 @@
 //! partitions from one another in turn.
 
 use indexmap::IndexMap;
-use platform::Offset;
+use ports::Offset;
 use rpc::EntryIdentity;
 use tokio::time::{Duration, Instant};
 
--- a/crates/entry/src/keeper/messages.rs
+++ b/crates/entry/src/keeper/messages.rs
@@ -1,7 +1,7 @@
 //! Messages of the keeper.
 
 use jobs::PositionedClaim;
-use platform::Offset;
+use ports::Offset;
 use rpc::{EntryIdentity, Heard, OwnedPartition, ProbeReply};
 use tokio::sync::oneshot;
 
--- a/crates/entry/src/keeper/mod.rs
+++ b/crates/entry/src/keeper/mod.rs
@@ -21,7 +21,7 @@
     Actor,
     actor::{ActorRef, WeakActorRef},
 };
-use platform::{Log, Offset, StreamName};
+use ports::{Log, Offset, StreamName};
 use rpc::{EntryIdentity, Heard, OwnedPartition};
 use tokio::{
     sync::{oneshot, watch},
--- a/crates/entry/src/keeper/stream_read.rs
+++ b/crates/entry/src/keeper/stream_read.rs
@@ -4,7 +4,7 @@
 
 use jobs::{JobRecord, Takeover};
 use journal::{ReadError, Reader};
-use platform::{Log, LogError, Offset, StreamName};
+use ports::{Log, LogError, Offset, StreamName};
 use rpc::EntryIdentity;
 use tokio::time::{Duration, sleep};
 
--- a/crates/entry/src/keeper/stream_watch.rs
+++ b/crates/entry/src/keeper/stream_watch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use kameo::actor::ActorRef;
-use platform::{Log, LogError, Offset, StreamName};
+use ports::{Log, LogError, Offset, StreamName};
 use rpc::EntryIdentity;
 use tokio::time::{Duration, timeout};
 
--- a/crates/entry/src/keeper/takeover_run.rs
+++ b/crates/entry/src/keeper/takeover_run.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use jobs::{OwnershipState, Restored, TableSettings, Takeover};
 use kameo::actor::ActorRef;
-use platform::Log;
+use ports::Log;
 use rpc::{EntryIdentity, OwnedPartition, StartedQuery};
 use tokio::time::{Duration, Instant, sleep};
 use types::PartitionCount;
--- a/crates/entry/src/recorder.rs
+++ b/crates/entry/src/recorder.rs
@@ -5,7 +5,7 @@
 use jobs::JobRecord;
 use journal::Writer;
 use kameo::actor::ActorRef;
-use platform::{Log, Offset, StreamName};
+use ports::{Log, Offset, StreamName};
 use tokio::{
     sync::{Notify, mpsc, watch},
     time::{Duration, sleep},
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -84,7 +84,8 @@
     /// Use of the log.
     #[serde(default)]
     pub struct JournalSettings {
-        /// Most appends a second by this entry.
+        /// Most appends a second by this entry. The default is a tenth of what the users state
+        /// for their store.
         pub appends_per_s: u32,
         /// Most bytes of records that wait for the log.
         pub backlog_bytes: usize,
@@ -105,7 +106,7 @@
 
 impl Default for JournalSettings {
     fn default() -> Self {
-        Self { appends_per_s: 50, backlog_bytes: 64 * 1024 * 1024 }
+        Self { appends_per_s: 80, backlog_bytes: 64 * 1024 * 1024 }
     }
 }
 
--- a/crates/jobs/src/ownership_error.rs
+++ b/crates/jobs/src/ownership_error.rs
@@ -1,4 +1,4 @@
-use platform::Offset;
+use ports::Offset;
 use thiserror::Error;
 
 /// Why ownership cannot be folded from the stream of claims.
--- a/crates/jobs/src/ownership_state.rs
+++ b/crates/jobs/src/ownership_state.rs
@@ -1,4 +1,4 @@
-use platform::Offset;
+use ports::Offset;
 use rpc::{EntryIdentity, OwnedPartition};
 use types::{Partition, PartitionCount};
 
--- a/crates/jobs/tests/history/world.rs
+++ b/crates/jobs/tests/history/world.rs
@@ -6,7 +6,7 @@
     PositionedClaim, ResumePlan, ResumeStep, RetryVerdict, StartPermit, Submission, SubmitDecision,
     TableSettings, Takeover,
 };
-use platform::Offset;
+use ports::Offset;
 use rpc::{EntryIdentity, OwnedPartition, StartedReport};
 use types::{Incarnation, PartitionCount, TaskIndex, TaskKey};
 
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -9,7 +9,7 @@
     Claim, ClaimRecord, Member, MemberHealth, OwnershipError, OwnershipState, PartitionClaim,
     PositionedClaim, Release, plan,
 };
-use platform::Offset;
+use ports::Offset;
 use proptest::prelude::*;
 use rpc::{EntryIdentity, OwnedPartition};
 use types::{Epoch, Partition, PartitionCount};
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -8,7 +8,7 @@
     OutcomeClass, OwnershipState, PartitionClaim, PositionedClaim, Release, Restored, ResumeStep,
     ServedRecord, Submission, SubmitDecision, TableSettings, Takeover,
 };
-use platform::Offset;
+use ports::Offset;
 use rpc::{AttemptState, OwnedPartition, StartedAttempt, StartedReport, TaskResult};
 use types::{
     Attempt, AttemptKey, Epoch, Failure, Incarnation, JobId, JobOutcome, Partition, PartitionCount,
--- a/crates/journal/examples/commit_latency.rs
+++ b/crates/journal/examples/commit_latency.rs
@@ -17,8 +17,8 @@
     stream::{FuturesUnordered, StreamExt},
 };
 use hdrhistogram::Histogram;
-use journal::{AppendBudget, Writer, WriterSettings};
-use platform::{Log, LogError, LogPage, Offset, StreamName};
+use journal::{Writer, WriterSettings};
+use ports::{CallBudget, Log, LogError, LogPage, Offset, StreamName};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use types::{Digest, Incarnation, JobId, KindName, Peer, ServiceName, StepError, TeamName};
@@ -91,7 +91,7 @@
 }
 
 fn writer(log: &Arc<CountingLog>, writers: usize) -> Writer<Accepted> {
-    let budget = AppendBudget::new(APPENDS_PER_SECOND, writers);
+    let budget = CallBudget::new(APPENDS_PER_SECOND, writers);
     let settings = WriterSettings::new(StreamName::claims(), Incarnation::generate(), budget)
         .max_backlog_bytes(MAX_BACKLOG_BYTES);
     Writer::spawn(log.clone() as Arc<dyn Log>, settings)
--- a/crates/journal/src/appender.rs
+++ b/crates/journal/src/appender.rs
@@ -2,7 +2,7 @@
 
 use log::{info, warn};
 use metrics::counter;
-use platform::{Log, LogError, LogPage, Offset};
+use ports::{Log, LogError, LogPage, Offset};
 use tokio::time::timeout;
 use types::{Peer, StepError};
 
--- a/crates/journal/src/backlog.rs
+++ b/crates/journal/src/backlog.rs
@@ -1,6 +1,6 @@
 use std::{collections::VecDeque, mem::size_of};
 
-use platform::Offset;
+use ports::Offset;
 use tokio::{sync::oneshot, time::Instant};
 
 /// Memory that a body takes besides its encoding: its place in the queue, the channel
--- a/crates/journal/src/codec.rs
+++ b/crates/journal/src/codec.rs
@@ -1,4 +1,4 @@
-use platform::{LogRecord, StreamName};
+use ports::{LogRecord, StreamName};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use types::{Digest, Incarnation};
 
--- a/crates/journal/src/config/fold.rs
+++ b/crates/journal/src/config/fold.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use metrics::counter;
-use platform::Offset;
+use ports::Offset;
 use services::{ConfigPatch, ConfigSnapshot, ConfigState, Verdict};
 
 use crate::{ConfigProgress, ConfigRecord, Record, Recovered, Recovery, Snapshotted};
--- a/crates/journal/src/config/follower.rs
+++ b/crates/journal/src/config/follower.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use metrics::gauge;
-use platform::{Log, Offset, StreamName};
+use ports::{Log, Offset, StreamName};
 use services::{ConfigState, Fault, PatchId, SharedConfig, Verdict, Version};
 use tokio::{sync::watch, task::JoinSet};
 
--- a/crates/journal/src/config/progress.rs
+++ b/crates/journal/src/config/progress.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use platform::Offset;
+use ports::Offset;
 use services::ConfigState;
 
 types::plain! {
--- a/crates/journal/src/follower.rs
+++ b/crates/journal/src/follower.rs
@@ -2,7 +2,7 @@
 
 use log::{info, warn};
 use metrics::counter;
-use platform::{Log, LogError, Offset, StreamName};
+use ports::{Log, LogError, Offset, StreamName};
 use serde::de::DeserializeOwned;
 use tokio::sync::watch;
 
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -1,7 +1,6 @@
 //! The client of the platform's log: records with writer and sequence, group commit,
 //! resolution of lost answers, and followers that recover from snapshots.
 
-mod append_budget;
 mod appender;
 mod backlog;
 mod backoff;
@@ -25,7 +24,6 @@
 mod writer_state;
 
 pub use crate::{
-    append_budget::AppendBudget,
     codec::{RECORD_FORMAT, decode_record, encode_body, encode_record},
     config::{
         ConfigFold, ConfigFollower, ConfigProgress, ConfigPublisher, ConfigRecord,
--- a/crates/journal/src/page_check.rs
+++ b/crates/journal/src/page_check.rs
@@ -1,4 +1,4 @@
-use platform::{LogError, LogPage, Offset, StreamName};
+use ports::{LogError, LogPage, Offset, StreamName};
 use types::{Peer, StepError};
 
 /// Checks that a page is what was asked for: the stream, and offsets without gaps.
--- a/crates/journal/src/read_error.rs
+++ b/crates/journal/src/read_error.rs
@@ -1,4 +1,4 @@
-use platform::LogError;
+use ports::LogError;
 use thiserror::Error;
 
 use crate::RecordError;
--- a/crates/journal/src/reader.rs
+++ b/crates/journal/src/reader.rs
@@ -1,6 +1,6 @@
 use std::{marker::PhantomData, sync::Arc, time::Duration};
 
-use platform::{Log, LogError, LogPage, LogRecord, Offset, StreamName};
+use ports::{Log, LogError, LogPage, LogRecord, Offset, StreamName};
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 use types::{Peer, StepError};
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -1,4 +1,4 @@
-use platform::Offset;
+use ports::Offset;
 use types::Incarnation;
 
 types::plain! {
--- a/crates/journal/src/record_error.rs
+++ b/crates/journal/src/record_error.rs
@@ -1,4 +1,4 @@
-use platform::{Offset, StreamName};
+use ports::{Offset, StreamName};
 use thiserror::Error;
 
 /// A record that cannot be decoded.
--- a/crates/journal/src/recovery.rs
+++ b/crates/journal/src/recovery.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use platform::Offset;
+use ports::Offset;
 
 use crate::{Record, Snapshotted};
 
--- a/crates/journal/src/snapshotted.rs
+++ b/crates/journal/src/snapshotted.rs
@@ -1,4 +1,4 @@
-use platform::Offset;
+use ports::Offset;
 
 types::wire! {
     /// Body of a stream whose state is recorded from time to time, so that it outlives
--- a/crates/journal/src/stream_label.rs
+++ b/crates/journal/src/stream_label.rs
@@ -1,4 +1,4 @@
-use platform::StreamName;
+use ports::StreamName;
 
 /// Returns the part of a stream's name before the first dot, so that the streams of
 /// single incarnations share one series.
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -1,6 +1,6 @@
 use std::{marker::PhantomData, sync::Arc};
 
-use platform::{Log, Offset};
+use ports::{Log, Offset};
 use serde::Serialize;
 use tokio::{
     sync::{oneshot, watch},
--- a/crates/journal/src/writer_settings.rs
+++ b/crates/journal/src/writer_settings.rs
@@ -1,10 +1,8 @@
 use std::time::Duration;
 
-use platform::{Offset, StreamName};
+use ports::{CallBudget, Offset, StreamName};
 use types::Incarnation;
 
-use crate::AppendBudget;
-
 const MAX_BACKLOG_BYTES: usize = 8 * 1024 * 1024;
 const MAX_RECORD_BYTES: usize = 256 * 1024;
 const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
@@ -14,7 +12,7 @@
 pub struct WriterSettings {
     pub(crate) stream: StreamName,
     pub(crate) incarnation: Incarnation,
-    pub(crate) budget: AppendBudget,
+    pub(crate) budget: CallBudget,
     pub(crate) max_backlog_bytes: usize,
     pub(crate) max_record_bytes: usize,
     pub(crate) append_timeout: Duration,
@@ -27,7 +25,7 @@
     /// timeout of 5 s.
     ///
     /// There must be at most one writer for an incarnation and a stream.
-    pub fn new(stream: StreamName, incarnation: Incarnation, budget: AppendBudget) -> Self {
+    pub fn new(stream: StreamName, incarnation: Incarnation, budget: CallBudget) -> Self {
         Self {
             stream,
             incarnation,
--- a/crates/journal/src/writer_shared.rs
+++ b/crates/journal/src/writer_shared.rs
@@ -4,7 +4,7 @@
 };
 
 use metrics::{counter, gauge, histogram};
-use platform::Offset;
+use ports::Offset;
 use tokio::{
     sync::{Notify, watch},
     time::Instant,
--- a/crates/journal/tests/codec.rs
+++ b/crates/journal/tests/codec.rs
@@ -1,7 +1,7 @@
 //! Records that are damaged, of another format, or not what the reader expects.
 
 use journal::{RecordError, RecordFault, decode_record, encode_body, encode_record};
-use platform::{LogRecord, Offset, StreamName};
+use ports::{LogRecord, Offset, StreamName};
 use proptest::{
     prelude::{ProptestConfig, any, prop_assert, prop_assert_eq},
     proptest,
--- a/crates/journal/tests/common/mod.rs
+++ b/crates/journal/tests/common/mod.rs
@@ -11,8 +11,8 @@
 
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
-use journal::{AppendBudget, Record, WriterSettings, decode_record};
-use platform::{Log, LogError, LogPage, LogRecord, Offset, StreamName};
+use journal::{Record, WriterSettings, decode_record};
+use ports::{CallBudget, Log, LogError, LogPage, LogRecord, Offset, StreamName};
 use serde::de::DeserializeOwned;
 use tokio::{
     sync::Notify,
@@ -198,6 +198,6 @@
 }
 
 pub fn settings(stream: StreamName, writer: u128) -> WriterSettings {
-    let budget = AppendBudget::new(200.0, 1);
+    let budget = CallBudget::new(200.0, 1);
     WriterSettings::new(stream, Incarnation::from_u128(writer), budget).seed(writer as u64)
 }
--- a/crates/journal/tests/config.rs
+++ b/crates/journal/tests/config.rs
@@ -9,7 +9,7 @@
     ConfigFold, ConfigFollower, ConfigPublisher, ConfigRecord, JournalError, PublisherSettings,
     Record, Snapshotted, Submission, Writer, WriterSettings,
 };
-use platform::{Offset, StreamName};
+use ports::{Offset, StreamName};
 use proptest::{
     prelude::{ProptestConfig, any, prop_assert, prop_assert_eq},
     proptest,
--- a/crates/journal/tests/reader.rs
+++ b/crates/journal/tests/reader.rs
@@ -8,7 +8,7 @@
     Followed, Follower, ReadError, Reader, Record, RecordFault, Recovered, Recovery, Snapshotted,
     Writer, encode_body, encode_record,
 };
-use platform::{LogError, Offset};
+use ports::{LogError, Offset};
 use rstest::rstest;
 use tokio::time::{Instant, sleep, timeout};
 use types::Incarnation;
--- a/crates/journal/tests/writer.rs
+++ b/crates/journal/tests/writer.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use journal::{AppendBudget, JournalError, Record, Writer, WriterSettings};
-use platform::Offset;
+use journal::{JournalError, Record, Writer, WriterSettings};
+use ports::{CallBudget, Offset};
 use proptest::{
     prelude::{Strategy, prop_assert, prop_assert_eq},
     sample::select,
@@ -149,7 +149,7 @@
 #[tokio::test(start_paused = true)]
 async fn budget_is_shared_by_the_writers_of_a_process() {
     let log = FakeLog::default();
-    let budget = AppendBudget::new(100.0, 5);
+    let budget = CallBudget::new(100.0, 5);
     let writers: Vec<Writer<u64>> = (1..=2)
         .map(|n| {
             let incarnation = Incarnation::from_u128(n);
--- a/crates/load/src/naive/dispatcher.rs
+++ b/crates/load/src/naive/dispatcher.rs
@@ -14,7 +14,7 @@
     routing::post,
 };
 use futures::future::try_join_all;
-use platform::RunRequest;
+use ports::RunRequest;
 use serde_json::Value;
 use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
 use types::{Attempt, AttemptKey, Payload, Peer, ServiceName, StepError, TaskIndex, TaskKey};
--- a/crates/load/src/naive/upstream.rs
+++ b/crates/load/src/naive/upstream.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use platform::{Executor, ExecutorError, HttpExecutor, RunRequest};
+use ports::{Executor, ExecutorError, HttpExecutor, RunRequest};
 use serde_json::Value;
 use tokio::sync::Semaphore;
 use types::{Peer, ServiceName, StepError};
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
-use adapter::{UpstreamCall, decode_upstream_call, encode_error};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use platform::{UpstreamCall, decode_upstream_call, encode_error};
 
 use crate::{agent::state::AgentState, http_server::Answer};
 
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -2,8 +2,8 @@
 
 use std::{rc::Rc, time::Duration};
 
-use adapter::HoldAnswer;
 use direct::{HoldResult, StartResult, StartRun, TaskId};
+use platform::HoldAnswer;
 use tokio::time::sleep;
 
 use crate::{agent::state::AgentState, clock};
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -5,9 +5,8 @@
 mod executor_calls;
 mod state;
 
-use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, path::PathBuf, rc::Rc, time::Duration};
 
-use adapter::StoreClient;
 use serde_json::json;
 use tokio::{
     net::TcpListener,
@@ -17,12 +16,14 @@
 use types::StepError;
 
 use crate::{
-    DirectAgentSettings, EXIT_MARGIN_MS, STORE_TIMEOUT,
+    DirectAgentSettings, EXIT_MARGIN_MS,
     agent::state::AgentState,
     clock, directory,
     events::Weight,
     http_server::{ConnectionLimits, HttpServer, listen, local_addr},
     metrics_server,
+    settings_watch::SettingsWatch,
+    store_access::StoreAccess,
 };
 
 /// Period of looking at deadlines while something runs, and without.
@@ -32,6 +33,8 @@
 
 /// An agent whose addresses are bound.
 pub struct DirectAgent {
+    /// The settings as they were read.
+    file_settings: DirectAgentSettings,
     settings: DirectAgentSettings,
     state: Rc<AgentState>,
     control: TcpListener,
@@ -44,10 +47,11 @@
     ///
     /// When an address cannot be listened at.
     pub async fn bind(mut settings: DirectAgentSettings) -> Result<Self, StepError> {
+        let file_settings = settings.clone();
         let control = listen(settings.control).await?;
         settings.control = local_addr(&control)?;
         let state = AgentState::new(&settings)?;
-        Ok(Self { settings, state, control })
+        Ok(Self { file_settings, settings, state, control })
     }
 
     /// Returns the settings, with the addresses that are bound.
@@ -56,6 +60,7 @@
     }
 
     /// Serves until `stop` is ready, then waits for the end of what runs. Runs on a local set.
+    /// Settings are read again when `file`, from which they came, changes.
     ///
     /// # Errors
     ///
@@ -63,10 +68,12 @@
     pub async fn run(
         self,
         stop: impl Future<Output = Result<(), StepError>>,
+        file: Option<PathBuf>,
     ) -> Result<(), StepError> {
-        let Self { settings, state, control } = self;
-        metrics_server::start(settings.metrics).await?;
-        let store = StoreClient::new(settings.store, STORE_TIMEOUT)?;
+        let watch = file.map(SettingsWatch::new).transpose()?;
+        let Self { file_settings, settings, state, control } = self;
+        metrics_server::start(settings.process.metrics).await?;
+        let store = StoreAccess::new(&settings.process.store, Rc::clone(&state.events))?;
         let fields = [
             ("control", json!(settings.control.to_string())),
             ("upstream", json!(settings.upstream.to_string())),
@@ -77,10 +84,18 @@
         parts.spawn_local(serve_control(control, Rc::clone(&state)));
         parts.spawn_local(executor_calls::hold(Rc::clone(&state)));
         parts.spawn_local(tick(Rc::clone(&state)));
-        parts.spawn_local(directory::follow(store, Rc::clone(&state.known), None));
+        parts.spawn_local(directory::follow(store.clone(), Rc::clone(&state.known), None));
         parts.spawn_local(dial_entries(Rc::clone(&state)));
+        if let Some(watch) = watch {
+            let (events, adopting) = (Rc::clone(&state.events), Rc::clone(&state));
+            let adopt = move |new: &DirectAgentSettings| {
+                adopting.adopt_settings(&new.process);
+                store.set_rates(&new.process.store);
+            };
+            parts.spawn_local(watch.follow(file_settings, events, adopt));
+        }
         let stopped = stop.await;
-        finish(&state, settings.grace_ms).await;
+        finish(&state).await;
         state.events.line(Weight::Notable, "stop", &[("is_idle", json!(state.is_idle()))]);
         state.events.close();
         stopped
@@ -94,10 +109,10 @@
 }
 
 /// Takes no further orders and waits for the end of what runs.
-async fn finish(state: &Rc<AgentState>, grace_ms: u64) {
+async fn finish(state: &Rc<AgentState>) {
     state.events.line(Weight::Notable, "stopping", &[]);
     state.leave();
-    let end_ms = clock::now_ms() + grace_ms.saturating_sub(EXIT_MARGIN_MS);
+    let end_ms = clock::now_ms() + state.grace_ms().saturating_sub(EXIT_MARGIN_MS);
     // Orders that crossed the report are refused meanwhile.
     sleep(IDLE_TICK).await;
     while !state.is_idle() && clock::now_ms() < end_ms {
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -7,13 +7,13 @@
     time::Duration,
 };
 
-use adapter::ExecutorClient;
 use direct::{
     AgentHello, EntryHello, HoldResult, OrderOutcome, Report, SessionKey, StartResult, Supervisor,
     SupervisorEffect, TaskId, Timing, ToAgent, Upstream,
 };
 use indexmap::IndexMap;
 use metrics::counter;
+use platform::ExecutorClient;
 use serde_json::json;
 use tokio::{
     sync::{Notify, Semaphore},
@@ -22,7 +22,7 @@
 use types::{Resources, StepError};
 
 use crate::{
-    DirectAgentSettings,
+    DirectAgentSettings, ProcessSettings,
     agent::executor_calls,
     clock::{self, SuspensionWatch},
     events::{Events, Weight},
@@ -36,10 +36,11 @@
 pub(crate) struct AgentState {
     pub(crate) timing: Timing,
     pub(crate) known: Rc<KnownEntries>,
-    pub(crate) events: Events,
+    pub(crate) events: Rc<Events>,
     pub(crate) executor: ExecutorClient,
     pub(crate) calls: Semaphore,
     name: Arc<str>,
+    grace_ms: Cell<u64>,
     incarnation: u64,
     supervisor: RefCell<Supervisor>,
     wakes: RefCell<IndexMap<SessionKey, Rc<Notify>>>,
@@ -58,23 +59,24 @@
 
 impl AgentState {
     pub(crate) fn new(settings: &DirectAgentSettings) -> Result<Rc<Self>, StepError> {
-        let (seeds, port) = (settings.seeds.as_deref(), settings.seeds_port);
-        let known = Rc::new(KnownEntries::from_seeds(seeds, port, None));
+        let process = &settings.process;
+        let known = Rc::new(KnownEntries::from_seeds(process, None));
         let now_ms = clock::now_ms();
-        let timeout = Duration::from_millis(settings.timing.call_ms);
+        let timeout = Duration::from_millis(process.timing.call_ms);
         Ok(Rc::new(Self {
-            timing: settings.timing,
+            timing: process.timing,
             known,
-            events: Events::start(&settings.name, settings.log_decisions),
+            events: Events::start(&process.name, process.log_decisions),
             executor: ExecutorClient::new(settings.upstream, timeout)?,
             calls: Semaphore::new(CALLS_AT_A_TIME),
-            name: Arc::clone(&settings.name),
+            name: Arc::clone(&process.name),
+            grace_ms: Cell::new(process.grace_ms),
             incarnation: clock::unix_ms(),
-            supervisor: RefCell::new(Supervisor::new(settings.timing, now_ms)),
+            supervisor: RefCell::new(Supervisor::new(process.timing, now_ms)),
             wakes: RefCell::default(),
             token: Cell::new(0),
             clock_offset_ms: Cell::new(None),
-            suspensions: SuspensionWatch::new(settings.timing.suspension_ms),
+            suspensions: SuspensionWatch::new(process.timing.suspension_ms),
             epoch: Cell::new(0),
             is_open: Cell::new(false),
             last_free: Cell::default(),
@@ -93,6 +95,17 @@
         now_ms
     }
 
+    /// Returns the longest time from a signal to stop to the end, milliseconds.
+    pub(crate) fn grace_ms(&self) -> u64 {
+        self.grace_ms.get()
+    }
+
+    /// Puts settings into force that may change while the process runs.
+    pub(crate) fn adopt_settings(&self, process: &ProcessSettings) {
+        self.known.add_seeds(process, None);
+        self.grace_ms.set(process.grace_ms);
+    }
+
     /// Returns the number of suspensions so far.
     pub(crate) fn epoch(&self) -> u64 {
         self.now_ms();
--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -2,9 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use adapter::{ReadOutcome, Record, StoreClient, StoreError, Topic};
+use platform::{ReadOutcome, Record, Topic};
+use ports::LogError;
 
-use crate::directory::Backoff;
+use crate::{directory::Backoff, store_access::StoreAccess};
 
 /// How long a read waits for a change. Source: an answer that is lost must be noticed well within
 /// the time in which a configuration has to be in force.
@@ -14,33 +15,24 @@
 pub(crate) type Adopt = Rc<dyn Fn(&[u8])>;
 
 /// Hands every configuration that the store has to `adopt`.
-pub(crate) async fn follow(store: StoreClient, adopt: Adopt) {
+pub(crate) async fn follow(store: Rc<StoreAccess>, adopt: Adopt) {
     let mut backoff = Backoff::new();
-    let mut is_lost = false;
     loop {
-        let result = follow_once(&store, &adopt, &mut backoff, &mut is_lost).await;
-        if let Err(e) = result {
-            if !is_lost {
-                log::warn!("reading the configuration: {e}");
-                is_lost = true;
-            }
+        // The loss of the store has its line already.
+        if follow_once(&store, &adopt, &mut backoff).await.is_err() {
             backoff.pause().await;
         }
     }
 }
 
 async fn follow_once(
-    store: &StoreClient,
+    store: &StoreAccess,
     adopt: &Adopt,
     backoff: &mut Backoff,
-    is_lost: &mut bool,
-) -> Result<(), StoreError> {
+) -> Result<(), LogError> {
     let (records, mut next) = store.newest(Topic::Operator).await?;
     hand_on(&records, adopt);
     loop {
-        if std::mem::take(is_lost) {
-            log::info!("reading the configuration works again");
-        }
         match store.read(Topic::Operator, next, READ_WAIT).await? {
             ReadOutcome::Expired => return Ok(()),
             ReadOutcome::Records(records, end) => {
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -2,11 +2,12 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use adapter::{ReadOutcome, Record, StoreClient, StoreError, Topic};
+use platform::{ReadOutcome, Record, Topic};
+use ports::LogError;
 use rand::RngExt;
 use tokio::time::sleep;
 
-use crate::known_entries::KnownEntries;
+use crate::{known_entries::KnownEntries, store_access::StoreAccess};
 
 /// How long a read waits for an announcement. Source: reads are priced, and entries are also
 /// learned from other entries.
@@ -38,31 +39,35 @@
 }
 
 /// Writes this entry's address until the store has acknowledged it.
-pub(crate) async fn announce(store: StoreClient, name: Rc<str>, addr: SocketAddr) {
+pub(crate) async fn announce(store: Rc<StoreAccess>, name: Rc<str>, addr: SocketAddr) {
     let mut backoff = Backoff::new();
-    while let Err(e) = store.put(Topic::Entries, &name, addr.to_string().as_bytes()).await {
-        log::warn!("announcing this entry: {e}");
+    // The loss of the store has its line already.
+    while store.put(Topic::Entries, &name, addr.to_string().as_bytes()).await.is_err() {
         backoff.pause().await;
     }
 }
 
 /// Keeps the known entries up to date from the store.
-pub(crate) async fn follow(store: StoreClient, known: Rc<KnownEntries>, own: Option<SocketAddr>) {
+pub(crate) async fn follow(
+    store: Rc<StoreAccess>,
+    known: Rc<KnownEntries>,
+    own: Option<SocketAddr>,
+) {
     let mut backoff = Backoff::new();
     loop {
-        if let Err(e) = follow_once(&store, &known, own, &mut backoff).await {
-            log::debug!("reading the announcements of entries: {e}");
+        // The loss of the store has its line already.
+        if follow_once(&store, &known, own, &mut backoff).await.is_err() {
             backoff.pause().await;
         }
     }
 }
 
 async fn follow_once(
-    store: &StoreClient,
+    store: &StoreAccess,
     known: &KnownEntries,
     own: Option<SocketAddr>,
     backoff: &mut Backoff,
-) -> Result<(), StoreError> {
+) -> Result<(), LogError> {
     let (records, mut next) = store.newest(Topic::Entries).await?;
     learn(known, own, &records);
     loop {
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -2,10 +2,6 @@
 
 use std::rc::Rc;
 
-use adapter::{
-    ClientCall, JobError, Reply, decode_call, decode_job, encode_end, encode_error, encode_gone,
-    encode_pending,
-};
 use bytes::Bytes;
 use direct::{JobEnd, JobKey};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -15,12 +11,16 @@
     header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
 };
 use metrics::{counter, histogram};
+use platform::{
+    ClientCall, JobError, Reply, decode_call, decode_job, encode_end, encode_error, encode_gone,
+    encode_pending,
+};
 use serde_json::json;
 
 use crate::{clock, entry::state::EntryState, events::Weight, http_server::Answer};
 
 /// Says how long a client waits for its answer, milliseconds.
-const PATIENCE_HEADER: &str = adapter::PATIENCE_HEADER;
+const PATIENCE_HEADER: &str = platform::PATIENCE_HEADER;
 
 /// Cancels a submission whose client goes before the answer.
 struct CancelOnDrop {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,11 +4,11 @@
 mod callers;
 mod state;
 
-use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, path::PathBuf, rc::Rc, time::Duration};
 
-use adapter::{StoreClient, is_readiness_probe};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use platform::is_readiness_probe;
 use serde_json::json;
 use tokio::{
     net::TcpListener,
@@ -19,11 +19,13 @@
 
 pub(crate) use crate::entry::agent_links::FirstMessage;
 use crate::{
-    DirectEntrySettings, EXIT_MARGIN_MS, STORE_TIMEOUT, config_watch, directory,
+    DirectEntrySettings, EXIT_MARGIN_MS, config_watch, directory,
     entry::state::EntryState,
     events::Weight,
     http_server::{Answer, ConnectionLimits, HttpServer, listen, local_addr},
     metrics_server, peer_links,
+    settings_watch::SettingsWatch,
+    store_access::StoreAccess,
 };
 
 /// Period of looking at deadlines while jobs are there, and without.
@@ -36,6 +38,8 @@
 
 /// An entry whose addresses are bound.
 pub struct DirectEntry {
+    /// The settings as they were read.
+    file_settings: DirectEntrySettings,
     settings: DirectEntrySettings,
     state: Rc<EntryState>,
     callers: TcpListener,
@@ -50,6 +54,7 @@
     ///
     /// When an address cannot be listened at.
     pub async fn bind(mut settings: DirectEntrySettings) -> Result<Self, StepError> {
+        let file_settings = settings.clone();
         let links = listen(settings.links).await?;
         let readiness = listen(settings.readiness).await?;
         let callers = listen(settings.callers).await?;
@@ -57,7 +62,7 @@
         settings.readiness = local_addr(&readiness)?;
         settings.callers = local_addr(&callers)?;
         let state = EntryState::new(&settings);
-        Ok(Self { settings, state, callers, readiness, links })
+        Ok(Self { file_settings, settings, state, callers, readiness, links })
     }
 
     /// Returns the settings, with the addresses that are bound.
@@ -66,6 +71,7 @@
     }
 
     /// Serves until `stop` is ready, then finishes what is being answered. Runs on a local set.
+    /// Settings are read again when `file`, from which they came, changes.
     ///
     /// # Errors
     ///
@@ -73,11 +79,13 @@
     pub async fn run(
         self,
         stop: impl Future<Output = Result<(), StepError>>,
+        file: Option<PathBuf>,
     ) -> Result<(), StepError> {
-        let Self { settings, state, callers, readiness, links } = self;
-        metrics_server::start(settings.metrics).await?;
+        let watch = file.map(SettingsWatch::new).transpose()?;
+        let Self { file_settings, settings, state, callers, readiness, links } = self;
+        metrics_server::start(settings.process.metrics).await?;
         let is_closing = Rc::new(Cell::new(false));
-        let store = StoreClient::new(settings.store, STORE_TIMEOUT)?;
+        let store = StoreAccess::new(&settings.process.store, Rc::clone(&state.events))?;
         let fields = [
             ("callers", json!(settings.callers.to_string())),
             ("links", json!(settings.links.to_string())),
@@ -93,11 +101,19 @@
         parts.spawn_local(tick(Rc::clone(&state)));
         parts.spawn_local(dial_peers(Rc::clone(&state)));
         parts.spawn_local(config_watch::follow(store.clone(), adopt));
-        let name = settings.name.as_ref().into();
+        let name = settings.process.name.as_ref().into();
         parts.spawn_local(directory::announce(store.clone(), name, settings.links));
-        parts.spawn_local(directory::follow(store, known, Some(settings.links)));
+        parts.spawn_local(directory::follow(store.clone(), known, Some(settings.links)));
         parts.spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
-        serve_callers(&callers, &state, &is_closing, settings.grace_ms, stop).await?;
+        if let Some(watch) = watch {
+            let (events, adopting) = (Rc::clone(&state.events), Rc::clone(&state));
+            let adopt = move |new: &DirectEntrySettings| {
+                adopting.adopt_settings(&new.process);
+                store.set_rates(&new.process.store);
+            };
+            parts.spawn_local(watch.follow(file_settings, events, adopt));
+        }
+        serve_callers(&callers, &state, &is_closing, stop).await?;
         state.events.line(Weight::Notable, "stop", &[("unanswered", json!(state.unanswered()))]);
         state.events.close();
         Ok(())
@@ -108,7 +124,6 @@
     listener: &TcpListener,
     state: &Rc<EntryState>,
     is_closing: &Rc<Cell<bool>>,
-    grace_ms: u64,
     stop: impl Future<Output = Result<(), StepError>>,
 ) -> Result<(), StepError> {
     let server = HttpServer::new(Rc::clone(is_closing));
@@ -125,7 +140,7 @@
     let handle = move |req: Request<Incoming>| callers::answer(Rc::clone(&handling), req);
     server.accept_until(listener, limits, handle, stopping).await;
     let out_of_rotation = u64::try_from(OUT_OF_ROTATION.as_millis()).unwrap_or(u64::MAX);
-    let left_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS + out_of_rotation);
+    let left_ms = state.grace_ms().saturating_sub(EXIT_MARGIN_MS + out_of_rotation);
     if timeout(Duration::from_millis(left_ms), server.shutdown()).await.is_err() {
         log::warn!("stopped with {} requests unanswered", state.unanswered());
     }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -18,7 +18,7 @@
 use types::StepError;
 
 use crate::{
-    DirectEntrySettings,
+    DirectEntrySettings, ProcessSettings,
     clock::{self, SuspensionWatch},
     events::{Events, Weight},
     http_server::ConnectionLimits,
@@ -35,8 +35,9 @@
     pub(crate) incarnation: u64,
     pub(crate) links: SocketAddr,
     pub(crate) known: Rc<KnownEntries>,
-    pub(crate) events: Events,
+    pub(crate) events: Rc<Events>,
     name: Arc<str>,
+    grace_ms: Cell<u64>,
     dispatcher: RefCell<Dispatcher>,
     answers: RefCell<IndexMap<JobKey, oneshot::Sender<JobEnd>>>,
     agents: RefCell<IndexMap<AgentKey, Connection>>,
@@ -58,21 +59,22 @@
 
 impl EntryState {
     pub(crate) fn new(settings: &DirectEntrySettings) -> Rc<Self> {
-        let (seeds, port) = (settings.seeds.as_deref(), settings.seeds_port);
-        let known = Rc::new(KnownEntries::from_seeds(seeds, port, Some(settings.links)));
+        let process = &settings.process;
+        let known = Rc::new(KnownEntries::from_seeds(process, Some(settings.links)));
         Rc::new(Self {
-            timing: settings.timing,
+            timing: process.timing,
             incarnation: clock::unix_ms(),
             links: settings.links,
             known,
-            events: Events::start(&settings.name, settings.log_decisions),
-            name: Arc::clone(&settings.name),
-            dispatcher: RefCell::new(Dispatcher::new(settings.timing, Arc::clone(&settings.zone))),
+            events: Events::start(&process.name, process.log_decisions),
+            name: Arc::clone(&process.name),
+            grace_ms: Cell::new(process.grace_ms),
+            dispatcher: RefCell::new(Dispatcher::new(process.timing, Arc::clone(&settings.zone))),
             answers: RefCell::default(),
             agents: RefCell::default(),
             next_connection: Cell::new(0),
             config: RefCell::default(),
-            suspensions: SuspensionWatch::new(settings.timing.suspension_ms),
+            suspensions: SuspensionWatch::new(process.timing.suspension_ms),
             refuse_until_ms: Cell::new(0),
         })
     }
@@ -81,6 +83,17 @@
         Arc::clone(&self.name)
     }
 
+    /// Returns the longest time from a signal to stop to the end, milliseconds.
+    pub(crate) fn grace_ms(&self) -> u64 {
+        self.grace_ms.get()
+    }
+
+    /// Puts settings into force that may change while the process runs.
+    pub(crate) fn adopt_settings(&self, process: &ProcessSettings) {
+        self.known.add_seeds(process, Some(self.links));
+        self.grace_ms.set(process.grace_ms);
+    }
+
     /// Returns the time; notices a suspension before anything else is done after it.
     fn now_ms(&self) -> u64 {
         let (now_ms, suspended_ms) = self.suspensions.look();
@@ -118,7 +131,7 @@
 
     /// Puts a configuration into force unless a newer one is.
     pub(crate) fn adopt_config(&self, raw: &[u8], source: &str) {
-        let Some(routing) = adapter::decode_config(raw) else {
+        let Some(routing) = platform::decode_config(raw) else {
             self.events.line(Weight::Notable, "config_unreadable", &[("source", json!(source))]);
             return;
         };
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     io::Write,
+    rc::Rc,
     sync::mpsc::{SyncSender, TrySendError, sync_channel},
     thread,
     time::Duration,
@@ -56,10 +57,11 @@
 
 impl Events {
     /// Starts the writer.
-    pub(crate) fn start(process: &str, is_written: bool) -> Self {
+    pub(crate) fn start(process: &str, is_written: bool) -> Rc<Self> {
         let (tx, rx) = sync_channel(CHUNKS_WAITING);
         if !is_written {
-            return Self { process: process.to_owned(), state: RefCell::default(), tx: None };
+            let process = process.to_owned();
+            return Rc::new(Self { process, state: RefCell::default(), tx: None });
         }
         thread::spawn(move || {
             let mut out = std::io::stdout();
@@ -77,7 +79,7 @@
                 }
             }
         });
-        Self { process: process.to_owned(), state: RefCell::default(), tx: Some(tx) }
+        Rc::new(Self { process: process.to_owned(), state: RefCell::default(), tx: Some(tx) })
     }
 
     /// Writes what is left and waits for the writer, but not for a reader that does not read.
--- a/crates/node/src/known_entries.rs
+++ b/crates/node/src/known_entries.rs
@@ -2,6 +2,8 @@
 
 use indexmap::IndexMap;
 
+use crate::settings::ProcessSettings;
+
 /// Addresses of entries, from settings, the store and other processes.
 #[derive(Debug, Default)]
 pub(crate) struct KnownEntries {
@@ -17,19 +19,20 @@
 
 impl KnownEntries {
     /// Creates the list from the settings, without the process's own address.
-    pub(crate) fn from_seeds(
-        seeds: Option<&[SocketAddr]>,
-        port: Option<u16>,
-        own: Option<SocketAddr>,
-    ) -> Self {
+    pub(crate) fn from_seeds(settings: &ProcessSettings, own: Option<SocketAddr>) -> Self {
         let known = Self::default();
-        for seed in seeds.into_iter().flatten() {
-            let addr = SocketAddr::new(seed.ip(), port.unwrap_or(seed.port()));
+        known.add_seeds(settings, own);
+        known
+    }
+
+    /// Adds the seeds of the settings, without the process's own address.
+    pub(crate) fn add_seeds(&self, settings: &ProcessSettings, own: Option<SocketAddr>) {
+        for seed in settings.seeds.iter().flatten() {
+            let addr = SocketAddr::new(seed.ip(), settings.seeds_port.unwrap_or(seed.port()));
             if Some(addr) != own {
-                known.add(addr);
+                self.add(addr);
             }
         }
-        known
     }
 
     pub(crate) fn add(&self, addr: SocketAddr) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,19 +13,16 @@
 mod metrics_server;
 mod peer_links;
 mod settings;
+mod settings_watch;
 mod signals;
-
-use std::time::Duration;
+mod store_access;
 
 pub use crate::{
     agent::DirectAgent,
     entry::DirectEntry,
-    settings::{DirectAgentSettings, DirectEntrySettings},
+    settings::{DirectAgentSettings, DirectEntrySettings, ProcessSettings, StoreSettings},
     signals::stop_signal,
 };
 
-/// Longest time for an answer of the store, beside what a read waits. Source: well within the
-/// time in which a configuration has to be in force.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Left of the grace for the end of the process itself, milliseconds.
 const EXIT_MARGIN_MS: u64 = 700;
--- /dev/null
+++ b/crates/node/src/store_access.rs
@@ -0,0 +1,87 @@
+//! The store as one process may use it.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use platform::{ReadOutcome, Record, StoreClient, Topic};
+use ports::{CallBudget, LogError};
+use serde_json::json;
+use types::StepError;
+
+use crate::{
+    clock,
+    events::{Events, Weight},
+    settings::StoreSettings,
+};
+
+/// Longest time for an answer of the store, beside what a read waits. Source: well within the
+/// time in which a configuration has to be in force.
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Calls of the store within this process's part of the store's rates; one line tells that the
+/// store is lost, another that it is back.
+pub(crate) struct StoreAccess {
+    client: StoreClient,
+    appends: CallBudget,
+    reads: CallBudget,
+    events: Rc<Events>,
+    lost_at_ms: Cell<Option<u64>>,
+}
+
+impl StoreAccess {
+    pub(crate) fn new(settings: &StoreSettings, events: Rc<Events>) -> Result<Rc<Self>, StepError> {
+        let client = StoreClient::new(format!("http://{}", settings.address), STORE_TIMEOUT)?;
+        let processes = settings.processes as usize;
+        Ok(Rc::new(Self {
+            client,
+            appends: CallBudget::new(f64::from(settings.appends_per_s), processes),
+            reads: CallBudget::new(f64::from(settings.reads_per_s), processes),
+            events,
+            lost_at_ms: Cell::new(None),
+        }))
+    }
+
+    /// Divides the store's rates anew.
+    pub(crate) fn set_rates(&self, settings: &StoreSettings) {
+        let processes = settings.processes as usize;
+        self.appends.set_share(f64::from(settings.appends_per_s), processes);
+        self.reads.set_share(f64::from(settings.reads_per_s), processes);
+    }
+
+    pub(crate) async fn newest(&self, topic: Topic) -> Result<(Vec<Record>, u64), LogError> {
+        self.reads.acquire().await;
+        self.note("newest", self.client.newest(topic).await)
+    }
+
+    pub(crate) async fn read(
+        &self,
+        topic: Topic,
+        from: u64,
+        wait: Duration,
+    ) -> Result<ReadOutcome, LogError> {
+        self.reads.acquire().await;
+        self.note("read", self.client.read_keyed(topic, from, wait).await)
+    }
+
+    pub(crate) async fn put(&self, topic: Topic, key: &str, value: &[u8]) -> Result<(), LogError> {
+        self.appends.acquire().await;
+        self.note("append", self.client.put(topic, key, value).await)
+    }
+
+    fn note<T>(&self, call: &str, result: Result<T, LogError>) -> Result<T, LogError> {
+        let now_ms = clock::now_ms();
+        match (&result, self.lost_at_ms.get()) {
+            (Err(e), None) => {
+                self.lost_at_ms.set(Some(now_ms));
+                let fields = [("call", json!(call)), ("cause", json!(e.to_string()))];
+                self.events.line(Weight::Notable, "store_lost", &fields);
+            }
+            (Ok(_), Some(lost_at_ms)) => {
+                self.lost_at_ms.set(None);
+                let fields = [("call", json!(call)), ("after_ms", json!(now_ms - lost_at_ms))];
+                self.events.line(Weight::Notable, "store_back", &fields);
+            }
+            _ => {}
+        }
+        result
+    }
+}
--- a/crates/node/tests/system/configuration.rs
+++ b/crates/node/tests/system/configuration.rs
@@ -1,7 +1,6 @@
-use emulator::{StandInStore, StandInStoreFaults, StandInStoreRates};
 use reqwest::StatusCode;
 
-use crate::support::{Fleet, config, run, send, start_entry, until};
+use crate::support::{Fleet, config, run, send, start_entry, start_store, until};
 
 async fn status(fleet: &Fleet, entry: usize, path: &str) -> Option<StatusCode> {
     let addr = fleet.entries[entry].addr;
@@ -55,9 +54,8 @@
 fn an_entry_that_the_store_refuses_learns_the_configuration_from_another() {
     run(async {
         let mut fleet = Fleet::start(1, 1, 5).await;
-        let refusing =
-            StandInStore::start(StandInStoreRates::default()).await.expect("a store starts");
-        refusing.set_faults(StandInStoreFaults { is_busy: true, ..StandInStoreFaults::default() });
+        let refusing = start_store().await;
+        refusing.faults().update(|faults| faults.down = true);
         let seeds = Some(vec![fleet.entries[0].links]);
         fleet.entries.push(start_entry("entry-refused", refusing.addr(), seeds).await);
         until("the refused entry has the queue", || async {
@@ -71,8 +69,7 @@
 fn an_entry_without_a_configuration_refuses_and_is_not_ready() {
     run(async {
         let fleet = Fleet::start(1, 1, 5).await;
-        let empty =
-            StandInStore::start(StandInStoreRates::default()).await.expect("a store starts");
+        let empty = start_store().await;
         let entry = start_entry("entry-empty", empty.addr(), None).await;
         let answer = send(&fleet.client, entry.addr, "GET", "/j/", String::new()).await;
         assert_eq!(answer.map(|(status, _)| status), Some(StatusCode::SERVICE_UNAVAILABLE));
--- a/crates/node/tests/system/stops.rs
+++ b/crates/node/tests/system/stops.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use emulator::{StandInExecutorFaults, StandInStoreFaults};
+use emulator::StandInExecutorFaults;
 use reqwest::StatusCode;
 use serde_json::json;
 
@@ -47,9 +47,7 @@
 fn processes_end_while_the_store_is_silent() {
     run(async {
         let mut fleet = Fleet::start(2, 2, 10).await;
-        fleet
-            .store
-            .set_faults(StandInStoreFaults { is_silent: true, ..StandInStoreFaults::default() });
+        fleet.store.faults().update(|faults| faults.silent = true);
         fleet.entries.iter_mut().for_each(crate::support::Process::stop);
         fleet.agents.iter_mut().for_each(|agent| agent.process.stop());
         fleet.entries.iter_mut().for_each(crate::support::Process::join);
--- a/crates/node/tests/system/support.rs
+++ b/crates/node/tests/system/support.rs
@@ -8,8 +8,11 @@
     time::{Duration, Instant},
 };
 
-use emulator::{Ledger, StandInExecutor, StandInExecutorSettings, StandInStore, StandInStoreRates};
-use node::{DirectAgent, DirectAgentSettings, DirectEntry, DirectEntrySettings};
+use emulator::{Ledger, LogServer, LogSettings, StandInExecutor, StandInExecutorSettings};
+use node::{
+    DirectAgent, DirectAgentSettings, DirectEntry, DirectEntrySettings, ProcessSettings,
+    StoreSettings,
+};
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
 use tokio::{runtime::Builder, sync::oneshot, task::LocalSet, time::sleep};
@@ -22,7 +25,7 @@
 pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
 pub struct Fleet {
-    pub store: StandInStore,
+    pub store: LogServer,
     pub ledger: Ledger,
     pub entries: Vec<Process>,
     pub agents: Vec<Agent>,
@@ -68,8 +71,7 @@
 impl Fleet {
     /// Starts entries and agents, and waits until every entry is ready for `/j/`.
     pub async fn start(entries: usize, agents: usize, run_ms: u64) -> Self {
-        let store =
-            StandInStore::start(StandInStoreRates::default()).await.expect("a store starts");
+        let store = start_store().await;
         store.put_config(&config(1, &["/j/"]));
         let mut fleet = Self {
             store,
@@ -160,27 +162,38 @@
     }
 }
 
-pub async fn start_entry(name: &str, store: SocketAddr, seeds: Option<Vec<SocketAddr>>) -> Process {
-    let settings = DirectEntrySettings {
+/// Starts an empty store.
+pub async fn start_store() -> LogServer {
+    LogServer::start(LogSettings::default(), ANY).await.expect("a store starts")
+}
+
+fn process(name: &str, store: SocketAddr, seeds: Option<Vec<SocketAddr>>) -> ProcessSettings {
+    ProcessSettings {
         name: name.into(),
-        zone: "mid-a".into(),
-        callers: ANY,
-        readiness: ANY,
-        links: ANY,
         metrics: None,
-        store,
+        store: StoreSettings::at(store),
         seeds,
         seeds_port: None,
         grace_ms: 6_000,
         log_decisions: false,
         timing: direct::Timing::default(),
+    }
+}
+
+pub async fn start_entry(name: &str, store: SocketAddr, seeds: Option<Vec<SocketAddr>>) -> Process {
+    let settings = DirectEntrySettings {
+        process: process(name, store, seeds),
+        zone: "mid-a".into(),
+        callers: ANY,
+        readiness: ANY,
+        links: ANY,
     };
     start_process(move |ready, stop| async move {
         let entry = DirectEntry::bind(settings).await?;
         let bound = entry.settings();
         // A test that has ended does not wait for the addresses.
         let _ = ready.send([bound.callers, bound.links, bound.readiness]);
-        entry.run(stop).await
+        entry.run(stop, None).await
     })
     .await
 }
@@ -191,24 +204,13 @@
     upstream: SocketAddr,
     control: SocketAddr,
 ) -> Process {
-    let settings = DirectAgentSettings {
-        name: name.into(),
-        control,
-        upstream,
-        metrics: None,
-        store,
-        seeds: None,
-        seeds_port: None,
-        grace_ms: 6_000,
-        log_decisions: false,
-        timing: direct::Timing::default(),
-    };
+    let settings = DirectAgentSettings { process: process(name, store, None), control, upstream };
     start_process(move |ready, stop| async move {
         let agent = DirectAgent::bind(settings).await?;
         let control = agent.settings().control;
         // A test that has ended does not wait for the addresses.
         let _ = ready.send([control; 3]);
-        agent.run(stop).await
+        agent.run(stop, None).await
     })
     .await
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -1,12 +1,12 @@
 //! The edge between ebonycroft and what the platform provides: the append-only log,
 //! workers that run tasks under leases, and executors that answer requests.  Each is a
-//! trait with a client that speaks HTTP.
+//! trait; the log's client is in the folder of the platform, the other two have clients here.
 
+mod call_budget;
 mod checkpoint;
 mod executor;
 mod executor_error;
 mod http_executor;
-mod http_log;
 mod http_worker;
 mod lease_id;
 mod lease_start;
@@ -23,11 +23,11 @@
 mod worker_usage;
 
 pub use crate::{
+    call_budget::CallBudget,
     checkpoint::Checkpoint,
     executor::Executor,
     executor_error::ExecutorError,
     http_executor::HttpExecutor,
-    http_log::HttpLog,
     http_worker::HttpWorker,
     lease_id::LeaseId,
     lease_start::LeaseStart,
@@ -38,7 +38,7 @@
     offset::Offset,
     run_request::RunRequest,
     stream_name::StreamName,
-    wire::{AppendBody, ErrorBody, PageBody, RecordBody, RenewBody, ThrottleBody},
+    wire::{ErrorBody, RenewBody, ThrottleBody},
     worker::Worker,
     worker_error::WorkerError,
     worker_usage::{LeaseUsage, WorkerUsage},
--- /dev/null
+++ b/crates/ports/src/wire.rs
@@ -0,0 +1,21 @@
+types::wire! {
+    /// Body of a request to renew a lease.
+    pub struct RenewBody {
+        /// Milliseconds from now after which the lease lapses.
+        pub lease_ms: u64,
+    }
+
+    /// Body of a request to throttle a task.
+    pub struct ThrottleBody {
+        /// Percentage of the full speed; 0 pauses the task.
+        pub percent: u8,
+    }
+
+    /// Body of an error of the log, a worker or an executor.
+    pub struct ErrorBody {
+        /// What went wrong.
+        pub error: String,
+        /// Whether it is certain that nothing was done.
+        pub not_run: bool,
+    }
+}
