Say what decided a refusal, which calls were rejected and when dependencies return; try a failed task again where nothing else is

Cause: a refusal's line did not say what room it was decided on, a call that was itself wrong left no line, the return of an executor none, and lines left out were one number for all kinds. The new tests of whole processes showed each of these missing. They also showed a job with one upstream whose first run failed: it waited for another upstream until its client's time was over (504) in place of using its second attempt.

Ruled out: judging by room instead of by being open. A full upstream takes tasks again within a run time; an upstream that fails everything is better waited out there.

--- a/crates/direct/src/dispatcher/choice.rs
+++ b/crates/direct/src/dispatcher/choice.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     JobStep,
-    dispatcher::{AgentKey, Dispatcher, job_state::JobState},
+    dispatcher::{AgentKey, Dispatcher, agent_view::AgentView, job_state::JobState},
 };
 
 /// Run times vary around what is expected; an upstream with less reserve than this is used only
@@ -49,7 +49,7 @@
         taken: &[(AgentKey, u32)],
     ) -> Option<AgentKey> {
         let step = &state.job.steps[usize::from(step_index)];
-        let avoided = state.histories.get(&(step_index, task)).map(|history| &history.avoided);
+        let avoided = self.avoided(state, step_index, task, want.now_ms);
         let mut best: Option<(f64, AgentKey)> = None;
         for (key, view) in self.agents_of(&state.job.pool) {
             let used = taken.iter().find(|(agent, _)| *agent == key).map_or(0, |(_, n)| *n);
@@ -62,7 +62,7 @@
                     .most_per_upstream
                     .is_some_and(|most| used + self.running_at(key, state, step_index) >= most)
                 || (!want.has_begun && want.expected_ms / view.speed.value() > want.left_ms)
-                || avoided.is_some_and(|agents| agents.contains(&key))
+                || avoided.contains(&key)
             {
                 continue;
             }
@@ -75,6 +75,22 @@
         }
         best.map(|(_, key)| key)
     }
+
+    /// Returns the agents that a task is not sent to again: those on which it failed, unless no
+    /// other one takes tasks.
+    fn avoided<'a>(
+        &self,
+        state: &'a JobState,
+        step: u16,
+        task: u32,
+        now_ms: u64,
+    ) -> &'a [AgentKey] {
+        let Some(history) = state.histories.get(&(step, task)) else { return &[] };
+        let is_other = |(key, view): (AgentKey, &AgentView)| {
+            view.is_open(now_ms, self.timing.silence_ms) && !history.avoided.contains(&key)
+        };
+        if self.agents_of(&state.job.pool).any(is_other) { &history.avoided } else { &[] }
+    }
 }
 
 fn remaining(free: Resources, need: Resources, used: u32) -> Resources {
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -55,6 +55,19 @@
         pub speed: f64,
     }
 
+    /// What there is room for in a pool, as far as the entry knows.
+    #[derive(Copy, Eq)]
+    pub struct PoolRoom {
+        /// Agents of the pool.
+        pub agents: usize,
+        /// Those that take tasks.
+        pub open_agents: usize,
+        /// The most that is free at one of these, in each dimension by itself.
+        pub most_free: types::Resources,
+        /// Age of the oldest report of these, milliseconds.
+        pub oldest_view_ms: u64,
+    }
+
     /// Whether submissions are taken.
     #[derive(Copy, Eq)]
     pub enum Admission {
@@ -137,6 +150,25 @@
         })
     }
 
+    /// Returns what there is room for in a pool.
+    pub fn pool_room(&self, pool: &str, now_ms: u64) -> PoolRoom {
+        let mut room = PoolRoom {
+            agents: 0,
+            open_agents: 0,
+            most_free: types::Resources::default(),
+            oldest_view_ms: 0,
+        };
+        for (_, view) in self.agents_of(pool) {
+            room.agents += 1;
+            if view.is_open(now_ms, self.timing.silence_ms) {
+                room.open_agents += 1;
+                room.most_free = room.most_free.max_each(view.free());
+                room.oldest_view_ms = room.oldest_view_ms.max(now_ms.saturating_sub(view.heard_ms));
+            }
+        }
+        room
+    }
+
     /// Returns the name of an agent.
     pub fn agent_name(&self, key: AgentKey) -> Option<&Arc<str>> {
         self.agents.get(key.0 as usize).map(|view| &view.name)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,7 +13,9 @@
 mod upstream;
 
 pub use crate::{
-    dispatcher::{Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey},
+    dispatcher::{
+        Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, PoolRoom,
+    },
     job::{DirectJob, JobEnd, JobStep, RefusalReason},
     link_message::{
         AgentHello, EntryHello, Load, Order, OrderBatch, OrderId, OrderOutcome, Report, ToAgent,
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -74,6 +74,12 @@
         self.upstream.as_ref()
     }
 
+    /// Returns the name of a session's entry.
+    pub fn session_entry(&self, key: SessionKey) -> Option<&Arc<str>> {
+        let mut sessions = self.sessions.iter();
+        sessions.find(|(_, (known, _))| *known == key).map(|(name, _)| name)
+    }
+
     /// Returns whether nothing runs and nothing is being stopped.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty()
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -187,6 +187,24 @@
     assert_eq!(ends(&effects), [JobEnd::Failed]);
 }
 
+#[test]
+fn a_failed_task_is_tried_again_where_it_failed_if_nothing_else_takes_tasks() {
+    let (mut dispatcher, _) = dispatcher(&[("a", 4)]);
+    let (_, effects) = dispatcher.submit(job("j", 1), 0);
+    let (only, id) = orders(&effects)[0];
+    let effects = settle(&mut dispatcher, only, 4, &[(id, OrderOutcome::Failed)], 10);
+    assert_eq!(orders(&effects).iter().map(|(agent, _)| *agent).collect::<Vec<_>>(), [only]);
+    // Another one that is full takes tasks soon: the task waits for it.
+    let (_, id) = orders(&effects)[0];
+    add(&mut dispatcher, upstream("b", 1), 0, 15);
+    let patient = DirectJob { max_attempts: 9, ..job("k", 1) };
+    settle(&mut dispatcher, only, 4, &[(id, DONE)], 20);
+    let (_, effects) = dispatcher.submit(patient, 20);
+    let (_, id) = orders(&effects)[0];
+    let effects = settle(&mut dispatcher, only, 4, &[(id, OrderOutcome::Failed)], 30);
+    assert!(orders(&effects).is_empty());
+}
+
 #[test]
 fn orders_at_a_restarted_agent_are_lost_and_placed_again() {
     let (mut dispatcher, _) = dispatcher(&[("a", 4), ("b", 4)]);
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -1,5 +1,6 @@
 //! The roles for direct jobs as processes of their own, and what they write.
 
 mod blocked_output;
+mod decisions;
 mod reload;
 mod role;
--- a/crates/ebonycroft/tests/direct_roles/role.rs
+++ b/crates/ebonycroft/tests/direct_roles/role.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Read},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, Stdio},
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Returns the lines about a job up to the end of the role.
+    pub(crate) fn lines_about(&mut self, job: &str) -> Vec<Value> {
+        let lines = self.output.by_ref().lines().map_while(Result::ok);
+        let objects = lines.filter_map(|text| serde_json::from_str::<Value>(&text).ok());
+        objects.filter(|line| line["job"] == job).collect()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id is small");
         let pid = Pid::from_raw(id).expect("a process id is not 0");
--- a/crates/emulator/src/platform_stand_in/executor.rs
+++ b/crates/emulator/src/platform_stand_in/executor.rs
@@ -139,6 +139,11 @@
         tokio::spawn(announce(Arc::clone(&self.shared), self.addr(), control))
     }
 
+    /// Returns how many tasks run.
+    pub fn running(&self) -> usize {
+        lock(&self.shared.state).running.len()
+    }
+
     /// Sets what it does wrong from now on.
     pub fn set_faults(&self, faults: StandInExecutorFaults) {
         *lock(&self.shared.faults) = faults;
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -189,7 +189,13 @@
 
     pub(crate) fn held(self: &Rc<Self>, result: &HoldResult) {
         self.now_ms();
+        let was_answering = self.supervisor.borrow().gives_lease();
         let effects = self.supervisor.borrow_mut().on_hold(result);
+        if !was_answering && self.supervisor.borrow().gives_lease() {
+            let fields =
+                [("running", json!(result.running.len())), ("ended", json!(result.ended.len()))];
+            self.events.line(Weight::Notable, "upstream_back", &fields);
+        }
         self.apply(effects);
     }
 
@@ -297,7 +303,9 @@
         wakes.swap_remove(&key);
         drop(wakes);
         let cause = cause.map_or_else(|| "silent".to_owned(), ToString::to_string);
-        self.events.line(Weight::Notable, "entry_lost", &[("cause", json!(cause))]);
+        let entry = self.supervisor.borrow().session_entry(key).map(ToString::to_string);
+        let fields = [("entry", json!(entry)), ("cause", json!(cause))];
+        self.events.line(Weight::Notable, "entry_lost", &fields);
         self.supervisor.borrow_mut().on_disconnected(key);
     }
 
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -1,6 +1,6 @@
 //! Requests of callers.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use direct::{JobEnd, JobKey};
@@ -49,16 +49,31 @@
     http_answer(reply(&state, req).await)
 }
 
+/// Answers an error of the call itself; nothing of it starts.
+fn rejected(state: &EntryState, path: &str, status: u16, cause: &str) -> Reply {
+    counter!("entry_calls_rejected", "status" => status.to_string()).increment(1);
+    let version = state.routing().map(|routing| routing.version);
+    let fields = [
+        ("job", json!(path.rsplit('/').next())),
+        ("path", json!(path)),
+        ("status", json!(status)),
+        ("cause", json!(cause)),
+        ("config", json!(version)),
+    ];
+    state.events.line(Weight::Notable, "rejected", &fields);
+    encode_error(status, cause)
+}
+
 async fn reply(state: &Rc<EntryState>, req: Request<Incoming>) -> Reply {
     let Some(routing) = state.routing() else {
-        return encode_error(503, "no configuration yet");
+        return rejected(state, req.uri().path(), 503, "no configuration yet");
     };
     let (head, body) = req.into_parts();
     let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let host = header(HOST.as_str()).or(head.uri.host()).unwrap_or("");
     let call = match decode_call(&routing, head.method.as_str(), host, head.uri.path()) {
         Ok(call) => call,
-        Err(e) => return encode_error(e.status(), &e.to_string()),
+        Err(e) => return rejected(state, head.uri.path(), e.status(), &e.to_string()),
     };
     let (queue, id) = match call {
         ClientCall::Submit(queue, id) => (queue, id),
@@ -69,17 +84,17 @@
     let patience_ms = header(PATIENCE_HEADER).and_then(|text| text.parse().ok());
     let body = match read_body(body, routing.limits.body_bytes).await {
         Ok(body) => body,
-        Err(reply) => return reply,
+        Err((status, cause)) => return rejected(state, head.uri.path(), status, &cause),
     };
     match decode_job(id, queue, &body, patience_ms) {
         Ok(job) => run(state, job, routing.version).await,
-        Err(e @ JobError::Malformed(_)) => encode_error(400, &e.to_string()),
-        Err(e @ JobError::Unsupported(_)) => encode_error(503, &e.to_string()),
+        Err(e @ JobError::Malformed(_)) => rejected(state, head.uri.path(), 400, &e.to_string()),
+        Err(e @ JobError::Unsupported(_)) => rejected(state, head.uri.path(), 503, &e.to_string()),
     }
 }
 
 async fn run(state: &Rc<EntryState>, job: direct::DirectJob, version: u64) -> Reply {
-    let id = job.id.to_string();
+    let (id, pool) = (job.id.to_string(), Arc::clone(&job.pool));
     let arrived_ms = clock::now_ms();
     let fields = [
         ("job", json!(id)),
@@ -113,20 +128,28 @@
     counter!("entry_jobs", "end" => name).increment(1);
     #[allow(clippy::cast_precision_loss)]
     histogram!("entry_answer_seconds").record(took_ms as f64 / 1_000.0);
-    let fields = [("job", json!(id)), ("end", json!(name)), ("took_ms", json!(took_ms))];
+    let mut fields = vec![("job", json!(id)), ("end", json!(name)), ("took_ms", json!(took_ms))];
+    if matches!(end, JobEnd::NotRun { .. }) {
+        let room = state.room(&pool);
+        fields.push(("agents", json!(room.agents)));
+        fields.push(("open_agents", json!(room.open_agents)));
+        fields.push(("most_free_milli_cores", json!(room.most_free.milli_cores)));
+        fields.push(("oldest_view_ms", json!(room.oldest_view_ms)));
+    }
     state.events.line(weight, "answered", &fields);
     encode_end(end)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Reply> {
-    let too_large = || encode_error(413, &format!("the body is larger than {limit} bytes"));
+/// Reads a body; the error is the status of the answer and its cause.
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, (u16, String)> {
+    let too_large = || (413, format!("the body is larger than {limit} bytes"));
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large());
     }
     match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err(too_large()),
-        Err(e) => Err(encode_error(400, &format!("reading the body: {e}"))),
+        Err(e) => Err((400, format!("reading the body: {e}"))),
     }
 }
 
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -9,7 +9,7 @@
 
 use direct::{
     Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, JobEnd, JobKey,
-    OrderId, RefusalReason, Report, Routing, Timing, ToAgent,
+    OrderId, PoolRoom, RefusalReason, Report, Routing, Timing, ToAgent,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -120,6 +120,11 @@
         self.answers.borrow().len()
     }
 
+    /// Returns what there is room for in a pool.
+    pub(crate) fn room(&self, pool: &str) -> PoolRoom {
+        self.dispatcher.borrow().pool_room(pool, self.suspensions.last_ms())
+    }
+
     pub(crate) fn routing(&self) -> Option<Rc<Routing>> {
         self.config.borrow().as_ref().map(|config| Rc::clone(&config.routing))
     }
@@ -222,7 +227,7 @@
         self.dispatcher.borrow_mut().on_disconnected(key);
     }
 
-    fn agent_line(&self, event: &str, key: AgentKey, fields: &[(&str, Value)]) {
+    fn agent_line(&self, event: &'static str, key: AgentKey, fields: &[(&str, Value)]) {
         let name = self.dispatcher.borrow().agent_name(key).map(ToString::to_string);
         let mut all = vec![("agent", json!(name))];
         all.extend(fields.iter().cloned());
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -9,17 +9,16 @@
     time::Duration,
 };
 
-use serde_json::{Map, Value};
+use serde_json::{Map, Value, json};
 
-use crate::clock;
+pub(crate) use crate::line_budget::Weight;
+use crate::{clock, line_budget::LineBudget};
 
-/// Most lines a second. Source: the processor time of a role allows about this many.
-const LINES_PER_SECOND: u32 = 1_000;
-/// Lines of the budget that only failures and changes of belief may use.
-const RESERVED_LINES: u32 = 200;
 /// Chunks that wait for a slow reader before lines are dropped.
 const CHUNKS_WAITING: usize = 16;
 
+/// Name under which lines are counted that a slow reader has cost.
+const UNREAD: &str = "unread";
 /// Longest time that the end of the process waits for the reader.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -30,15 +29,6 @@
     End(SyncSender<()>),
 }
 
-/// Whether a line may be left out before others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Weight {
-    /// A request that went well.
-    Routine,
-    /// A failure, a refusal or a change of belief.
-    Notable,
-}
-
 /// The process's log of decisions.
 #[derive(Debug)]
 pub(crate) struct Events {
@@ -50,9 +40,7 @@
 #[derive(Debug, Default)]
 struct State {
     buf: Vec<u8>,
-    second: u64,
-    lines: u32,
-    dropped: u64,
+    budget: LineBudget,
 }
 
 impl Events {
@@ -93,30 +81,21 @@
     }
 
     /// Adds a line: what was decided, and on what.
-    pub(crate) fn line(&self, weight: Weight, event: &str, fields: &[(&str, Value)]) {
+    pub(crate) fn line(&self, weight: Weight, event: &'static str, fields: &[(&str, Value)]) {
         if self.tx.is_none() {
             return;
         }
         let unix_ms = clock::unix_ms();
-        let mut state = self.state.borrow_mut();
-        if state.second != unix_ms / 1_000 {
-            state.second = unix_ms / 1_000;
-            state.lines = 0;
-            let dropped = std::mem::take(&mut state.dropped);
-            if dropped > 0 {
-                self.write(&mut state.buf, unix_ms, "lines_dropped", &[("count", dropped.into())]);
-            }
+        let State { buf, budget } = &mut *self.state.borrow_mut();
+        let dropped = budget.begin(unix_ms);
+        if !dropped.is_empty() {
+            self.write(buf, unix_ms, "lines_dropped", &[("count", json!(dropped))]);
         }
-        let limit = match weight {
-            Weight::Routine => LINES_PER_SECOND - RESERVED_LINES,
-            Weight::Notable => LINES_PER_SECOND,
-        };
-        if state.lines >= limit {
-            state.dropped += 1;
-            return;
+        if budget.allows(weight, event) {
+            let length = buf.len();
+            self.write(buf, unix_ms, event, fields);
+            budget.written(buf.len() - length);
         }
-        state.lines += 1;
-        self.write(&mut state.buf, unix_ms, event, fields);
     }
 
     fn write(&self, buf: &mut Vec<u8>, unix_ms: u64, event: &str, fields: &[(&str, Value)]) {
@@ -139,8 +118,8 @@
         }
         let chunk = std::mem::take(&mut state.buf);
         if let Err(TrySendError::Full(Chunk::Lines(chunk))) = tx.try_send(Chunk::Lines(chunk)) {
-            state.dropped +=
-                u64::try_from(chunk.iter().filter(|b| **b == b'\n').count()).unwrap_or(0);
+            let lines = chunk.iter().filter(|b| **b == b'\n').count() as u64;
+            state.budget.left_out(UNREAD, lines);
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod frames;
 mod http_server;
 mod known_entries;
+mod line_budget;
 mod metrics_server;
 mod peer_links;
 mod settings;
