Start a job late where all of it fits before refusing it

Cause: a job that no free upstream could end within its objective was refused while upstreams were free (the report's "refused with servers free"); it is still worth a part of its answer until it is late by twice the objective. At the moment of its refusal it now starts if every task has a place where it can end by then; otherwise it is refused as before, with nothing started.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -37,6 +37,7 @@
             .map(|step| StepState { pending: (0..step.tasks).rev().collect(), open: step.tasks })
             .collect();
         JobState {
+            arrived_ms: now_ms,
             objective_at_ms: now_ms + objective_ms,
             deadline_ms: now_ms + job.patience_ms,
             refuse_at_ms: now_ms + wait_ms,
--- a/crates/direct/src/dispatcher/choice.rs
+++ b/crates/direct/src/dispatcher/choice.rs
@@ -21,8 +21,8 @@
         /// Time until the objective, milliseconds.
         pub(crate) left_ms: f64,
         pub(crate) now_ms: u64,
-        /// Whether tasks of the job have been ordered, so that it is worth ending late.
-        pub(crate) has_begun: bool,
+        /// Longest expected run time that is worth starting, milliseconds.
+        pub(crate) longest_ms: f64,
     }
 }
 
@@ -35,10 +35,20 @@
             expected_ms: f64::from(step.estimate_ms) * self.kind_ratio(&state.job.kind),
             left_ms,
             now_ms,
-            has_begun: state.may_have_run(),
+            longest_ms: if state.may_have_run() { f64::INFINITY } else { left_ms },
         }
     }
 
+    /// Returns what a choice is made on once the objective is out of reach: an answer is worth
+    /// something until it is late by twice the objective.
+    pub(crate) fn want_late(&self, state: &JobState, step: &JobStep, now_ms: u64) -> Want {
+        let objective_ms = state.objective_at_ms - state.arrived_ms;
+        let end_ms = (state.objective_at_ms + 2 * objective_ms).min(state.deadline_ms);
+        #[allow(clippy::cast_precision_loss)]
+        let longest_ms = end_ms.saturating_sub(now_ms) as f64;
+        Want { longest_ms, ..self.want(state, step, now_ms) }
+    }
+
     /// Returns the best agent with room for one task of the step, if any.
     pub(crate) fn choose(
         &self,
@@ -61,7 +71,7 @@
                 || step
                     .most_per_upstream
                     .is_some_and(|most| used + self.running_at(key, state, step_index) >= most)
-                || (!want.has_begun && want.expected_ms / view.speed.value() > want.left_ms)
+                || want.expected_ms / view.speed.value() > want.longest_ms
                 || avoided.contains(&key)
             {
                 continue;
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct JobState {
     pub(crate) job: DirectJob,
+    pub(crate) arrived_ms: u64,
     pub(crate) objective_at_ms: u64,
     pub(crate) deadline_ms: u64,
     /// When it is refused unless a task has started.
--- a/crates/direct/src/dispatcher/placing.rs
+++ b/crates/direct/src/dispatcher/placing.rs
@@ -9,9 +9,17 @@
     Order, OrderBatch, OrderId, RefusalReason, ToAgent,
     dispatcher::{
         AgentKey, Dispatcher, DispatcherEffect, JobKey, OrderState, agent_view::AgentView,
+        choice::Want, job_state::JobState,
     },
 };
 
+/// Where the tasks of a step are to start.
+struct Plan {
+    chosen: IndexMap<AgentKey, Vec<u32>>,
+    /// Tasks without a place, the next one last.
+    left: Vec<u32>,
+}
+
 impl Dispatcher {
     /// Orders what there is room for, most urgent first, and refuses what has waited too long.
     pub(crate) fn pump(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
@@ -28,6 +36,12 @@
             }
             let Some(state) = self.jobs.get(&key) else { continue };
             if !state.may_have_run() && now_ms >= state.refuse_at_ms {
+                if self.place_late(key, now_ms, &mut effects) {
+                    room = self.room(now_ms);
+                    self.unqueue_placed(key);
+                    continue;
+                }
+                let Some(state) = self.jobs.get(&key) else { continue };
                 let is_served = self.agents_of(&state.job.pool).next().is_some();
                 let reason =
                     if is_served { RefusalReason::Overloaded } else { RefusalReason::NoUpstream };
@@ -53,11 +67,40 @@
         for step in steps {
             self.place_step(key, step, now_ms, effects);
         }
-        let Some(state) = self.jobs.get(&key) else { return false };
+        self.unqueue_placed(key);
+        effects.len() > before
+    }
+
+    /// Takes a job from the queue that has no task to start now.
+    fn unqueue_placed(&mut self, key: JobKey) {
+        let Some(state) = self.jobs.get(&key) else { return };
         if state.eligible_steps().next().is_none() {
             self.queue.remove(&(state.job.priority, key));
         }
-        effects.len() > before
+    }
+
+    /// Orders all tasks of a job that can start now, where each can still end before the answer is
+    /// worth nothing; orders none if one has no such place.
+    fn place_late(
+        &mut self,
+        key: JobKey,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) -> bool {
+        let Some(state) = self.jobs.get(&key) else { return false };
+        let mut plans = Vec::new();
+        for step in state.eligible_steps() {
+            let want = self.want_late(state, &state.job.steps[usize::from(step)], now_ms);
+            let plan = self.plan_step(state, step, &want);
+            if !plan.left.is_empty() {
+                return false;
+            }
+            plans.push((step, plan));
+        }
+        for (step, plan) in plans {
+            self.order(key, step, plan, effects);
+        }
+        true
     }
 
     fn place_step(
@@ -68,27 +111,34 @@
         effects: &mut Vec<DispatcherEffect>,
     ) {
         let state = &self.jobs[&key];
-        let spec = &state.job.steps[usize::from(step)];
-        let want = self.want(state, spec, now_ms);
-        let need = spec.need;
+        let want = self.want(state, &state.job.steps[usize::from(step)], now_ms);
+        let plan = self.plan_step(state, step, &want);
+        self.order(key, step, plan, effects);
+    }
+
+    fn plan_step(&self, state: &JobState, step: u16, want: &Want) -> Plan {
         let mut taken: Vec<(AgentKey, u32)> = Vec::new();
-        let mut chosen: IndexMap<AgentKey, Vec<u32>> = IndexMap::new();
-        let mut left = Vec::new();
+        let mut plan = Plan { chosen: IndexMap::new(), left: Vec::new() };
         for &task in state.steps[usize::from(step)].pending.iter().rev() {
-            let Some(agent) = self.choose(state, step, task, &want, &taken) else {
-                left.push(task);
+            let Some(agent) = self.choose(state, step, task, want, &taken) else {
+                plan.left.push(task);
                 continue;
             };
             match taken.iter_mut().find(|(known, _)| *known == agent) {
                 Some((_, count)) => *count += 1,
                 None => taken.push((agent, 1)),
             }
-            chosen.entry(agent).or_default().push(task);
+            plan.chosen.entry(agent).or_default().push(task);
         }
-        left.reverse();
+        plan.left.reverse();
+        plan
+    }
+
+    fn order(&mut self, key: JobKey, step: u16, plan: Plan, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get_mut(&key) else { return };
-        state.steps[usize::from(step)].pending = left;
-        for (agent, tasks) in chosen {
+        let need = state.job.steps[usize::from(step)].need;
+        state.steps[usize::from(step)].pending = plan.left;
+        for (agent, tasks) in plan.chosen {
             let mut orders = Vec::with_capacity(tasks.len());
             for index in tasks {
                 let id = OrderId(self.next_order);
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -70,6 +70,20 @@
 }
 
 const DONE: OrderOutcome = OrderOutcome::Done { run_ms: 100 };
+/// When a job of `job` is refused that has not started, milliseconds after it came.
+const REFUSAL_MS: u64 = 100;
+
+/// Has tasks of other kinds end at an agent so slowly that a job of `job` misses its objective
+/// there, and still ends before it is worth nothing.
+fn slow_down(dispatcher: &mut Dispatcher, agent: AgentKey) {
+    for n in 0..40 {
+        let kind = format!("kind {n}").into();
+        let other = DirectJob { kind, allowance_ms: 60_000, ..job(&format!("other {n}"), 1) };
+        let (_, effects) = dispatcher.submit(other, n);
+        let (_, id) = orders(&effects)[0];
+        settle(dispatcher, agent, 4, &[(id, OrderOutcome::Done { run_ms: 400 })], n);
+    }
+}
 
 #[test]
 fn answers_when_every_task_has_ended_well() {
@@ -348,3 +362,31 @@
     let used: Vec<_> = orders(&effects).into_iter().map(|(agent, _)| agent).collect();
     assert_eq!(used, [keys[1]]);
 }
+
+#[test]
+fn a_job_that_misses_its_objective_starts_late_where_there_is_room_for_all_of_it() {
+    // Learned to be three times slower than what the objective allows.
+    let (mut dispatcher, keys) = dispatcher(&[("slow", 4)]);
+    slow_down(&mut dispatcher, keys[0]);
+    let (key, effects) = dispatcher.submit(job("j", 2), 50);
+    assert!(
+        orders(&effects).is_empty(),
+        "nothing starts that would be late, while others may come"
+    );
+    let effects = dispatcher.tick(50 + REFUSAL_MS);
+    assert_eq!(orders(&effects).len(), 2);
+    assert!(ends(&effects).is_empty(), "{key:?} is not refused");
+}
+
+#[test]
+fn a_job_of_which_a_part_would_fit_late_is_refused_unstarted() {
+    let (mut dispatcher, keys) = dispatcher(&[("slow", 4)]);
+    slow_down(&mut dispatcher, keys[0]);
+    dispatcher.submit(job("j", 5), 50);
+    let effects = dispatcher.tick(50 + REFUSAL_MS);
+    assert!(orders(&effects).is_empty());
+    assert!(matches!(
+        ends(&effects)[..],
+        [JobEnd::NotRun { reason: RefusalReason::Overloaded, .. }]
+    ));
+}
