End a planned stop of an entry within its grace whatever cannot be reached

Cause: an entry that stops hands its partitions over, which takes appends to the log; without the log the writer repeats them for ever, and the stop waited for that without a bound. Three entries that stop together while the log is gone never ended (the new test hangs without the bound; one entry alone has nobody to hand over to and ends). The setting `grace_ms` bounds the stop, and a line says what it left.

Callers that do not read their answers hold the second part of the stop as well.

--- a/crates/ebonycroft/examples/control_cost/fleet.rs
+++ b/crates/ebonycroft/examples/control_cost/fleet.rs
@@ -100,6 +100,7 @@
             limits: Default::default(),
             jobs: Default::default(),
             journal: Default::default(),
+            grace_ms: 30_000,
             traces: Default::default(),
         };
         let parts = EntryParts { log: Some(self.log.clone()), ..Default::default() };
--- a/crates/ebonycroft/src/commands/local_system.rs
+++ b/crates/ebonycroft/src/commands/local_system.rs
@@ -209,6 +209,7 @@
         limits: Default::default(),
         jobs: Default::default(),
         journal: Default::default(),
+        grace_ms: 30_000,
         traces: Default::default(),
     })
 }
--- a/crates/ebonycroft/tests/system/drain.rs
+++ b/crates/ebonycroft/tests/system/drain.rs
@@ -121,3 +121,16 @@
         system.assert_no_second_start();
     });
 }
+
+#[test]
+fn entries_that_stop_together_end_though_the_log_is_gone() {
+    run(async {
+        let system = System::builder().entries(3).upstreams(1).start().await;
+        system.log.faults().update(|faults| faults.dead = true);
+        let drains = system.entries.iter().map(|entry| entry.drain());
+        futures::future::join_all(drains).await;
+        for entry in &system.entries {
+            entry.stopped().await;
+        }
+    });
+}
--- a/crates/ebonycroft/tests/system/support.rs
+++ b/crates/ebonycroft/tests/system/support.rs
@@ -35,6 +35,8 @@
 /// Threads of each process.
 const PROCESS_THREADS: usize = 2;
 const POLL: Duration = Duration::from_millis(5);
+/// Bound of a planned stop of an entry: longer than any task of these tests.
+const GRACE_MS: u64 = 10_000;
 /// Longest time for an answer of the log.
 pub(crate) const LOG_TIMEOUT: Duration = Duration::from_secs(5);
 pub(crate) const PARTITIONS: u16 = 16;
@@ -326,6 +328,7 @@
             limits: Default::default(),
             jobs: self.jobs.clone(),
             journal: Default::default(),
+            grace_ms: GRACE_MS,
             traces: Default::default(),
         };
         let entry = Process::start(Entry::start(settings, EntryParts::default())).await;
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -24,7 +24,7 @@
     net::TcpListener,
     sync::{Notify, oneshot, watch},
     task::JoinHandle,
-    time::{Duration, sleep},
+    time::{Duration, sleep, timeout},
 };
 use types::{Incarnation, Partition, PartitionCount, Peer, StepError};
 
@@ -75,6 +75,7 @@
     publisher: ConfigPublisher,
     owners: watch::Receiver<Owners>,
     is_draining: Arc<AtomicBool>,
+    grace: Duration,
     close_callers: Arc<Notify>,
     tasks: Arc<Vec<JoinHandle<()>>>,
 }
@@ -204,6 +205,7 @@
             publisher,
             owners: actors.owners.clone(),
             is_draining: Arc::default(),
+            grace: Duration::from_millis(settings.grace_ms),
             close_callers: Arc::default(),
             tasks: Arc::default(),
         };
@@ -311,11 +313,24 @@
         is_owned && has_config && !self.is_draining()
     }
 
-    /// Hands the partitions over, finishes the requests in progress and stops.
+    /// Hands the partitions over, finishes the requests in progress and stops, within the grace of
+    /// the settings whatever cannot be reached.
     pub async fn drain(&self) {
         if self.is_draining.swap(true, Ordering::Relaxed) {
             return self.stopped().await;
         }
+        if timeout(self.grace, self.hand_over()).await.is_err() {
+            let has_callers = self.tasks.get(1).is_some_and(|callers| !callers.is_finished());
+            log::warn!(
+                "stopped at the end of the grace of {} ms; partitions not handed over, requests \
+                 in progress: {has_callers}",
+                self.grace.as_millis()
+            );
+        }
+        let _ = self.dispatcher.stop_gracefully().await;
+    }
+
+    async fn hand_over(&self) {
         let (tx, rx) = oneshot::channel();
         if self.keeper.tell(GiveUp { tx }).await.is_ok() {
             let _ = rx.await;
@@ -327,7 +342,6 @@
             }
         }
         sleep(LINGER).await;
-        let _ = self.dispatcher.stop_gracefully().await;
     }
 
     /// Completes when the entry has stopped after a drain, or when an actor or a server
--- a/crates/entry/src/entry/supervision_tests.rs
+++ b/crates/entry/src/entry/supervision_tests.rs
@@ -55,6 +55,7 @@
         limits: Default::default(),
         jobs: Default::default(),
         journal: Default::default(),
+        grace_ms: 30_000,
         traces: Default::default(),
     };
     let parts = EntryParts { log: Some(Arc::new(DownLog)), ..Default::default() };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -36,6 +36,9 @@
         /// Use of the log.
         #[serde(default)]
         pub journal: JournalSettings,
+        /// Longest time from the start of a planned stop to its end, milliseconds.
+        #[serde(default = "default_grace_ms")]
+        pub grace_ms: u64,
         /// Traces.
         #[serde(default)]
         pub traces: TraceSettings,
@@ -92,6 +95,11 @@
     }
 }
 
+/// Source: the longest tasks last several seconds, and partitions are handed over before.
+fn default_grace_ms() -> u64 {
+    30_000
+}
+
 impl Default for LimitSettings {
     fn default() -> Self {
         Self { body_bytes: 8 * 1024 * 1024, max_wait_ms: 60_000, queue_bytes: 64 * 1024 * 1024 }
