Split the agent's state, the supervisor and the dispatcher by job

Starts of runs, what the executor's calls have found, and what an entry says of its agents have files of their own; no behaviour changes. The tests of direct, node, the platform's translation and the stand-ins pass.

--- /dev/null
+++ b/crates/direct/src/supervisor/starts.rs
@@ -0,0 +1,83 @@
+//! Starts of runs.
+
+use std::sync::Arc;
+
+use crate::{
+    OrderBatch, OrderOutcome, SessionKey, StartResult, StartRun, TaskId,
+    supervisor::{
+        Supervisor, SupervisorEffect,
+        run::{Phase, Run, StopReport},
+    },
+};
+
+/// Times that a start is sent before it is given up. A repeated start changes nothing where the run
+/// is there. Source: with one call in three unanswered, three sends reach 26 runs of 27.
+const MAX_START_TRIES: u32 = 3;
+impl Supervisor {
+    /// Takes orders of an entry.
+    pub fn on_orders(&mut self, key: SessionKey, batch: &OrderBatch) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        if let Some(session) = self.session_mut(key) {
+            session.batches_seen += 1;
+        }
+        let mut is_refused = false;
+        for order in &batch.orders {
+            let task = batch.task(order);
+            if self.takes_orders() && self.has_room(batch.need) && !self.runs.contains_key(&task) {
+                let number = order.run.max(self.numbers.get(&task).map_or(0, |n| n + 1));
+                let run = Run {
+                    number,
+                    need: batch.need,
+                    order: Some((key, order.id)),
+                    payload: Arc::clone(&batch.payload),
+                    phase: Phase::Starting { tries: 1 },
+                };
+                self.runs.insert(task.clone(), run);
+                let payload = Arc::clone(&batch.payload);
+                effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
+            } else {
+                is_refused = true;
+                self.settle(&task, Some((key, order.id)), OrderOutcome::NotStarted, &mut effects);
+            }
+        }
+        if is_refused {
+            effects.push(SupervisorEffect::Report(key));
+        }
+        effects
+    }
+
+    /// Takes the answer to a start.
+    pub fn on_start_result(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        result: StartResult,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
+            return effects;
+        };
+        let Phase::Starting { tries } = run.phase else {
+            return effects;
+        };
+        match result {
+            StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
+            StartResult::Unknown if tries < MAX_START_TRIES && !self.silence.is_mute() => {
+                run.phase = Phase::Starting { tries: tries + 1 };
+                let (task, payload) = (task.clone(), Arc::clone(&run.payload));
+                effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
+            }
+            StartResult::Unknown => self.stop_run(task, StopReport::NotStarted, &mut effects),
+            // An earlier try may have started, whatever this one was told.
+            _ if tries > 1 => self.stop_run(task, StopReport::NotStarted, &mut effects),
+            StartResult::OldRun => {
+                self.numbers.insert(task.clone(), number + 1);
+                self.finish(task, OrderOutcome::NotStarted, &mut effects);
+            }
+            StartResult::Refused => self.finish(task, OrderOutcome::NotStarted, &mut effects),
+            StartResult::Unhealthy => self.finish(task, OrderOutcome::Unhealthy, &mut effects),
+        }
+        effects
+    }
+}
