Write whole lines in pieces that a pipe takes at once

A chunk of lines was one write, and a pipe takes only 4,096 bytes in one piece. Ruled out: a job without an end (its line is there, cut in two) and lines left out (none was counted).

--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -12,7 +12,7 @@
 use serde_json::{Map, Value, json};
 
 pub(crate) use crate::line_budget::Weight;
-use crate::{clock, line_budget::LineBudget};
+use crate::{clock, line_budget::LineBudget, whole_lines};
 
 /// Chunks that wait for a slow reader before lines are dropped.
 const CHUNKS_WAITING: usize = 16;
@@ -57,7 +57,9 @@
                 match chunk {
                     // A reader that has gone must not end the process; there is nowhere to say so.
                     Chunk::Lines(lines) => {
-                        let _ = out.write_all(&lines).and_then(|()| out.flush());
+                        for write in whole_lines::writes(&lines) {
+                            let _ = out.write_all(write).and_then(|()| out.flush());
+                        }
                     }
                     Chunk::End(done) => {
                         // The process does not wait any more.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod settings_watch;
 mod signals;
 mod store_access;
+mod whole_lines;
 
 pub use crate::{
     agent::DirectAgent,
