--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -4,3 +4,4 @@
 mod decisions;
 mod reload;
 mod role;
+mod templates;
