--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -5,3 +5,4 @@
 mod reload;
 mod role;
 mod templates;
+mod way;
