Say when another entry is connected and lost

Cause: links between entries were the only ones without lines; whether an entry could have learnt a configuration from a peer could not be told afterwards. The new test waited in vain for them before.

--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -2,6 +2,7 @@
 
 mod blocked_output;
 mod decisions;
+mod peers;
 mod reload;
 mod role;
 mod templates;
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -298,6 +298,17 @@
         entries
     }
 
+    fn peer_connected(&self, addr: SocketAddr) {
+        let fields = [("peer", json!(addr.to_string())), ("config", json!(self.version()))];
+        self.events.line(Weight::Notable, "peer_connected", &fields);
+    }
+
+    fn peer_lost(&self, addr: SocketAddr, cause: Option<&StepError>) {
+        let cause = cause.map_or_else(|| "silent".to_owned(), ToString::to_string);
+        let fields = [("peer", json!(addr.to_string())), ("cause", json!(cause))];
+        self.events.line(Weight::Notable, "peer_lost", &fields);
+    }
+
     fn learn(&self, entries: &[SocketAddr]) {
         entries.iter().filter(|addr| **addr != self.links).for_each(|addr| self.known.add(*addr));
     }
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -53,6 +53,10 @@
     fn entries(&self) -> Vec<SocketAddr>;
     /// Learns of entries.
     fn learn(&self, entries: &[SocketAddr]);
+    /// Notes that a peer is connected.
+    fn peer_connected(&self, addr: SocketAddr);
+    /// Notes that the connection of a peer has ended; without a cause it was silent.
+    fn peer_lost(&self, addr: SocketAddr, cause: Option<&StepError>);
 }
 
 /// Keeps a connection to another entry until it is forgotten.
@@ -67,7 +71,10 @@
             tx.flush().await?;
             known.set_connected(addr, true);
             failures = 0;
-            exchange(tx.retype(), rx, &holder).await
+            holder.peer_connected(addr);
+            let result = exchange(tx.retype(), rx, &holder).await;
+            holder.peer_lost(addr, result.as_ref().err());
+            result
         };
         let result: Result<(), StepError> = outcome.await;
         if let Err(e) = result {
