Order one step of a job that starts late, so that two steps do not share the same room

Found by reading the change again: a job with several steps that could start at the same time was planned step by step on the same free room before any of it was charged; 6 tasks were ordered where 4 fit. Agents deny what does not fit, so no executor went over its capacity; the denials were wasted. The first step is now ordered whole or not at all, and the others follow as there is room. The new test failed before. The queue is kept up to date in the same place for both ways to place.

--- a/crates/direct/src/dispatcher/placing.rs
+++ b/crates/direct/src/dispatcher/placing.rs
@@ -38,7 +38,6 @@
             if !state.may_have_run() && now_ms >= state.refuse_at_ms {
                 if self.place_late(key, now_ms, &mut effects) {
                     room = self.room(now_ms);
-                    self.unqueue_placed(key);
                     continue;
                 }
                 let Some(state) = self.jobs.get(&key) else { continue };
@@ -79,8 +78,9 @@
         }
     }
 
-    /// Orders all tasks of a job that can start now, where each can still end before the answer is
-    /// worth nothing; orders none if one has no such place.
+    /// Orders all tasks of the first step that can start now, where each can still end before the
+    /// answer is worth nothing; orders none if one has no such place. Other steps follow as there
+    /// is room.
     fn place_late(
         &mut self,
         key: JobKey,
@@ -88,18 +88,14 @@
         effects: &mut Vec<DispatcherEffect>,
     ) -> bool {
         let Some(state) = self.jobs.get(&key) else { return false };
-        let mut plans = Vec::new();
-        for step in state.eligible_steps() {
-            let want = self.want_late(state, &state.job.steps[usize::from(step)], now_ms);
-            let plan = self.plan_step(state, step, &want);
-            if !plan.left.is_empty() {
-                return false;
-            }
-            plans.push((step, plan));
-        }
-        for (step, plan) in plans {
-            self.order(key, step, plan, effects);
+        let Some(step) = state.eligible_steps().next() else { return false };
+        let want = self.want_late(state, &state.job.steps[usize::from(step)], now_ms);
+        let plan = self.plan_step(state, step, &want);
+        if !plan.left.is_empty() {
+            return false;
         }
+        self.order(key, step, plan, effects);
+        self.unqueue_placed(key);
         true
     }
 
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -397,6 +397,16 @@
     assert!(ends(&effects).is_empty(), "{key:?} is not refused");
 }
 
+#[test]
+fn a_job_that_starts_late_gets_no_more_than_is_free() {
+    let (mut dispatcher, keys) = dispatcher(&[("slow", 4)]);
+    slow_down(&mut dispatcher, keys[0], LATE_MS);
+    let two_steps = DirectJob { steps: vec![step(3), step(3)], ..job("j", 1) };
+    dispatcher.submit(two_steps, 50);
+    let effects = dispatcher.tick(50 + REFUSAL_MS);
+    assert!((1..=4).contains(&orders(&effects).len()), "{effects:?}");
+}
+
 #[test]
 fn a_job_of_which_a_part_would_fit_late_is_refused_unstarted() {
     let (mut dispatcher, keys) = dispatcher(&[("slow", 4)]);
