Make links active on demand, and connect entries on a ring

Cause: every agent reported each change of its load to every entry, every link carried a heartbeat in both directions every 200 ms, and entries sent each other their address lists every 600 ms over two connections for each pair.

Change: a link is on standby until the entry makes it active; link_activity decides which are, choose_peers which entries an entry connects to. Both do no I/O. Sessions, leases and runs do not depend on the state of a link.

Links of this version and earlier ones do not understand each other.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -6,6 +6,7 @@
     DirectJob, JobOutcome, JobStep, RefusalReason,
     dispatcher::{
         Dispatcher, JobKey,
+        agent_view::AgentView,
         job_state::{JobState, StepState},
     },
 };
@@ -60,21 +61,19 @@
         // Without a known upstream the job waits: the agents may not have connected yet to an entry
         // that has just started.
         self.agents_of(&job.pool).next()?;
-        let fits = |step: &JobStep| {
-            self.agents_of(&job.pool).any(|(_, view)| {
-                view.upstream.as_ref().is_some_and(|up| {
-                    step.need.fits_in(up.capacity)
-                        && step.label.as_ref().is_none_or(|label| up.labels.contains(label))
-                })
-            })
-        };
+        let fits = |step: &JobStep| self.agents_of(&job.pool).any(|(_, view)| view.fits(step));
         if job.steps.iter().all(fits) {
             return None;
         }
         // While some upstream is unavailable, one that fits may come back: the caller may resubmit.
-        let is_all_open =
-            self.agents_of(&job.pool).all(|(_, v)| v.is_open(now_ms, self.timing.silence_ms));
-        Some(if is_all_open { JobOutcome::Failed } else { self.refusal(RefusalReason::NoUpstream) })
+        let is_available =
+            |view: &AgentView| view.is_open(now_ms, self.timing.silence_ms) || view.is_standby();
+        let is_all_available = self.agents_of(&job.pool).all(|(_, view)| is_available(view));
+        Some(if is_all_available {
+            JobOutcome::Failed
+        } else {
+            self.refusal(RefusalReason::NoUpstream)
+        })
     }
 
     /// Returns the outcome of a refused job.
--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -10,6 +10,11 @@
 /// Factor of the expected run time that should fit before the objective, because run times vary. An
 /// upstream with less time is chosen only if there is no other.
 const RUN_TIME_MARGIN: f64 = 1.6;
+/// Cost of probably missing the objective: more than all other costs together.
+const MISS_COST: f64 = 100.0;
+/// Time after a job's arrival during which its tasks wait for agents on standby rather than start
+/// where they would probably miss the objective, milliseconds: about two activations.
+const WIDENING_WAIT_MS: u64 = 15;
 
 types::plain! {
     /// Requirements of a task on the upstream that runs it.
@@ -74,11 +79,12 @@
         let step = &state.job.steps[usize::from(step_index)];
         let avoided = self.avoided(state, step_index, task, requirements.now_ms);
         let mut best: Option<(f64, AgentKey)> = None;
-        for (key, view) in self.agents_of(&state.job.pool) {
+        for (key, view) in self.active_agents() {
             let planned_here =
                 planned.iter().find(|(agent, _)| *agent == key).map_or(0, |(_, n)| *n);
             let Some(upstream) = &view.upstream else { continue };
-            if !view.is_open(requirements.now_ms, self.timing.silence_ms)
+            if !view.is_in_pool(&state.job.pool)
+                || !view.is_open(requirements.now_ms, self.timing.silence_ms)
                 || view
                     .health
                     .rejects_tasks(requirements.now_ms, view.attempts.len() + planned_here as usize)
@@ -104,7 +110,18 @@
                 best = Some((cost, key));
             }
         }
-        best.map(|(_, key)| key)
+        // An agent whose link is on standby may still run the task in time.
+        let may_wait = requirements.now_ms < state.arrived_ms + WIDENING_WAIT_MS
+            && requirements.max_expected_ms <= requirements.until_objective_ms;
+        best.filter(|(cost, _)| {
+            !(may_wait && *cost >= MISS_COST && self.has_standby(&state.job.pool, step))
+        })
+        .map(|(_, key)| key)
+    }
+
+    /// Returns whether an agent on standby can run tasks of the step.
+    fn has_standby(&self, pool: &str, step: &JobStep) -> bool {
+        self.agents_of(pool).any(|(_, view)| view.is_standby() && view.fits(step))
     }
 
     /// Returns the agents that a task must not be sent to again: those on which it failed, unless
@@ -118,7 +135,8 @@
     ) -> &'a [AgentKey] {
         let Some(history) = state.histories.get(&(step, task)) else { return &[] };
         let is_other = |(key, view): (AgentKey, &AgentView)| {
-            view.is_open(now_ms, self.timing.silence_ms) && !history.avoided.contains(&key)
+            (view.is_open(now_ms, self.timing.silence_ms) || view.is_standby())
+                && !history.avoided.contains(&key)
         };
         if self.agents_of(&state.job.pool).any(is_other) { &history.avoided } else { &[] }
     }
@@ -144,8 +162,6 @@
     const SHARED_GAIN: f64 = 0.25;
     /// Cost of a rack that does not hold the task's data.
     const OTHER_RACK_COST: f64 = 0.5;
-    /// Cost of probably missing the objective: more than all other costs together.
-    const MISS_COST: f64 = 100.0;
     let until_objective_ms = requirements.until_objective_ms.max(1.0);
     let run_ms = requirements.expected_ms / speed;
     let risk = if run_ms * RUN_TIME_MARGIN > until_objective_ms { MISS_COST } else { 0.0 };
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -4,7 +4,7 @@
 use types::Resources;
 
 use crate::{
-    AttemptId, Load, Upstream, UpstreamState,
+    AttemptId, JobStep, Load, Upstream, UpstreamState,
     dispatcher::{health::UpstreamHealth, speed::Speed},
 };
 
@@ -14,7 +14,13 @@
     pub(crate) name: Arc<str>,
     pub(crate) incarnation: u64,
     pub(crate) is_connected: bool,
+    /// Whether the link is active, that is, the agent reports each change of its load.
+    pub(crate) is_active: bool,
     pub(crate) last_heard_ms: u64,
+    /// Start of the present wait for a message: the last message, connection or activation.
+    pub(crate) awaited_since_ms: u64,
+    /// Position in the order in which this entry activates links; it differs between entries.
+    pub(crate) rank: u64,
     pub(crate) upstream: Option<Upstream>,
     load: Load,
     batches_sent: u64,
@@ -26,12 +32,15 @@
 }
 
 impl AgentView {
-    pub(crate) fn new(name: Arc<str>, incarnation: u64, now_ms: u64) -> Self {
+    pub(crate) fn new(name: Arc<str>, incarnation: u64, rank: u64, now_ms: u64) -> Self {
         Self {
             name,
             incarnation,
             is_connected: true,
+            is_active: false,
             last_heard_ms: now_ms,
+            awaited_since_ms: now_ms,
+            rank,
             upstream: None,
             load: Load { free: Resources::default(), batches_seen: 0, is_open: false },
             batches_sent: 0,
@@ -46,14 +55,18 @@
     /// first report.
     pub(crate) fn on_connected(&mut self, now_ms: u64) {
         self.is_connected = true;
+        self.is_active = false;
         self.last_heard_ms = now_ms;
+        self.awaited_since_ms = now_ms;
         self.batches_sent = 0;
         self.unacknowledged.clear();
         self.load.is_open = false;
     }
 
     /// Applies a load report and drops the charges of the batches that it accounts for.
-    pub(crate) fn on_report(&mut self, load: Load) {
+    pub(crate) fn on_report(&mut self, load: Load, now_ms: u64) {
+        self.last_heard_ms = now_ms;
+        self.awaited_since_ms = now_ms;
         self.load = load;
         while self.unacknowledged.front().is_some_and(|(number, _)| *number <= load.batches_seen) {
             self.unacknowledged.pop_front();
@@ -73,15 +86,32 @@
             .fold(self.load.free, |free, (_, need)| free.saturating_sub(*need))
     }
 
-    /// Returns whether the agent accepts new tasks and sent a message within `silence_ms`.
+    /// Returns whether tasks may be sent: the link is active, and the agent accepts new tasks and
+    /// sent a message within `silence_ms`.
     pub(crate) fn is_open(&self, now_ms: u64, silence_ms: u64) -> bool {
-        let is_ready = self.upstream.as_ref().is_some_and(|up| up.state == UpstreamState::Ready);
-        self.is_connected
-            && self.load.is_open
-            && is_ready
+        self.is_active
+            && self.accepts_tasks()
             && now_ms.saturating_sub(self.last_heard_ms) < silence_ms
     }
 
+    /// Returns whether the agent would accept tasks if its link were active, by its last report.
+    pub(crate) fn is_standby(&self) -> bool {
+        !self.is_active && self.accepts_tasks()
+    }
+
+    fn accepts_tasks(&self) -> bool {
+        let is_ready = self.upstream.as_ref().is_some_and(|up| up.state == UpstreamState::Ready);
+        self.is_connected && self.load.is_open && is_ready
+    }
+
+    /// Returns whether the upstream can run a task with these needs while it runs nothing else.
+    pub(crate) fn fits(&self, step: &JobStep) -> bool {
+        self.upstream.as_ref().is_some_and(|up| {
+            step.need.fits_in(up.capacity)
+                && step.label.as_ref().is_none_or(|label| up.labels.contains(label))
+        })
+    }
+
     pub(crate) fn is_in_pool(&self, pool: &str) -> bool {
         self.upstream.as_ref().is_some_and(|up| &*up.pool == pool)
     }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -8,6 +8,7 @@
 mod health;
 mod job_outcomes;
 mod job_state;
+mod link_activity;
 mod placement;
 mod speed;
 mod summary;
@@ -20,7 +21,9 @@
 use crate::{
     AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
     ToAgent,
-    dispatcher::{agent_view::AgentView, job_state::JobState, speed::KindRatio},
+    dispatcher::{
+        agent_view::AgentView, job_state::JobState, link_activity::LinkActivity, speed::KindRatio,
+    },
 };
 
 types::identifier! {
@@ -38,6 +41,8 @@
         Send(AgentKey, ToAgent),
         /// Answers a submission with the outcome of its job.
         Answer(JobKey, JobOutcome),
+        /// Closes the connection of an agent, which has been silent for too long.
+        CloseLink(AgentKey),
         /// Reports that an upstream was ejected or is in use again.
         EjectionChanged {
             /// Name of the upstream's agent.
@@ -77,6 +82,7 @@
     timing: Timing,
     zone: Arc<str>,
     agents: Vec<AgentView>,
+    links: LinkActivity,
     jobs: IndexMap<JobKey, JobState>,
     by_id: IndexMap<Arc<str>, JobKey>,
     /// Jobs with tasks to start, the most urgent first.
@@ -92,12 +98,14 @@
 }
 
 impl Dispatcher {
-    /// Creates the state of an entry in the given availability zone.
-    pub fn new(timing: Timing, zone: Arc<str>) -> Self {
+    /// Creates the state of an entry in the given availability zone. `seed` differs between
+    /// entries, so that they prefer different agents.
+    pub fn new(timing: Timing, zone: Arc<str>, seed: u64) -> Self {
         Self {
             timing,
             zone,
             agents: Vec::new(),
+            links: LinkActivity::new(seed),
             jobs: IndexMap::new(),
             by_id: IndexMap::new(),
             queue: BTreeSet::new(),
@@ -168,12 +176,15 @@
         let index = match position {
             Some(index) => index,
             None => {
-                let view = AgentView::new(Arc::clone(&hello.agent), hello.incarnation, now_ms);
+                let rank = self.links.rank(&hello.agent);
+                let view =
+                    AgentView::new(Arc::clone(&hello.agent), hello.incarnation, rank, now_ms);
                 self.agents.push(view);
                 self.agents.len() - 1
             }
         };
         let key = AgentKey(u32::try_from(index).unwrap_or(u32::MAX));
+        self.links.active.remove(&key);
         let view = &mut self.agents[index];
         view.on_connected(now_ms);
         if view.incarnation != hello.incarnation {
@@ -182,6 +193,7 @@
             // A restarted agent stops all runs that it finds before it connects.
             effects.extend(self.settle_all(key, AttemptOutcome::Lost, now_ms));
         }
+        self.activate_at_rest(key, now_ms, &mut effects);
         let outstanding = self.agents[index].attempts.iter().copied().collect();
         (key, outstanding, effects)
     }
@@ -191,6 +203,8 @@
     pub fn on_disconnected(&mut self, key: AgentKey) {
         if let Some(view) = self.agents.get_mut(key.0 as usize) {
             view.is_connected = false;
+            view.is_active = false;
+            self.links.active.remove(&key);
         }
     }
 
@@ -204,8 +218,7 @@
     ) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
         let Some(view) = self.agents.get_mut(key.0 as usize) else { return effects };
-        view.last_heard_ms = now_ms;
-        view.on_report(report.load);
+        view.on_report(report.load, now_ms);
         if let Some(upstream) = report.upstream {
             let is_new = view
                 .upstream
@@ -216,6 +229,7 @@
                 view.health = health::UpstreamHealth::default();
             }
             view.upstream = Some(upstream);
+            self.activate_at_rest(key, now_ms, &mut effects);
         }
         for (id, outcome) in report.outcomes {
             self.settle(id, outcome, now_ms, &mut effects);
@@ -224,8 +238,9 @@
         effects
     }
 
-    /// Acts on the passage of time: settles attempts at lost agents, answers jobs at their deadline
-    /// and dispatches or refuses queued ones. Must be called periodically.
+    /// Acts on the passage of time: settles attempts at lost agents, answers jobs at their deadline,
+    /// dispatches or refuses queued ones, and activates or closes links. Must be called
+    /// periodically.
     pub fn tick(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
         let lost_after_ms = self.timing.session_end_ms() + self.timing.lease_end_ms();
@@ -247,6 +262,8 @@
         for key in expired {
             self.answer_at_deadline(key, &mut effects);
         }
+        self.close_silent(now_ms, &mut effects);
+        self.adjust_links(now_ms, &mut effects);
         effects.extend(self.dispatch_queued(now_ms));
         effects
     }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -27,6 +27,7 @@
         let mut effects = Vec::new();
         let keys: Vec<JobKey> = self.queue.iter().map(|(_, key)| *key).collect();
         let mut free = self.max_free(now_ms);
+        let mut unplaced = Vec::new();
         for key in keys {
             let Some(state) = self.jobs.get(&key) else { continue };
             if self.stopping_jobs.contains_key(state.id()) {
@@ -36,6 +37,7 @@
                 free = self.max_free(now_ms);
             }
             let Some(state) = self.jobs.get(&key) else { continue };
+            unplaced.extend(state.eligible_steps().next().map(|step| (key, step)));
             if !state.may_have_run() && now_ms >= state.refuse_at_ms {
                 if self.place_late(key, now_ms, &mut effects) {
                     free = self.max_free(now_ms);
@@ -49,13 +51,17 @@
                 self.answer(key, outcome, &mut effects);
             }
         }
+        if !unplaced.is_empty() {
+            self.widen_for(&unplaced, now_ms, &mut effects);
+        }
         effects
     }
 
     /// Returns the maximum free capacity over the open agents, for each resource separately.
     fn max_free(&self, now_ms: u64) -> Resources {
         let silence_ms = self.timing.silence_ms;
-        let open = self.agents.iter().filter(|view| view.is_open(now_ms, silence_ms));
+        let views = self.active_agents().map(|(_, view)| view);
+        let open = views.filter(|view| view.is_open(now_ms, silence_ms));
         open.map(AgentView::free).fold(Resources::default(), Resources::max_each)
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 mod dispatcher;
 mod job;
 mod link_message;
+mod peer_choice;
 mod routing;
 mod supervisor;
 mod task_id;
@@ -24,6 +25,7 @@
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, EntryHello, Load, Report,
         ToAgent,
     },
+    peer_choice::choose_peers,
     routing::{Queue, RequestLimits, Routing},
     supervisor::{
         RunList, RunOutcome, RunRow, SessionKey, StartResult, StartRun, Supervisor,
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -76,6 +76,10 @@
         /// Heartbeat; lists the entries that the sender knows, or none if these have not changed.
         #[serde(rename = "Alive")]
         Heartbeat(Vec<SocketAddr>),
+        /// Makes the link active or puts it on standby; it is on standby after the handshake. On an
+        /// active link, the agent reports each change of its load, and both sides send frequent
+        /// heartbeats. On standby, it reports only outcomes and changes of its upstream.
+        SetActive(bool),
     }
 
     /// Capacity that an agent offers.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -48,6 +48,8 @@
     /// they are being stopped. The number is that of the run.
     orphaned_runs: IndexSet<(TaskId, u32)>,
     last_lease_sent_ms: u64,
+    /// Free capacity when the entries were last told of a change.
+    reported_free: Resources,
     response_monitor: ResponseMonitor,
 }
 
@@ -67,6 +69,7 @@
             orphaned_runs: IndexSet::new(),
             // An earlier agent may have granted a lease until now.
             last_lease_sent_ms: now_ms,
+            reported_free: Resources::default(),
             response_monitor: ResponseMonitor::default(),
         }
     }
@@ -174,6 +177,7 @@
         if let Some((_, session)) = self.sessions.get_mut(entry) {
             session.last_heard_ms = now_ms;
             session.is_connected = true;
+            session.is_active = false;
             session.batches_seen = 0;
             session.unsent.clear();
             for id in outstanding.iter().filter(|id| !live.contains(id)) {
@@ -192,6 +196,20 @@
         }
     }
 
+    /// Makes a session's link active or puts it on standby. An active link gets a report at once.
+    pub fn set_active(&mut self, key: SessionKey, is_active: bool) -> Vec<SupervisorEffect> {
+        let Some(session) = self.session_mut(key) else { return Vec::new() };
+        session.is_active = is_active;
+        // The heartbeat period changes, so the task that sends reports is woken in both cases.
+        vec![SupervisorEffect::Report(key)]
+    }
+
+    /// Returns the period of a session's heartbeats, milliseconds.
+    pub fn heartbeat_ms(&self, key: SessionKey) -> u64 {
+        let is_active = self.sessions.values().any(|(known, s)| *known == key && s.is_active);
+        if is_active { self.timing.heartbeat_ms } else { self.timing.standby_heartbeat_ms }
+    }
+
     /// Marks a session as disconnected. Its runs go on until the session times out.
     pub fn on_disconnected(&mut self, key: SessionKey) {
         if let Some(session) = self.session_mut(key) {
@@ -232,9 +250,9 @@
         if self.response_monitor.record_timeout(now_ms) { self.report_all() } else { Vec::new() }
     }
 
-    /// Acts on the passage of time: stops the runs of sessions that have timed out, and settles all
-    /// runs as lost when the last lease of an unresponsive upstream has ended. Must be called
-    /// periodically.
+    /// Acts on the passage of time: stops the runs of sessions that have timed out, settles all
+    /// runs as lost when the last lease of an unresponsive upstream has ended, and reports a change
+    /// of the free capacity on active links. Must be called periodically.
     pub fn tick(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
         let session_ms = self.timing.session_ms;
@@ -260,6 +278,12 @@
                 effects.push(SupervisorEffect::Open);
             }
         }
+        let free = self.free();
+        if self.reported_free != free {
+            self.reported_free = free;
+            let active = self.sessions.values().filter(|(_, session)| session.is_active);
+            effects.extend(active.map(|(key, _)| SupervisorEffect::Report(*key)));
+        }
         effects
     }
 
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -13,6 +13,8 @@
     pub(crate) last_heard_ms: u64,
     /// Whether the session has a connection; it outlives the connection for a limited time.
     pub(crate) is_connected: bool,
+    /// Whether the link is active, that is, its entry needs each change of the load.
+    pub(crate) is_active: bool,
     /// Number of batches received on the current connection.
     pub(crate) batches_seen: u64,
     /// Outcomes that are not sent yet.
@@ -27,6 +29,7 @@
             incarnation,
             last_heard_ms: now_ms,
             is_connected: true,
+            is_active: false,
             batches_seen: 0,
             unsent: Vec::new(),
             recent: VecDeque::new(),
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -16,10 +16,14 @@
         pub stop_ms: u64,
         /// Time after which a caller resubmits an unanswered job, as the platform specifies it.
         pub resend_ms: u64,
-        /// Heartbeat period on an idle connection.
+        /// Heartbeat period on an active link without other messages.
         pub heartbeat_ms: u64,
-        /// Time without a message after which a connection is replaced.
+        /// Time without a message after which the connection of an active link is replaced.
         pub silence_ms: u64,
+        /// Heartbeat period on a link on standby.
+        pub standby_heartbeat_ms: u64,
+        /// Time without a message after which the connection of a link on standby is replaced.
+        pub standby_silence_ms: u64,
         /// Timeout of a call to an upstream.
         pub call_ms: u64,
         /// Gap between two readings of the clock that counts as a suspension of the process.
@@ -36,6 +40,8 @@
             resend_ms: 1_300,
             heartbeat_ms: 200,
             silence_ms: 550,
+            standby_heartbeat_ms: 3_000,
+            standby_silence_ms: 8_000,
             call_ms: 100,
             suspension_ms: 400,
         }
@@ -55,6 +61,8 @@
         },
         /// A connection without messages is replaced only after the session on it has ended.
         SilenceOutlivesSession,
+        /// A healthy link is replaced between two of its heartbeats.
+        HeartbeatOutlivesSilence,
     }
 }
 
@@ -69,6 +77,10 @@
             Self::SilenceOutlivesSession => {
                 f.write_str("silence_ms must be shorter than session_ms")
             }
+            Self::HeartbeatOutlivesSilence => f.write_str(
+                "heartbeat_ms must be shorter than silence_ms, and standby_heartbeat_ms than \
+                 standby_silence_ms",
+            ),
         }
     }
 }
@@ -89,8 +101,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the inconsistency if the runs of a session end too late, or if a connection is
-    /// replaced only after its session has ended.
+    /// Returns the inconsistency if the runs of a session end too late, if a connection is
+    /// replaced only after its session has ended, or if a healthy connection is replaced.
     pub fn check(&self) -> Result<(), BoundsError> {
         if self.session_end_ms() > self.resend_ms {
             let (end_ms, resend_ms) = (self.session_end_ms(), self.resend_ms);
@@ -99,6 +111,11 @@
         if self.silence_ms >= self.session_ms {
             return Err(BoundsError::SilenceOutlivesSession);
         }
+        if self.heartbeat_ms >= self.silence_ms
+            || self.standby_heartbeat_ms >= self.standby_silence_ms
+        {
+            return Err(BoundsError::HeartbeatOutlivesSilence);
+        }
         Ok(())
     }
 }
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -96,6 +96,23 @@
     assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::NotStarted)]);
 }
 
+#[test]
+fn only_active_links_get_a_report_of_each_change_of_load() {
+    let mut agent = agent();
+    agent.supervisor.tick(15);
+    let (other, _) = agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &[], 16);
+    let timing = Timing::default();
+    assert_eq!(agent.supervisor.heartbeat_ms(other), timing.standby_heartbeat_ms);
+    let effects = agent.supervisor.set_active(other, true);
+    assert_eq!(effects, [SupervisorEffect::Report(other)]);
+    assert_eq!(agent.supervisor.heartbeat_ms(other), timing.heartbeat_ms);
+    agent.starts("j", &[1], 1);
+    assert_eq!(agent.supervisor.tick(20), [SupervisorEffect::Report(other)]);
+    assert!(agent.supervisor.tick(40).is_empty(), "nothing has changed");
+    let (again, _) = agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &[], 50);
+    assert_eq!(agent.supervisor.heartbeat_ms(again), timing.standby_heartbeat_ms, "a new link");
+}
+
 types::cases! {
     fn a_refusal_of_a_repeated_start_does_not_settle_the_first(result: StartResult) {
         let mut agent = agent();
@@ -238,4 +255,6 @@
     default_timeouts: (Timing::default(), true),
     long_session: (Timing { session_ms: 1_200, ..Timing::default() }, false),
     long_silence: (Timing { silence_ms: 900, ..Timing::default() }, false),
+    long_heartbeat: (Timing { heartbeat_ms: 600, ..Timing::default() }, false),
+    long_standby_heartbeat: (Timing { standby_heartbeat_ms: 8_000, ..Timing::default() }, false),
 }
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -66,11 +66,19 @@
     let suspensions = state.suspension_count();
     let (key, wake) = state.on_entry_connected(&hello);
     let writer = spawn_local(write(tx.retype(), key, Rc::clone(&wake), Rc::clone(state)));
+    let standby_silence = Duration::from_millis(state.timing.standby_silence_ms);
+    let mut is_active = false;
     let result = loop {
+        let silence_timeout = if is_active { silence_timeout } else { standby_silence };
         match timeout(silence_timeout, rx.next()).await {
             // A message that arrived during a suspension may be as old as the suspension was long.
             _ if state.suspension_count() != suspensions => break Ok(()),
-            Ok(Ok(message)) => state.on_entry_message(key, message),
+            Ok(Ok(message)) => {
+                if let ToAgent::SetActive(value) = message {
+                    is_active = value;
+                }
+                state.on_entry_message(key, message);
+            }
             Ok(Err(e)) => break Err(e),
             Err(_) => break Ok(()),
         }
@@ -86,7 +94,6 @@
     wake: Rc<Notify>,
     state: Rc<AgentState>,
 ) -> Result<(), StepError> {
-    let heartbeat = Duration::from_millis(state.timing.heartbeat_ms);
     let mut sent_upstream = None;
     loop {
         if let Some(report) = state.next_report(key, &mut sent_upstream) {
@@ -94,6 +101,6 @@
             tx.flush().await?;
         }
         // Without a change, the report serves as a heartbeat.
-        let _ = timeout(heartbeat, wake.notified()).await;
+        let _ = timeout(state.heartbeat(key), wake.notified()).await;
     }
 }
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -21,7 +21,7 @@
     sync::{Notify, Semaphore},
     task::spawn_local,
 };
-use types::{Resources, StepError};
+use types::StepError;
 
 use crate::{
     DirectAgentSettings, ProcessSettings,
@@ -58,8 +58,6 @@
     suspension_count: Cell<u64>,
     /// Whether the runs of an earlier agent have ended, so that entries may be dialled.
     is_open: Cell<bool>,
-    /// Free capacity at the last tick.
-    last_free: Cell<Resources>,
     /// Sequence number of the last ended run that the upstream has listed.
     pub(crate) last_ended_seq: Cell<u64>,
     upstream_incarnation: Cell<Option<u64>>,
@@ -87,7 +85,6 @@
             suspensions: SuspensionDetector::new(process.timing.suspension_ms),
             suspension_count: Cell::new(0),
             is_open: Cell::new(false),
-            last_free: Cell::default(),
             last_ended_seq: Cell::new(0),
             upstream_incarnation: Cell::new(None),
         }))
@@ -173,10 +170,6 @@
         let now_ms = self.now_ms();
         let effects = self.supervisor.borrow_mut().tick(now_ms);
         self.apply(effects);
-        let free = self.supervisor.borrow().free();
-        if self.last_free.replace(free) != free {
-            self.report_wakers.borrow().values().for_each(|wake| wake.notify_one());
-        }
         self.events.flush();
     }
 
@@ -215,6 +208,7 @@
         let effects = match message {
             ToAgent::Start(batch) => supervisor.on_attempts(key, &batch),
             ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
+            ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
             ToAgent::Heartbeat(entries) => {
                 self.known_entries.add_all(&entries);
                 Vec::new()
@@ -247,6 +241,11 @@
         self.supervisor.borrow_mut().on_disconnected(key);
     }
 
+    /// Returns the period of a session's heartbeats.
+    pub(crate) fn heartbeat(&self, key: SessionKey) -> Duration {
+        Duration::from_millis(self.supervisor.borrow().heartbeat_ms(key))
+    }
+
     /// Returns the next report for a session, if there is one to send. `sent_upstream` is the
     /// upstream as it was last sent on the connection.
     pub(crate) fn next_report(
--- a/crates/node/src/entry/agent_links.rs
+++ b/crates/node/src/entry/agent_links.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use direct::{AgentHello, EntryHello, Report, ToAgent};
+use direct::{AgentHello, Report, ToAgent};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -65,7 +65,7 @@
         FirstMessage::Agent(hello) => serve_agent(&hello, tx, rx.retype(), state).await,
         FirstMessage::Peer => {
             let handler = Rc::clone(state) as Rc<dyn PeerHandler>;
-            peer_links::exchange(tx.retype::<PeerMessage>(), rx.retype(), &handler).await
+            peer_links::exchange(tx.retype::<PeerMessage>(), rx.retype(), &handler, || true).await
         }
     }
 }
@@ -77,27 +77,18 @@
     state: &Rc<EntryState>,
 ) -> Result<(), StepError> {
     let (outbox, inbox) = mpsc::channel(OUTBOX_CAPACITY);
-    let (agent, connection_id, outstanding) = state.on_agent_connected(hello, outbox.clone());
-    let reply = EntryHello {
-        entry: Rc::clone(state).name(),
-        incarnation: state.incarnation,
-        outstanding,
-        entries: state.connected_entries(),
-    };
-    // The outbox is new, so it has capacity.
-    let _ = outbox.try_send(ToAgent::Hello(reply));
-    drop(outbox);
-    let heartbeat = Duration::from_millis(state.timing.heartbeat_ms);
-    let writer = spawn_local(write(tx, inbox, heartbeat, Rc::clone(state)));
-    let silence_timeout = Duration::from_millis(state.timing.silence_ms);
-    let result = loop {
-        match timeout(silence_timeout, rx.next()).await {
-            Ok(Ok(report)) => state.on_agent_report(agent, connection_id, report),
-            Ok(Err(e)) => break Err(e),
-            Err(_) => break Ok(()),
+    let (agent, connection_id) = state.on_agent_connected(hello, outbox);
+    let read = async {
+        loop {
+            let report = rx.next().await?;
+            state.on_agent_report(agent, connection_id, report);
         }
     };
-    writer.abort();
+    // The writer ends when the state drops the outbox: the agent was silent or has a new connection.
+    let result = tokio::select! {
+        result = read => result,
+        result = write(tx, inbox, state) => result,
+    };
     state.on_agent_disconnected(agent, connection_id, result.as_ref().err());
     result
 }
@@ -105,13 +96,20 @@
 async fn write(
     mut tx: FrameTx<ToAgent>,
     mut inbox: mpsc::Receiver<ToAgent>,
-    heartbeat: Duration,
-    state: Rc<EntryState>,
+    state: &EntryState,
 ) -> Result<(), StepError> {
+    let standby_heartbeat = Duration::from_millis(state.timing.standby_heartbeat_ms);
+    let mut heartbeat = standby_heartbeat;
     let mut sent_entries = Vec::new();
     loop {
         match timeout(heartbeat, inbox.recv()).await {
-            Ok(Some(message)) => tx.feed(&message).await?,
+            Ok(Some(message)) => {
+                if let ToAgent::SetActive(is_active) = message {
+                    let active = Duration::from_millis(state.timing.heartbeat_ms);
+                    heartbeat = if is_active { active } else { standby_heartbeat };
+                }
+                tx.feed(&message).await?;
+            }
             Ok(None) => return Ok(()),
             Err(_) => {
                 let entries = state.connected_entries();
@@ -125,9 +123,8 @@
                 sent_entries = entries;
             }
         }
-        while let Ok(message) = inbox.try_recv() {
-            tx.feed(&message).await?;
+        if inbox.is_empty() {
+            tx.flush().await?;
         }
-        tx.flush().await?;
     }
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -5,7 +5,7 @@
 mod callers;
 mod state;
 
-use std::{cell::Cell, future::Future, path::PathBuf, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -20,7 +20,7 @@
 
 pub(crate) use crate::entry::agent_links::FirstMessage;
 use crate::{
-    DirectEntrySettings, EXIT_MARGIN_MS, config_watch, directory,
+    DirectEntrySettings, EXIT_MARGIN_MS, clock, config_watch, directory,
     entry::state::EntryState,
     events::Level,
     http_server::{ConnectionLimits, HttpResponse, HttpServer, listen, local_addr},
@@ -178,12 +178,17 @@
     }
 }
 
+async fn dial_peer(addr: SocketAddr, state: Rc<EntryState>) {
+    let handler = Rc::clone(&state) as Rc<dyn peer_links::PeerHandler>;
+    let was_connected = peer_links::dial(addr, handler).await;
+    state.known_entries.end_dial(addr, was_connected, clock::now_ms());
+}
+
 async fn dial_peers(state: Rc<EntryState>) {
     loop {
-        for addr in state.known_entries.take_undialled() {
-            if addr != state.links {
-                let handler = Rc::clone(&state) as Rc<dyn peer_links::PeerHandler>;
-                spawn_local(peer_links::dial(addr, Rc::clone(&state.known_entries), handler));
+        for addr in state.chosen_peers() {
+            if state.known_entries.begin_dial(addr) {
+                spawn_local(dial_peer(addr, Rc::clone(&state)));
             }
         }
         sleep(IDLE_TICK).await;
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -2,14 +2,15 @@
 
 use std::{
     cell::{Cell, RefCell},
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
 };
 
 use direct::{
-    Admission, AgentHello, AgentKey, AttemptId, DirectJob, Dispatcher, DispatcherEffect, JobKey,
-    JobOutcome, PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent,
+    Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello, JobKey,
+    JobOutcome, PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent, choose_peers,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -63,6 +64,13 @@
     raw: Vec<u8>,
 }
 
+/// Returns a number that differs between entries, by their names.
+fn seed(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl EntryState {
     pub(crate) fn new(settings: &DirectEntrySettings) -> Rc<Self> {
         let process = &settings.process;
@@ -75,7 +83,11 @@
             events: Events::start(&process.name, process.log_decisions),
             name: Arc::clone(&process.name),
             grace_ms: Cell::new(process.grace_ms),
-            dispatcher: RefCell::new(Dispatcher::new(process.timing, Arc::clone(&settings.zone))),
+            dispatcher: RefCell::new(Dispatcher::new(
+                process.timing,
+                Arc::clone(&settings.zone),
+                seed(&process.name),
+            )),
             pending_replies: RefCell::default(),
             agents: RefCell::default(),
             next_connection_id: Cell::new(0),
@@ -189,23 +201,31 @@
         self.events.flush();
     }
 
-    /// Starts a session on a new connection of an agent. Returns the agent's key, the connection's
-    /// id and the attempts whose outcome this entry awaits from the agent.
+    /// Starts a session on a new connection of an agent, with the handshake as the first message in
+    /// the outbox. Returns the agent's key and the connection's id.
     pub(crate) fn on_agent_connected(
         &self,
         hello: &AgentHello,
         outbox: mpsc::Sender<ToAgent>,
-    ) -> (AgentKey, u64, Vec<AttemptId>) {
+    ) -> (AgentKey, u64) {
         let now_ms = self.now_ms();
         self.known_entries.add_all(&hello.entries);
         let id = self.next_connection_id.get();
         self.next_connection_id.set(id + 1);
         let (key, outstanding, effects) =
             self.dispatcher.borrow_mut().on_agent_hello(hello, now_ms);
+        let reply = EntryHello {
+            entry: self.name(),
+            incarnation: self.incarnation,
+            outstanding,
+            entries: self.connected_entries(),
+        };
+        // The outbox is new, so it has capacity.
+        let _ = outbox.try_send(ToAgent::Hello(reply));
         self.agents.borrow_mut().insert(key, Connection { id, outbox });
         self.emit_for_agent("agent_connected", key, &[("incarnation", json!(hello.incarnation))]);
         self.apply(effects);
-        (key, id, outstanding)
+        (key, id)
     }
 
     /// Handles a report; ignores it if the agent has a newer connection.
@@ -262,6 +282,7 @@
                         let _ = reply.send(outcome);
                     }
                 }
+                DispatcherEffect::CloseLink(agent) => self.close_link(agent, "silent"),
                 DispatcherEffect::EjectionChanged { agent, is_ejected } => {
                     let fields = [("agent", json!(&*agent)), ("is_ejected", json!(is_ejected))];
                     self.events.emit(Level::Notable, "upstream_judged", &fields);
@@ -270,6 +291,11 @@
         }
     }
 
+    /// Returns the addresses of the entries that this one connects to now.
+    pub(crate) fn chosen_peers(&self) -> Vec<SocketAddr> {
+        choose_peers(self.links, &self.known_entries.reachable(clock::now_ms()))
+    }
+
     /// Queues a message to an agent. If that is not possible, the attempts in it are settled when
     /// the agent connects again.
     fn send(&self, agent: AgentKey, message: ToAgent) {
@@ -298,12 +324,20 @@
             ];
             self.events.emit(Level::Routine, "placed", &fields);
         }
-        let mut agents = self.agents.borrow_mut();
-        let Some(connection) = agents.get(&agent) else { return };
-        if connection.outbox.try_send(message).is_err() {
-            agents.swap_remove(&agent);
-            drop(agents);
-            self.emit_for_agent("agent_lost", agent, &[("cause", json!("outbox full"))]);
+        let result = match self.agents.borrow().get(&agent) {
+            Some(connection) => connection.outbox.try_send(message),
+            None => return,
+        };
+        if result.is_err() {
+            self.close_link(agent, "outbox full");
+        }
+    }
+
+    /// Closes the connection of an agent: its task ends when the outbox is dropped.
+    fn close_link(&self, agent: AgentKey, cause: &str) {
+        if self.agents.borrow_mut().swap_remove(&agent).is_some() {
+            self.emit_for_agent("agent_lost", agent, &[("cause", json!(cause))]);
+            self.dispatcher.borrow_mut().on_disconnected(agent);
         }
     }
 }
@@ -327,7 +361,12 @@
         entries
     }
 
+    fn is_peer_wanted(&self, addr: SocketAddr) -> bool {
+        self.chosen_peers().contains(&addr)
+    }
+
     fn on_peer_connected(&self, addr: SocketAddr) {
+        self.known_entries.set_connected(addr, true);
         let fields = [("peer", json!(addr.to_string())), ("config", json!(self.config_version()))];
         self.events.emit(Level::Notable, "peer_connected", &fields);
     }
--- a/crates/node/src/known_entries.rs
+++ b/crates/node/src/known_entries.rs
@@ -10,11 +10,20 @@
     addrs: RefCell<IndexMap<SocketAddr, EntryStatus>>,
 }
 
+/// Pause after the first failed attempt to reach an address, and maximum pause, milliseconds.
+const MIN_RETRY_PAUSE_MS: u64 = 500;
+const MAX_RETRY_PAUSE_MS: u64 = 4_000;
+/// Consecutive failed attempts after which an address is removed.
+const MAX_FAILED_ATTEMPTS: u32 = 12;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct EntryStatus {
     /// Whether a task dials the address; set by [`KnownEntries::take_undialled`].
     is_dialled: bool,
     is_connected: bool,
+    failed_attempts: u32,
+    /// Time before which the address is not dialled again, milliseconds.
+    retry_at_ms: u64,
 }
 
 impl KnownEntries {
@@ -55,6 +64,34 @@
             .collect()
     }
 
+    /// Returns the addresses that are connected or may be dialled now.
+    pub(crate) fn reachable(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let addrs = self.addrs.borrow();
+        let is_reachable = |status: &EntryStatus| now_ms >= status.retry_at_ms;
+        addrs.iter().filter(|(_, status)| is_reachable(status)).map(|(addr, _)| *addr).collect()
+    }
+
+    /// Marks an address as dialled; returns whether no task dialled it before.
+    pub(crate) fn begin_dial(&self, addr: SocketAddr) -> bool {
+        let mut addrs = self.addrs.borrow_mut();
+        addrs.get_mut(&addr).is_some_and(|status| !std::mem::replace(&mut status.is_dialled, true))
+    }
+
+    /// Records the end of the task that dialled an address. An address that was not reached is
+    /// dialled again after an exponential delay, and removed after [`MAX_FAILED_ATTEMPTS`].
+    pub(crate) fn end_dial(&self, addr: SocketAddr, was_connected: bool, now_ms: u64) {
+        let mut addrs = self.addrs.borrow_mut();
+        let Some(status) = addrs.get_mut(&addr) else { return };
+        status.is_dialled = false;
+        status.is_connected = false;
+        status.failed_attempts = if was_connected { 0 } else { status.failed_attempts + 1 };
+        let pause_ms = MIN_RETRY_PAUSE_MS << status.failed_attempts.min(8);
+        status.retry_at_ms = now_ms + pause_ms.min(MAX_RETRY_PAUSE_MS);
+        if status.failed_attempts >= MAX_FAILED_ATTEMPTS {
+            addrs.swap_remove(&addr);
+        }
+    }
+
     pub(crate) fn set_connected(&self, addr: SocketAddr, is_connected: bool) {
         self.addrs.borrow_mut().entry(addr).or_default().is_connected = is_connected;
     }
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -3,16 +3,10 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::{task::spawn_local, time::timeout};
 use types::StepError;
 
-use crate::{
-    frames::{self, FrameRx, FrameTx},
-    known_entries::KnownEntries,
-};
+use crate::frames::{self, FrameRx, FrameTx};
 
 /// Period in which entries send each other the version of their configuration. A new configuration
 /// needs one period for its version and one for the configuration itself, which is well within the
@@ -21,10 +15,6 @@
 /// Time without a message after which a connection is replaced.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause between attempts to connect.
-const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
-/// Consecutive failed attempts after which an address is removed.
-const MAX_FAILED_ATTEMPTS: u32 = 30;
 
 types::wire! {
     /// A message between entries.
@@ -34,7 +24,8 @@
         Version {
             /// The version; 0 if the sender has no configuration.
             version: u64,
-            /// Addresses of the entries that the sender is connected to, and its own.
+            /// Addresses of the entries that the sender knows to be connected, and its own; empty if
+            /// they have not changed.
             entries: Vec<SocketAddr>,
         },
         /// Requests the configuration.
@@ -57,55 +48,51 @@
     fn connected_entries(&self) -> Vec<SocketAddr>;
     /// Adds addresses of entries to those that are dialled.
     fn add_entries(&self, entries: &[SocketAddr]);
+    /// Returns whether an address is still one of the entry's chosen peers.
+    fn is_peer_wanted(&self, addr: SocketAddr) -> bool;
     /// Reports that the connection to a peer is established.
     fn on_peer_connected(&self, addr: SocketAddr);
     /// Reports that the connection to a peer has ended; there is no `cause` if it timed out.
     fn on_peer_disconnected(&self, addr: SocketAddr, cause: Option<&StepError>);
 }
 
-/// Keeps a connection to another entry open and reconnects when it is lost; returns after
-/// [`MAX_FAILED_ATTEMPTS`], when the address is removed from `known_entries`.
-pub(crate) async fn dial(
-    addr: SocketAddr,
-    known_entries: Rc<KnownEntries>,
-    handler: Rc<dyn PeerHandler>,
-) {
-    let mut failures = 0;
-    while failures < MAX_FAILED_ATTEMPTS {
-        let outcome = async {
-            let stream = frames::connect(addr, CONNECT_TIMEOUT).await?;
-            let (mut tx, rx) =
-                frames::split::<crate::entry::FirstMessage, PeerMessage>(stream, addr)?;
-            tx.feed(&crate::entry::FirstMessage::Peer).await?;
-            tx.flush().await?;
-            known_entries.set_connected(addr, true);
-            failures = 0;
-            handler.on_peer_connected(addr);
-            let result = exchange(tx.retype(), rx, &handler).await;
-            handler.on_peer_disconnected(addr, result.as_ref().err());
-            result
-        };
-        let result: Result<(), StepError> = outcome.await;
-        if let Err(e) = result {
-            log::debug!("link to entry {addr} failed: {e}; reconnecting after {RETRY_PAUSE:?}");
-        }
-        known_entries.set_connected(addr, false);
-        failures += 1;
-        sleep(RETRY_PAUSE).await;
+/// Connects to another entry and exchanges messages until the connection ends or the entry is no
+/// longer one of the chosen peers. Returns whether the connection was established.
+pub(crate) async fn dial(addr: SocketAddr, handler: Rc<dyn PeerHandler>) -> bool {
+    let mut was_connected = false;
+    let outcome = async {
+        let stream = frames::connect(addr, CONNECT_TIMEOUT).await?;
+        let (mut tx, rx) = frames::split::<crate::entry::FirstMessage, PeerMessage>(stream, addr)?;
+        tx.feed(&crate::entry::FirstMessage::Peer).await?;
+        tx.flush().await?;
+        was_connected = true;
+        handler.on_peer_connected(addr);
+        let result = exchange(tx.retype(), rx, &handler, || handler.is_peer_wanted(addr)).await;
+        handler.on_peer_disconnected(addr, result.as_ref().err());
+        result
+    };
+    let result: Result<(), StepError> = outcome.await;
+    if let Err(e) = result {
+        log::debug!("link to entry {addr} failed: {e}; it is dialled again after a pause");
     }
-    known_entries.remove(addr);
+    was_connected
 }
 
 /// Exchanges configuration versions with a peer, and configurations where one side's is newer,
-/// until the connection ends. Returns `Ok` when the peer was silent for [`SILENCE_TIMEOUT`].
+/// until the connection ends or `is_wanted` returns false. Returns `Ok` in the latter case and when
+/// the peer was silent for [`SILENCE_TIMEOUT`].
 pub(crate) async fn exchange(
     tx: FrameTx<PeerMessage>,
     mut rx: FrameRx<PeerMessage>,
     handler: &Rc<dyn PeerHandler>,
+    is_wanted: impl Fn() -> bool,
 ) -> Result<(), StepError> {
     let (outbox, inbox) = tokio::sync::mpsc::channel(4);
     let writer = spawn_local(write(tx, inbox, Rc::clone(handler)));
     let result = loop {
+        if !is_wanted() {
+            break Ok(());
+        }
         let message = match timeout(SILENCE_TIMEOUT, rx.next()).await {
             Ok(Ok(message)) => message,
             Ok(Err(e)) => break Err(e),
@@ -137,14 +124,17 @@
     mut inbox: tokio::sync::mpsc::Receiver<PeerMessage>,
     handler: Rc<dyn PeerHandler>,
 ) -> Result<(), StepError> {
+    let mut sent_entries = Vec::new();
     loop {
         let message = match timeout(VERSION_PERIOD, inbox.recv()).await {
             Ok(Some(message)) => message,
             Ok(None) => return Ok(()),
-            Err(_) => PeerMessage::Version {
-                version: handler.config_version(),
-                entries: handler.connected_entries(),
-            },
+            Err(_) => {
+                let known = handler.connected_entries();
+                let entries = if known == sent_entries { Vec::new() } else { known.clone() };
+                sent_entries = known;
+                PeerMessage::Version { version: handler.config_version(), entries }
+            }
         };
         tx.feed(&message).await?;
         tx.flush().await?;
