Serve a backlog that arrives at once, and restart faster

Ruled out: the start of the processes and of the executors (agents open within 25 ms of their start), the store (15 ms).

With up to 24 agents all links stay active. Reads of the directory wait 20 s and are batched: at a start each of 195 processes was woken by each of 35 announcements.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -11,11 +11,14 @@
     },
 };
 
-/// Share of its objective after which a job that has not started is refused, so that the caller
-/// learns of it in time: the platform penalises later refusals.
+/// Share of its objective after which a job that has not started is refused while overload lasts: a
+/// longer queue would start every job later and none more.
 const MAX_WAIT_SHARE: f64 = 0.24;
-/// Time after which a refused caller may resubmit, milliseconds.
-const MIN_RETRY_AFTER_MS: u64 = 1_000;
+/// The same while overload is brief: the backlog is worked off before it delays later jobs.
+const MAX_BRIEF_WAIT_SHARE: f64 = 0.5;
+/// Time after which a caller may resubmit a job that was refused for another reason than overload,
+/// milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 impl Dispatcher {
     /// Creates the state of a job that arrived now, with the times that follow from its objective.
@@ -27,12 +30,15 @@
         )]
         let chain_ms = (job.longest_chain_ms() as f64 * job.stretch) as u64;
         let objective_ms = chain_ms + job.allowance_ms;
-        #[allow(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss
-        )]
-        let wait_ms = (objective_ms as f64 * MAX_WAIT_SHARE) as u64;
+        let share_ms = |share: f64| {
+            #[allow(
+                clippy::cast_precision_loss,
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss
+            )]
+            let share_ms = (objective_ms as f64 * share) as u64;
+            share_ms
+        };
         let steps = job
             .steps
             .iter()
@@ -45,7 +51,8 @@
             arrived_ms: now_ms,
             objective_at_ms: now_ms + objective_ms,
             deadline_ms: now_ms + job.caller_timeout_ms,
-            refuse_at_ms: now_ms + wait_ms,
+            refuse_at_ms: now_ms + share_ms(MAX_WAIT_SHARE),
+            refuse_at_brief_ms: now_ms + share_ms(MAX_BRIEF_WAIT_SHARE),
             steps,
             histories: IndexMap::new(),
             outstanding: 0,
@@ -76,8 +83,16 @@
         })
     }
 
-    /// Returns the outcome of a refused job.
+    /// Returns the outcome of a job that is refused for another reason than overload.
     pub(crate) fn refusal(&self, reason: RefusalReason) -> JobOutcome {
-        JobOutcome::NotRun { reason, retry_after_ms: MIN_RETRY_AFTER_MS }
+        JobOutcome::NotRun { reason, retry_after_ms: RETRY_AFTER_MS }
+    }
+
+    /// Returns the outcome of a queued job that is refused because of overload.
+    pub(crate) fn overload_refusal(&mut self, key: JobKey, now_ms: u64) -> JobOutcome {
+        let reason = RefusalReason::Overloaded;
+        let Some(state) = self.jobs.get(&key) else { return self.refusal(reason) };
+        let retry_after_ms = self.returns.place(state.job.priority, state.work(), now_ms);
+        JobOutcome::NotRun { reason, retry_after_ms }
     }
 }
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -54,7 +54,7 @@
                 let is_done = state.is_done();
                 let has_next = state.eligible_steps().next().is_some();
                 let priority = state.job.priority;
-                self.learn_run_time(&attempt, run_ms);
+                self.learn_run_time(&attempt, run_ms, now_ms);
                 if is_done {
                     self.answer(attempt.job, JobOutcome::Succeeded, effects);
                 } else if has_next {
@@ -109,9 +109,11 @@
     }
 
     /// Updates the learned speed of the upstream and the learned run times of the job's kind.
-    fn learn_run_time(&mut self, attempt: &OutstandingAttempt, run_ms: u32) {
+    fn learn_run_time(&mut self, attempt: &OutstandingAttempt, run_ms: u32, now_ms: u64) {
         let Some(state) = self.jobs.get(&attempt.job) else { return };
-        let declared = f64::from(state.job.steps[usize::from(attempt.step)].estimate_ms.max(1));
+        let step = &state.job.steps[usize::from(attempt.step)];
+        let declared = f64::from(step.estimate_ms.max(1));
+        self.returns.record(f64::from(step.need.milli_cores) * declared, now_ms);
         let actual = f64::from(run_ms.max(1));
         let view = &mut self.agents[attempt.agent.0 as usize];
         let kind = self.kinds.entry(Arc::clone(&state.job.kind)).or_default();
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -5,18 +5,23 @@
 use indexmap::IndexMap;
 
 use crate::{
-    AttemptId, JobOutcome, RefusalReason, ToAgent,
+    AttemptId, JobOutcome, ToAgent,
     dispatcher::{AgentKey, Dispatcher, DispatcherEffect, JobKey},
 };
 
 impl Dispatcher {
     /// Answers a job whose caller's timeout is about to expire.
-    pub(crate) fn answer_at_deadline(&mut self, key: JobKey, effects: &mut Vec<DispatcherEffect>) {
+    pub(crate) fn answer_at_deadline(
+        &mut self,
+        key: JobKey,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
         let Some(state) = self.jobs.get(&key) else { return };
         let outcome = if state.may_have_run() {
             JobOutcome::TimedOut
         } else {
-            self.refusal(RefusalReason::Overloaded)
+            self.overload_refusal(key, now_ms)
         };
         self.answer(key, outcome, effects);
     }
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -8,6 +8,9 @@
     dispatcher::{AgentKey, JobKey},
 };
 
+/// Time before the caller's timeout at which an unfinished job is answered, milliseconds.
+const ANSWER_MARGIN_MS: u64 = 15;
+
 /// History of one task of a job.
 #[derive(Debug, Default)]
 pub(crate) struct TaskHistory {
@@ -33,8 +36,11 @@
     pub(crate) arrived_ms: u64,
     pub(crate) objective_at_ms: u64,
     pub(crate) deadline_ms: u64,
-    /// Time at which the job is refused unless a task has started.
+    /// Time from which a job without a start may start late, and at which it is refused while
+    /// overload lasts.
     pub(crate) refuse_at_ms: u64,
+    /// Time at which a job without a start is refused while overload is brief.
+    pub(crate) refuse_at_brief_ms: u64,
     pub(crate) steps: Vec<StepState>,
     pub(crate) histories: IndexMap<(u16, u32), TaskHistory>,
     /// Number of attempts without an outcome.
@@ -63,6 +69,23 @@
         needs.reduce(Resources::min_each).unwrap_or_default()
     }
 
+    /// Returns the declared work of the tasks to start, milli-core milliseconds.
+    pub(crate) fn work(&self) -> f64 {
+        let steps = self.job.steps.iter().zip(&self.steps);
+        steps
+            .map(|(step, state)| {
+                #[allow(clippy::cast_precision_loss)]
+                let tasks = state.pending.len() as f64;
+                tasks * f64::from(step.need.milli_cores) * f64::from(step.estimate_ms)
+            })
+            .sum()
+    }
+
+    /// Returns whether the job's caller will have stopped waiting before an answer arrives.
+    pub(crate) fn is_expired(&self, now_ms: u64) -> bool {
+        now_ms + ANSWER_MARGIN_MS >= self.deadline_ms
+    }
+
     /// Returns whether a task may have started: an attempt is outstanding or may have run.
     pub(crate) fn may_have_run(&self) -> bool {
         self.has_run || self.outstanding > 0
--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -3,10 +3,12 @@
 //! Load pattern: hundreds of agents, of which the callers of one entry need a few at a time. A
 //! report from each of them to each entry on every change of load costs more processor time and
 //! more bytes between zones than the tasks themselves. Only the links to agents of the entry's own
-//! availability zone are therefore active at rest. Others become active while the load needs them:
-//! when a task finds no agent with which it would end in time, or when little capacity is free.
+//! availability zone are therefore active at rest, and some others if these are few. Others become
+//! active while the load needs them: when a task finds no agent with which it would end in time, or
+//! when little capacity is free.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeSet,
     hash::{DefaultHasher, Hash, Hasher},
 };
@@ -16,8 +18,11 @@
     dispatcher::{AgentKey, Dispatcher, DispatcherEffect, JobKey, agent_view::AgentView},
 };
 
-/// Maximum number of links that are active at rest.
+/// Maximum number of links to agents of the own zone that are active at rest.
 const MAX_LINKS_AT_REST: usize = 48;
+/// Number of links that are active at rest if there are so many, whatever the zones of the agents:
+/// with few agents, the reports cost little.
+const MIN_LINKS_AT_REST: usize = 24;
 /// Minimum and maximum number of links that become active at a time.
 const MIN_WIDENING_LINKS: usize = 6;
 const MAX_WIDENING_LINKS: usize = 32;
@@ -90,7 +95,8 @@
 
 impl Dispatcher {
     /// Activates the link to an agent that has just connected or reported its upstream, if the
-    /// entry needs it at rest: the agent is near, or holds attempts of this entry.
+    /// entry needs it at rest: the agent is near, few links are active, or the agent holds attempts
+    /// of this entry.
     pub(crate) fn activate_at_rest(
         &mut self,
         key: AgentKey,
@@ -98,7 +104,9 @@
         effects: &mut Vec<DispatcherEffect>,
     ) {
         let view = &self.agents[key.0 as usize];
-        let is_needed = self.is_near(view) && self.links.active.len() < MAX_LINKS_AT_REST;
+        let is_needed = view.upstream.is_some()
+            && (self.links.active.len() < MIN_LINKS_AT_REST
+                || (self.is_near(view) && self.near_links() < MAX_LINKS_AT_REST));
         if view.is_connected && (is_needed || !view.attempts.is_empty()) {
             self.set_active(key, true, now_ms, effects);
         }
@@ -177,23 +185,15 @@
         {
             return;
         }
-        let excess = self.links.active.len().saturating_sub(MAX_LINKS_AT_REST);
-        let mut candidates: Vec<(bool, u64, AgentKey)> = self
-            .active_agents()
-            .filter(|(_, view)| view.attempts.is_empty())
-            .map(|(key, view)| (!self.is_near(view), view.rank, key))
-            .collect();
-        candidates.sort_unstable();
-        let is_dispensable =
-            |(n, (is_far, _, _)): &(usize, (bool, u64, AgentKey))| *is_far || *n < excess;
-        let keys: Vec<AgentKey> = candidates
-            .into_iter()
-            .rev()
-            .enumerate()
-            .filter(is_dispensable)
-            .take(NARROWING_LINKS)
-            .map(|(_, (_, _, key))| key)
-            .collect();
+        let idle = || self.active_agents().filter(|(_, view)| view.attempts.is_empty());
+        let (near, far): (Vec<_>, Vec<_>) = idle().partition(|(_, view)| self.is_near(view));
+        let dispensable = |mut agents: Vec<(AgentKey, &AgentView)>, excess: usize| {
+            agents.sort_unstable_by_key(|(key, view)| Reverse((view.rank, *key)));
+            agents.into_iter().take(excess).map(|(key, _)| key).collect::<Vec<_>>()
+        };
+        let mut keys = dispensable(far, self.links.active.len().saturating_sub(MIN_LINKS_AT_REST));
+        keys.extend(dispensable(near, self.near_links().saturating_sub(MAX_LINKS_AT_REST)));
+        keys.truncate(NARROWING_LINKS);
         if !keys.is_empty() {
             self.links.narrowed_ms = now_ms;
         }
@@ -224,6 +224,10 @@
         self.links.active.iter().map(|key| (*key, &self.agents[key.0 as usize]))
     }
 
+    fn near_links(&self) -> usize {
+        self.active_agents().filter(|(_, view)| self.is_near(view)).count()
+    }
+
     fn is_near(&self, view: &AgentView) -> bool {
         view.upstream.as_ref().is_some_and(|upstream| *upstream.zone == *self.zone)
     }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -5,11 +5,13 @@
 mod agent_choice;
 mod agent_view;
 mod attempt_outcomes;
+mod backlog;
 mod health;
 mod job_outcomes;
 mod job_state;
 mod link_activity;
 mod placement;
+mod return_schedule;
 mod speed;
 mod summary;
 
@@ -22,7 +24,8 @@
     AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
     ToAgent,
     dispatcher::{
-        agent_view::AgentView, job_state::JobState, link_activity::LinkActivity, speed::KindRatio,
+        agent_view::AgentView, backlog::Backlog, job_state::JobState, link_activity::LinkActivity,
+        return_schedule::ReturnSchedule, speed::KindRatio,
     },
 };
 
@@ -62,9 +65,6 @@
     }
 }
 
-/// Time before the caller's timeout at which an unfinished job is answered, milliseconds.
-const ANSWER_MARGIN_MS: u64 = 15;
-
 /// An attempt that was sent to an agent and has no outcome yet.
 #[derive(Debug)]
 struct OutstandingAttempt {
@@ -92,6 +92,8 @@
     /// id does not start before these have ended, so that no task runs twice at a time.
     stopping_jobs: IndexMap<Arc<str>, u32>,
     kinds: IndexMap<Arc<str>, KindRatio>,
+    returns: ReturnSchedule,
+    backlog: Backlog,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -112,6 +114,8 @@
             attempts: IndexMap::new(),
             stopping_jobs: IndexMap::new(),
             kinds: IndexMap::new(),
+            returns: ReturnSchedule::default(),
+            backlog: Backlog::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
@@ -256,11 +260,11 @@
         let expired: Vec<JobKey> = self
             .jobs
             .iter()
-            .filter(|(_, state)| now_ms + ANSWER_MARGIN_MS >= state.deadline_ms)
+            .filter(|(_, state)| state.is_expired(now_ms))
             .map(|(key, _)| *key)
             .collect();
         for key in expired {
-            self.answer_at_deadline(key, &mut effects);
+            self.answer_at_deadline(key, now_ms, &mut effects);
         }
         self.close_silent(now_ms, &mut effects);
         self.adjust_links(now_ms, &mut effects);
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -28,9 +28,12 @@
         let keys: Vec<JobKey> = self.queue.iter().map(|(_, key)| *key).collect();
         let mut free = self.max_free(now_ms);
         let mut unplaced = Vec::new();
+        let is_brief = self.backlog.is_brief(now_ms);
         for key in keys {
             let Some(state) = self.jobs.get(&key) else { continue };
-            if self.stopping_jobs.contains_key(state.id()) {
+            // A job whose time has run out is answered by the next `tick`; its caller may already
+            // have resubmitted it.
+            if self.stopping_jobs.contains_key(state.id()) || state.is_expired(now_ms) {
                 continue;
             }
             if state.min_need().fits_in(free) && self.place_job(key, now_ms, &mut effects) {
@@ -44,13 +47,19 @@
                     continue;
                 }
                 let Some(state) = self.jobs.get(&key) else { continue };
+                if is_brief && now_ms < state.refuse_at_brief_ms {
+                    continue;
+                }
                 let has_agents = self.agents_of(&state.job.pool).next().is_some();
-                let reason =
-                    if has_agents { RefusalReason::Overloaded } else { RefusalReason::NoUpstream };
-                let outcome = self.refusal(reason);
+                let outcome = if has_agents {
+                    self.overload_refusal(key, now_ms)
+                } else {
+                    self.refusal(RefusalReason::NoUpstream)
+                };
                 self.answer(key, outcome, &mut effects);
             }
         }
+        self.backlog.record(!unplaced.is_empty(), now_ms);
         if !unplaced.is_empty() {
             self.widen_for(&unplaced, now_ms, &mut effects);
         }
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use direct::{Report, SessionKey, ToAgent};
+use rand::RngExt;
 use tokio::{
     sync::Notify,
     task::spawn_local,
@@ -16,10 +17,21 @@
     frames::{self, FrameRx, FrameTx},
 };
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Limits of the pause between attempts to connect, milliseconds.
+/// Timeout of most attempts to connect. It is short, because an attempt that begins while the host
+/// has no power is not answered when the host is back.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout of every fourth attempt, for a host whose network is slow.
+const LONG_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const ATTEMPTS_PER_LONG_ONE: u32 = 4;
+/// Pause between attempts to connect while few entries are unreachable, milliseconds.
 const MIN_PAUSE_MS: u64 = 50;
-const MAX_PAUSE_MS: u64 = 250;
+/// Number of unreachable entries from which the pauses are longer, so that the attempts of an agent
+/// do not become more frequent.
+const ENTRIES_PER_MIN_PAUSE: u64 = 8;
+/// Failed attempts after which an entry is no longer expected back soon, and the pause then,
+/// milliseconds.
+const SOON_ATTEMPTS: u32 = 40;
+const LONG_PAUSE_MS: u64 = 400;
 /// Consecutive failed attempts after which an address is removed.
 const MAX_FAILED_ATTEMPTS: u32 = 120;
 
@@ -27,32 +39,43 @@
 /// [`MAX_FAILED_ATTEMPTS`], when the address is removed from the known entries.
 pub(crate) async fn dial(addr: SocketAddr, state: Rc<AgentState>) {
     let mut failures = 0;
-    let mut pause_ms = MIN_PAUSE_MS;
     while failures < MAX_FAILED_ATTEMPTS {
         let mut was_connected = false;
-        if let Err(e) = serve(addr, &state, &mut was_connected).await {
+        let is_long = failures % ATTEMPTS_PER_LONG_ONE == ATTEMPTS_PER_LONG_ONE - 1;
+        let connect_timeout = if is_long { LONG_CONNECT_TIMEOUT } else { CONNECT_TIMEOUT };
+        if let Err(e) = serve(addr, connect_timeout, &state, &mut was_connected).await {
             log::debug!("link to entry {addr} failed: {e}; reconnecting");
         }
         state.known_entries.set_connected(addr, false);
         if was_connected {
             failures = 0;
-            pause_ms = MIN_PAUSE_MS;
         }
         failures += 1;
-        sleep(Duration::from_millis(pause_ms)).await;
-        pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+        let pause_ms = pause_ms(failures, state.known_entries.unconnected());
+        let jittered_ms = rand::rng().random_range(pause_ms / 2..=pause_ms);
+        sleep(Duration::from_millis(jittered_ms)).await;
     }
     state.known_entries.remove(addr);
 }
 
+/// Returns the pause after a failed attempt to connect to one of `unconnected` entries.
+fn pause_ms(failures: u32, unconnected: usize) -> u64 {
+    if failures >= SOON_ATTEMPTS {
+        return LONG_PAUSE_MS;
+    }
+    let unconnected = u64::try_from(unconnected).unwrap_or(u64::MAX);
+    MIN_PAUSE_MS * (unconnected / ENTRIES_PER_MIN_PAUSE).clamp(1, LONG_PAUSE_MS / MIN_PAUSE_MS)
+}
+
 /// Exchanges messages over one connection until it ends. Returns `Ok` when the entry was silent for
 /// too long or the process was suspended.
 async fn serve(
     addr: SocketAddr,
+    connect_timeout: Duration,
     state: &Rc<AgentState>,
     was_connected: &mut bool,
 ) -> Result<(), StepError> {
-    let stream = frames::connect(addr, CONNECT_TIMEOUT).await?;
+    let stream = frames::connect(addr, connect_timeout).await?;
     let (mut tx, rx) = frames::split::<FirstMessage, ToAgent>(stream, addr)?;
     tx.feed(&FirstMessage::Agent(state.hello())).await?;
     tx.flush().await?;
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -29,6 +29,8 @@
 /// Period of checking deadlines while tasks run, and while there are none.
 const BUSY_TICK: Duration = Duration::from_millis(20);
 const IDLE_TICK: Duration = Duration::from_millis(80);
+/// Period of checking whether the agent has opened.
+const OPENING_TICK: Duration = Duration::from_millis(10);
 const CONTROL_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 16_384, idle_ms: 60_000 };
 
 /// An agent whose addresses are bound.
@@ -138,6 +140,6 @@
                 spawn_local(entry_links::dial(addr, Rc::clone(&state)));
             }
         }
-        sleep(IDLE_TICK).await;
+        sleep(if state.is_open() { IDLE_TICK } else { OPENING_TICK }).await;
     }
 }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -12,7 +12,9 @@
 
 /// How long a read waits for an announcement. It is long because the store charges for reads and
 /// entries are also learned from other entries.
-const READ_WAIT: Duration = Duration::from_secs(6);
+const READ_WAIT: Duration = Duration::from_secs(20);
+/// Pause after an announcement, because entries that start together announce themselves together.
+const BATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Limits of the pause after a failed call, milliseconds.
 const MIN_PAUSE_MS: u64 = 200;
 const MAX_PAUSE_MS: u64 = 1_600;
@@ -79,6 +81,9 @@
                 backoff.reset();
                 add_entries(known_entries, own, &records);
                 next = end;
+                if !records.is_empty() {
+                    sleep(BATCH_PAUSE).await;
+                }
             }
         }
     }
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -66,7 +66,7 @@
 }
 
 async fn reply(state: &Rc<EntryState>, req: Request<Incoming>) -> Reply {
-    let Some(routing) = state.routing() else {
+    let Some(routing) = state.first_routing().await else {
         return reject(state, req.uri().path(), 503, "no configuration yet");
     };
     let (head, body) = req.into_parts();
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use direct::{
@@ -15,7 +16,10 @@
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
 use serde_json::{Value, json};
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    time::{Instant, timeout},
+};
 use types::StepError;
 
 use crate::{
@@ -30,6 +34,9 @@
 /// How long submissions are refused after a suspension, milliseconds. A request that arrived during
 /// the suspension may be as old as the suspension was long.
 const SUSPENDED_REFUSAL_MS: u64 = 200;
+/// Time after the start of the process during which requests wait for the first configuration,
+/// milliseconds.
+const FIRST_CONFIG_WAIT_MS: u64 = 400;
 
 pub(crate) struct EntryState {
     pub(crate) timing: Timing,
@@ -47,6 +54,9 @@
     agents: RefCell<IndexMap<AgentKey, Connection>>,
     next_connection_id: Cell<u64>,
     config: RefCell<Option<Config>>,
+    /// Wakes requests that wait for the first configuration.
+    config_applied: Notify,
+    started: Instant,
     suspensions: SuspensionDetector,
     /// End of the refusal of submissions after a suspension.
     refuse_until_ms: Cell<u64>,
@@ -92,6 +102,8 @@
             agents: RefCell::default(),
             next_connection_id: Cell::new(0),
             config: RefCell::default(),
+            config_applied: Notify::new(),
+            started: Instant::now(),
             suspensions: SuspensionDetector::new(process.timing.suspension_ms),
             refuse_until_ms: Cell::new(0),
         })
@@ -149,6 +161,18 @@
         self.config.borrow().as_ref().map(|config| Rc::clone(&config.routing))
     }
 
+    /// Returns the configuration in force. A process that has just started waits for its first one:
+    /// it usually arrives within milliseconds, and callers wait already when the process starts.
+    pub(crate) async fn first_routing(&self) -> Option<Rc<Routing>> {
+        let wait = Duration::from_millis(FIRST_CONFIG_WAIT_MS);
+        let remaining = wait.saturating_sub(self.started.elapsed());
+        if self.routing().is_none() && !remaining.is_zero() {
+            // Without a configuration after this time, the request is rejected.
+            let _ = timeout(remaining, self.config_applied.notified()).await;
+        }
+        self.routing()
+    }
+
     pub(crate) fn connection_limits(&self) -> ConnectionLimits {
         let limits = self.routing().map(|routing| routing.limits).unwrap_or_default();
         ConnectionLimits { header_bytes: limits.header_bytes, idle_ms: limits.idle_ms }
@@ -172,6 +196,7 @@
         #[allow(clippy::cast_precision_loss)]
         gauge!("entry_config_version").set(routing.version as f64);
         *self.config.borrow_mut() = Some(Config { routing: Rc::new(routing), raw: raw.to_vec() });
+        self.config_applied.notify_waiters();
     }
 
     /// Submits a job; the receiver gets its outcome.
--- a/crates/node/src/known_entries.rs
+++ b/crates/node/src/known_entries.rs
@@ -101,6 +101,11 @@
         self.addrs.borrow_mut().swap_remove(&addr);
     }
 
+    /// Returns the number of addresses that are not connected.
+    pub(crate) fn unconnected(&self) -> usize {
+        self.addrs.borrow().values().filter(|status| !status.is_connected).count()
+    }
+
     /// Returns the addresses that are connected now, to be passed on to other processes.
     pub(crate) fn connected(&self) -> Vec<SocketAddr> {
         let addrs = self.addrs.borrow();
