Let resubmitted jobs yield to fresh ones

Change: caller_age takes a timeout that is much shorter than usual as time that the caller has used up. Jobs whose objective was out of reach when they arrived come last, and get capacity that is spare until their caller stops waiting.

Ruled out: guessing the age after the usual timeout of this process alone, since it is unknown after a restart; it begins at the timeout of the queue.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -22,7 +22,8 @@
 
 impl Dispatcher {
     /// Creates the state of a job that arrived now, with the times that follow from its objective.
-    pub(crate) fn new_state(&self, job: DirectJob, key: JobKey, now_ms: u64) -> JobState {
+    pub(crate) fn new_state(&mut self, job: DirectJob, key: JobKey, now_ms: u64) -> JobState {
+        let age_ms = self.caller_ages.observe(&job);
         #[allow(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
@@ -49,7 +50,9 @@
             .collect();
         JobState {
             arrived_ms: now_ms,
-            objective_at_ms: now_ms + objective_ms,
+            objective_ms,
+            objective_at_ms: (now_ms + objective_ms).saturating_sub(age_ms),
+            is_late: age_ms + job.longest_chain_ms() > objective_ms,
             deadline_ms: now_ms + job.caller_timeout_ms,
             refuse_at_ms: now_ms + share_ms(MAX_WAIT_SHARE),
             refuse_at_brief_ms: now_ms + share_ms(MAX_BRIEF_WAIT_SHARE),
--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -52,15 +52,17 @@
     }
 
     /// Returns the requirements of a step's tasks once the objective is out of reach: an answer
-    /// still has value until it is late by twice the objective.
+    /// still has value until it is late by twice the objective. A job that arrived late only gets
+    /// capacity that is spare, so it may use it as long as its caller waits.
     pub(crate) fn late_requirements(
         &self,
         state: &JobState,
         step: &JobStep,
         now_ms: u64,
     ) -> TaskRequirements {
-        let objective_ms = state.objective_at_ms - state.arrived_ms;
-        let end_ms = (state.objective_at_ms + 2 * objective_ms).min(state.deadline_ms);
+        let worthless_at_ms = state.objective_at_ms + 2 * state.objective_ms;
+        let end_ms =
+            if state.is_late { state.deadline_ms } else { worthless_at_ms.min(state.deadline_ms) };
         #[allow(clippy::cast_precision_loss)]
         let max_expected_ms = end_ms.saturating_sub(now_ms) as f64;
         TaskRequirements { max_expected_ms, ..self.requirements(state, step, now_ms) }
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -53,12 +53,12 @@
                 state.steps[usize::from(attempt.step)].unfinished -= 1;
                 let is_done = state.is_done();
                 let has_next = state.eligible_steps().next().is_some();
-                let priority = state.job.priority;
+                let place = state.queue_place(attempt.job);
                 self.learn_run_time(&attempt, run_ms, now_ms);
                 if is_done {
                     self.answer(attempt.job, JobOutcome::Succeeded, effects);
                 } else if has_next {
-                    self.queue.insert((priority, attempt.job));
+                    self.queue.insert(place);
                 }
                 return;
             }
@@ -79,7 +79,7 @@
         }
         let Some(state) = self.jobs.get_mut(&attempt.job) else { return };
         state.steps[usize::from(attempt.step)].pending.push(attempt.index);
-        self.queue.insert((state.job.priority, attempt.job));
+        self.queue.insert(state.queue_place(attempt.job));
     }
 
     /// Updates the health of the upstream that an attempt was sent to. At most half of the
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -45,7 +45,7 @@
         effects: &mut Vec<DispatcherEffect>,
     ) -> Vec<JobKey> {
         let Some(state) = self.jobs.swap_remove(&key) else { return Vec::new() };
-        self.queue.remove(&(state.job.priority, key));
+        self.queue.remove(&state.queue_place(key));
         self.by_id.swap_remove(state.id());
         if state.outstanding > 0 {
             *self.stopping_jobs.entry(Arc::clone(state.id())).or_insert(0) += state.outstanding;
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -34,7 +34,11 @@
 pub(crate) struct JobState {
     pub(crate) job: DirectJob,
     pub(crate) arrived_ms: u64,
+    pub(crate) objective_ms: u64,
+    /// Time at which the objective is missed, counted from when the caller began to wait.
     pub(crate) objective_at_ms: u64,
+    /// Whether the objective was out of reach when the job arrived.
+    pub(crate) is_late: bool,
     pub(crate) deadline_ms: u64,
     /// Time from which a job without a start may start late, and at which it is refused while
     /// overload lasts.
@@ -69,6 +73,12 @@
         needs.reduce(Resources::min_each).unwrap_or_default()
     }
 
+    /// Returns the job's place in the queue: late jobs come last, and otherwise the most urgent
+    /// first.
+    pub(crate) fn queue_place(&self, key: JobKey) -> (bool, u8, JobKey) {
+        (self.is_late, self.job.priority, key)
+    }
+
     /// Returns the declared work of the tasks to start, milli-core milliseconds.
     pub(crate) fn work(&self) -> f64 {
         let steps = self.job.steps.iter().zip(&self.steps);
--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -165,14 +165,21 @@
         }
     }
 
+    /// Returns whether enough capacity of the open agents is free for jobs that can wait.
+    pub(crate) fn has_spare_capacity(&self, now_ms: u64) -> bool {
+        let silence_ms = self.timing.silence_ms;
+        let views = self.active_agents().map(|(_, view)| view);
+        FreeShare::of(views.filter(|view| view.is_open(now_ms, silence_ms)))
+            .is_at_least(LOW_FREE_PERCENT)
+    }
+
     /// Activates more links while little of the capacity of the open agents is free; puts links on
     /// standby when the near agents have had enough for a while.
     pub(crate) fn adjust_links(&mut self, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let silence_ms = self.timing.silence_ms;
         let open = || self.active_agents().filter(|(_, view)| view.is_open(now_ms, silence_ms));
-        let all = FreeShare::of(open().map(|(_, view)| view));
         let near = FreeShare::of(open().map(|(_, view)| view).filter(|view| self.is_near(view)));
-        if !all.is_at_least(LOW_FREE_PERCENT) {
+        if !self.has_spare_capacity(now_ms) {
             self.widen(MIN_WIDENING_LINKS, |_, _| true, now_ms, effects);
         } else if near.is_at_least(NEAR_FREE_PERCENT) {
             self.narrow(now_ms, effects);
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod agent_view;
 mod attempt_outcomes;
 mod backlog;
+mod caller_age;
 mod health;
 mod job_outcomes;
 mod job_state;
@@ -24,8 +25,8 @@
     AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
     ToAgent,
     dispatcher::{
-        agent_view::AgentView, backlog::Backlog, job_state::JobState, link_activity::LinkActivity,
-        return_schedule::ReturnSchedule, speed::KindRatio,
+        agent_view::AgentView, backlog::Backlog, caller_age::CallerAges, job_state::JobState,
+        link_activity::LinkActivity, return_schedule::ReturnSchedule, speed::KindRatio,
     },
 };
 
@@ -85,8 +86,8 @@
     links: LinkActivity,
     jobs: IndexMap<JobKey, JobState>,
     by_id: IndexMap<Arc<str>, JobKey>,
-    /// Jobs with tasks to start, the most urgent first.
-    queue: BTreeSet<(u8, JobKey)>,
+    /// Jobs with tasks to start, by [`JobState::queue_place`].
+    queue: BTreeSet<(bool, u8, JobKey)>,
     attempts: IndexMap<AttemptId, OutstandingAttempt>,
     /// Number of outstanding attempts of answered jobs, by job id. A resubmitted job with such an
     /// id does not start before these have ended, so that no task runs twice at a time.
@@ -94,6 +95,7 @@
     kinds: IndexMap<Arc<str>, KindRatio>,
     returns: ReturnSchedule,
     backlog: Backlog,
+    caller_ages: CallerAges,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -116,6 +118,7 @@
             kinds: IndexMap::new(),
             returns: ReturnSchedule::default(),
             backlog: Backlog::default(),
+            caller_ages: CallerAges::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
@@ -145,7 +148,7 @@
         }
         let state = self.new_state(job, key, now_ms);
         self.by_id.insert(Arc::clone(state.id()), key);
-        self.queue.insert((state.job.priority, key));
+        self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
         (key, self.dispatch_queued(now_ms))
     }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -25,7 +25,7 @@
     /// jobs that have waited too long without a start.
     pub(crate) fn dispatch_queued(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
-        let keys: Vec<JobKey> = self.queue.iter().map(|(_, key)| *key).collect();
+        let keys: Vec<JobKey> = self.queue.iter().map(|(.., key)| *key).collect();
         let mut free = self.max_free(now_ms);
         let mut unplaced = Vec::new();
         let is_brief = self.backlog.is_brief(now_ms);
@@ -36,27 +36,26 @@
             if self.stopping_jobs.contains_key(state.id()) || state.is_expired(now_ms) {
                 continue;
             }
-            if state.min_need().fits_in(free) && self.place_job(key, now_ms, &mut effects) {
+            let is_late = state.is_late && !state.may_have_run();
+            let is_placed = if !state.min_need().fits_in(free) {
+                false
+            } else if is_late {
+                // Late jobs come last, so `unplaced` holds all jobs that can still be in time.
+                unplaced.is_empty()
+                    && self.has_spare_capacity(now_ms)
+                    && self.place_late(key, now_ms, &mut effects)
+            } else {
+                self.place_job(key, now_ms, &mut effects)
+            };
+            if is_placed {
                 free = self.max_free(now_ms);
             }
-            let Some(state) = self.jobs.get(&key) else { continue };
-            unplaced.extend(state.eligible_steps().next().map(|step| (key, step)));
-            if !state.may_have_run() && now_ms >= state.refuse_at_ms {
-                if self.place_late(key, now_ms, &mut effects) {
-                    free = self.max_free(now_ms);
-                    continue;
-                }
-                let Some(state) = self.jobs.get(&key) else { continue };
-                if is_brief && now_ms < state.refuse_at_brief_ms {
-                    continue;
-                }
-                let has_agents = self.agents_of(&state.job.pool).next().is_some();
-                let outcome = if has_agents {
-                    self.overload_refusal(key, now_ms)
-                } else {
-                    self.refusal(RefusalReason::NoUpstream)
-                };
-                self.answer(key, outcome, &mut effects);
+            if !is_late {
+                let next = self.jobs.get(&key).and_then(|state| state.eligible_steps().next());
+                unplaced.extend(next.map(|step| (key, step)));
+            }
+            if self.start_late_or_refuse(key, is_brief, now_ms, &mut effects) {
+                free = self.max_free(now_ms);
             }
         }
         self.backlog.record(!unplaced.is_empty(), now_ms);
@@ -66,6 +65,36 @@
         effects
     }
 
+    /// Starts a job late, or refuses it, once it has waited long enough without a start. Returns
+    /// whether it sent tasks.
+    fn start_late_or_refuse(
+        &mut self,
+        key: JobKey,
+        is_overload_brief: bool,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) -> bool {
+        let Some(state) = self.jobs.get(&key) else { return false };
+        if state.may_have_run() || now_ms < state.refuse_at_ms {
+            return false;
+        }
+        let refuse_at_ms =
+            if is_overload_brief { state.refuse_at_brief_ms } else { state.refuse_at_ms };
+        let has_agents = self.agents_of(&state.job.pool).next().is_some();
+        if !state.is_late && self.place_late(key, now_ms, effects) {
+            return true;
+        }
+        if now_ms >= refuse_at_ms {
+            let outcome = if has_agents {
+                self.overload_refusal(key, now_ms)
+            } else {
+                self.refusal(RefusalReason::NoUpstream)
+            };
+            self.answer(key, outcome, effects);
+        }
+        false
+    }
+
     /// Returns the maximum free capacity over the open agents, for each resource separately.
     fn max_free(&self, now_ms: u64) -> Resources {
         let silence_ms = self.timing.silence_ms;
@@ -90,7 +119,8 @@
     fn dequeue_if_placed(&mut self, key: JobKey) {
         let Some(state) = self.jobs.get(&key) else { return };
         if state.eligible_steps().next().is_none() {
-            self.queue.remove(&(state.job.priority, key));
+            let place = state.queue_place(key);
+            self.queue.remove(&place);
         }
     }
 
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -44,6 +44,8 @@
         pub allowance_ms: u64,
         /// How long the caller waits for the reply, milliseconds from the job's arrival.
         pub caller_timeout_ms: u64,
+        /// How long the callers of the job's queue wait if they state nothing, milliseconds.
+        pub queue_timeout_ms: u64,
     }
 
     /// Why a job was refused before any of its tasks started.
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -66,6 +66,7 @@
         stretch: 1.6,
         allowance_ms: 60,
         caller_timeout_ms: 1_500,
+        queue_timeout_ms: 1_500,
     }
 }
 
--- a/crates/direct/tests/overload.rs
+++ b/crates/direct/tests/overload.rs
@@ -60,7 +60,7 @@
     for n in 0..40 {
         dispatcher.submit(job(&format!("j{n}"), CORES), 2_001);
     }
-    let times = return_times(&dispatcher.tick(2_100));
+    let times = return_times(&dispatcher.tick(2_111));
     assert_eq!(times.len(), 40);
     assert!(times.is_sorted(), "callers return in the order of their refusals: {times:?}");
     let within = |from_ms: u64, to_ms: u64| {
@@ -81,9 +81,9 @@
     for n in 0..30 {
         dispatcher.submit(DirectJob { priority: 2, ..job(&format!("j{n}"), CORES) }, 2_001);
     }
-    let later = return_times(&dispatcher.tick(2_100));
-    dispatcher.submit(DirectJob { priority: 0, ..job("urgent", CORES) }, 2_101);
-    let urgent = return_times(&dispatcher.tick(2_200));
+    let later = return_times(&dispatcher.tick(2_111));
+    dispatcher.submit(DirectJob { priority: 0, ..job("urgent", CORES) }, 2_112);
+    let urgent = return_times(&dispatcher.tick(2_222));
     assert_eq!(urgent, [1_000]);
     assert!(later.iter().max() > Some(&3_000), "{later:?}");
 }
@@ -96,10 +96,10 @@
     for n in 0..40 {
         dispatcher.submit(job(&format!("j{n}"), CORES), 2_001);
     }
-    dispatcher.tick(2_100);
+    dispatcher.tick(2_111);
     dispatcher.on_report(agent, report(None, cores(0), 1_000), 20_000);
     dispatcher.submit(job("next", CORES), 20_000);
-    assert_eq!(return_times(&dispatcher.tick(20_100)), [1_000]);
+    assert_eq!(return_times(&dispatcher.tick(20_110)), [1_000]);
 }
 
 #[test]
@@ -118,3 +118,57 @@
         |e: &DispatcherEffect| matches!(e, DispatcherEffect::Answer(_, JobOutcome::TimedOut));
     assert!(effects.iter().any(is_timeout), "{effects:?}");
 }
+
+/// A job whose caller has waited for most of its time before this submission.
+fn resubmitted(id: &str, tasks: u32) -> DirectJob {
+    DirectJob { caller_timeout_ms: 400, ..job(id, tasks) }
+}
+
+fn jobs_started(effects: &[DispatcherEffect]) -> Vec<String> {
+    let started = |effect: &DispatcherEffect| match effect {
+        DispatcherEffect::Send(_, direct::ToAgent::Start(batch)) => Some(batch.job.to_string()),
+        _ => None,
+    };
+    effects.iter().filter_map(started).collect()
+}
+
+#[test]
+fn resubmitted_jobs_yield_to_fresh_ones_after_an_outage() {
+    let (mut dispatcher, agent) = entry();
+    dispatcher.on_report(agent, report(None, cores(0), 0), 1);
+    dispatcher.submit(resubmitted("old", CORES), 2);
+    dispatcher.submit(DirectJob { priority: 2, ..job("fresh", CORES) }, 3);
+    let effects = dispatcher.on_report(agent, report(None, cores(CORES), 0), 10);
+    assert_eq!(jobs_started(&effects), ["fresh"]);
+    let times = return_times(&dispatcher.tick(112));
+    assert_eq!(times, [1_000], "the other is refused rather than delay fresh ones");
+}
+
+#[test]
+fn a_resubmitted_job_runs_at_once_where_capacity_is_spare() {
+    let (mut dispatcher, _) = entry();
+    let (_, effects) = dispatcher.submit(resubmitted("old", 2), 2);
+    assert_eq!(jobs_started(&effects), ["old"]);
+}
+
+#[test]
+fn callers_that_always_state_short_timeouts_do_not_count_as_late() {
+    let (mut dispatcher, agent) = entry();
+    let short = |id: &str| DirectJob { caller_timeout_ms: 800, ..job(id, 1) };
+    for n in 0..100 {
+        let (_, effects) = dispatcher.submit(short(&format!("j{n}")), n);
+        let mut report = report(None, cores(CORES), 1_000);
+        let done = AttemptOutcome::Done { run_ms: 100 };
+        report.outcomes = attempts(&effects).into_iter().map(|(_, id)| (id, done)).collect();
+        dispatcher.on_report(agent, report, n);
+    }
+    dispatcher.on_report(agent, report(None, cores(0), 1_000), 101);
+    dispatcher.submit(DirectJob { priority: 2, ..short("later") }, 102);
+    dispatcher.submit(DirectJob { priority: 1, ..short("urgent") }, 103);
+    let effects = dispatcher.on_report(agent, report(None, cores(1), 1_000), 110);
+    assert_eq!(jobs_started(&effects), ["urgent"]);
+    assert_eq!(
+        jobs_started(&dispatcher.on_report(agent, report(None, cores(2), 1_002), 111)).len(),
+        1
+    );
+}
