--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -258,7 +258,5 @@
             self.links.active.remove(&key);
         }
         effects.push(DispatcherEffect::Send(key, ToAgent::SetActive(is_active)));
-        let announcement = self.backlog.announcement().filter(|_| is_active);
-        effects.extend(announcement.map(|message| DispatcherEffect::Send(key, message)));
     }
 }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -58,9 +58,7 @@
                 free = self.max_free(now_ms);
             }
         }
-        let waiting = unplaced.iter().filter_map(|(key, _)| self.jobs.get(key));
-        let urgency = waiting.map(|state| state.job.priority).min();
-        self.record_backlog(urgency, now_ms, &mut effects);
+        self.backlog.record(!unplaced.is_empty(), now_ms);
         if !unplaced.is_empty() {
             self.widen_for(&unplaced, now_ms, &mut effects);
         }
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -80,9 +80,6 @@
         /// active link, the agent reports each change of its load, and both sides send frequent
         /// heartbeats. On standby, it reports only outcomes and changes of its upstream.
         SetActive(bool),
-        /// Urgency of the most urgent task that waits at the entry for an agent; `None` if none
-        /// waits. It holds until the next such message or the end of the connection.
-        SetWaiting(Option<u8>),
     }
 
     /// Capacity that an agent offers.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -2,7 +2,6 @@
 //! those that no entry needs any more.
 
 mod messages;
-mod offers;
 mod response_monitor;
 mod run;
 mod run_outcomes;
@@ -51,12 +50,8 @@
     /// they are being stopped. The number is that of the run.
     orphaned_runs: IndexSet<(TaskId, u32)>,
     last_lease_sent_ms: u64,
-    /// Position among the sessions of the one whose turn it is to get an offer.
-    next_offer: usize,
-    /// Time of the latest event, milliseconds.
-    latest_ms: u64,
-    /// About the least that tasks need at present, thousandths of a core; 0 while it is unknown.
-    smallest_need: u32,
+    /// Free capacity when the entries were last told of a change.
+    reported_free: Resources,
     response_monitor: ResponseMonitor,
     start_timer: StartTimer,
 }
@@ -77,9 +72,7 @@
             orphaned_runs: IndexSet::new(),
             // An earlier agent may have granted a lease until now.
             last_lease_sent_ms: now_ms,
-            next_offer: 0,
-            latest_ms: now_ms,
-            smallest_need: 0,
+            reported_free: Resources::default(),
             response_monitor: ResponseMonitor::default(),
             start_timer: StartTimer::default(),
         }
@@ -189,8 +182,6 @@
             session.last_heard_ms = now_ms;
             session.is_connected = true;
             session.is_active = false;
-            session.waiting = None;
-            session.reserved = Resources::default();
             session.batches_seen = 0;
             session.unsent.clear();
             for id in outstanding.iter().filter(|id| !live.contains(id)) {
@@ -204,7 +195,6 @@
 
     /// Records the time of a message from an entry, which keeps its session alive.
     pub fn on_entry_message(&mut self, key: SessionKey, now_ms: u64) {
-        self.latest_ms = self.latest_ms.max(now_ms);
         if let Some(session) = self.session_mut(key) {
             session.last_heard_ms = now_ms;
         }
@@ -214,7 +204,6 @@
     pub fn set_active(&mut self, key: SessionKey, is_active: bool) -> Vec<SupervisorEffect> {
         let Some(session) = self.session_mut(key) else { return Vec::new() };
         session.is_active = is_active;
-        session.waiting = session.waiting.filter(|_| is_active);
         // The heartbeat period changes, so the task that sends reports is woken in both cases.
         vec![SupervisorEffect::Report(key)]
     }
@@ -236,7 +225,6 @@
     /// runs that the agent did not start. The agent opens once the upstream lists no run and none
     /// of these stops is pending.
     pub fn on_run_list(&mut self, list: &RunList) -> Vec<SupervisorEffect> {
-        self.latest_ms = self.latest_ms.max(list.received_ms);
         let mut effects = Vec::new();
         if self.response_monitor.record_answer() {
             effects.extend(self.report_all());
@@ -267,10 +255,9 @@
     }
 
     /// Acts on the passage of time: stops the runs of sessions that have timed out, settles all
-    /// runs as lost when the last lease of an unresponsive upstream has ended, and offers free
-    /// capacity on active links. Must be called periodically.
+    /// runs as lost when the last lease of an unresponsive upstream has ended, and reports a change
+    /// of the free capacity on active links. Must be called periodically.
     pub fn tick(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
-        self.latest_ms = self.latest_ms.max(now_ms);
         let mut effects = Vec::new();
         let session_ms = self.timing.session_ms;
         let expired: Vec<SessionKey> = self
@@ -295,7 +282,12 @@
                 effects.push(SupervisorEffect::Open);
             }
         }
-        effects.extend(self.update_offers());
+        let free = self.free();
+        if self.reported_free != free {
+            self.reported_free = free;
+            let active = self.sessions.values().filter(|(_, session)| session.is_active);
+            effects.extend(active.map(|(key, _)| SupervisorEffect::Report(*key)));
+        }
         effects
     }
 
@@ -303,15 +295,11 @@
     /// the session is unknown or disconnected. `with_upstream` is to be set for the first report on
     /// a connection and after a change of the upstream.
     pub fn report(&mut self, key: SessionKey, with_upstream: bool) -> Option<Report> {
-        let is_open = self.accepts_attempts();
+        let load = Load { batches_seen: 0, free: self.free(), is_open: self.accepts_attempts() };
         let upstream = self.upstream.clone().filter(|_| with_upstream);
-        let free = self.offer(
-            self.sessions.values().find(|(known, _)| *known == key).map(|(_, session)| session)?,
-        );
         let session = self.session_mut(key).filter(|session| session.is_connected)?;
-        session.offered = free;
         let outcomes = std::mem::take(&mut session.unsent);
-        let load = Load { batches_seen: session.batches_seen, free, is_open };
+        let load = Load { batches_seen: session.batches_seen, ..load };
         Some(Report { upstream, load, outcomes })
     }
 
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -115,9 +115,6 @@
         if let Some((key, _)) = run.attempt {
             effects.push(SupervisorEffect::Report(key));
         }
-        if self.is_contended() {
-            effects.extend(self.update_offers());
-        }
     }
 
     /// Records the outcome of an attempt for its session and for the log.
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -1,7 +1,5 @@
 use std::collections::VecDeque;
 
-use types::Resources;
-
 use crate::{AttemptId, AttemptOutcome};
 
 /// Maximum number of outcomes kept for an entry that reconnects: twice the number of tasks that an
@@ -17,15 +15,6 @@
     pub(crate) is_connected: bool,
     /// Whether the link is active, that is, its entry needs each change of the load.
     pub(crate) is_active: bool,
-    /// Free capacity that the entry believes it may use: the last report less what it has used.
-    pub(crate) offered: Resources,
-    /// Urgency of the most urgent task that waits at the entry.
-    pub(crate) waiting: Option<u8>,
-    /// Free capacity that is reserved for the entry, and until when.
-    pub(crate) reserved: Resources,
-    pub(crate) offer_expires_ms: u64,
-    /// Time before which the entry gets no offer, because it has not used the last one.
-    pub(crate) no_offer_before_ms: u64,
     /// Number of batches received on the current connection.
     pub(crate) batches_seen: u64,
     /// Outcomes that are not sent yet.
@@ -41,11 +30,6 @@
             last_heard_ms: now_ms,
             is_connected: true,
             is_active: false,
-            offered: Resources::default(),
-            waiting: None,
-            reserved: Resources::default(),
-            offer_expires_ms: 0,
-            no_offer_before_ms: 0,
             batches_seen: 0,
             unsent: Vec::new(),
             recent: VecDeque::new(),
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -22,7 +22,6 @@
         if let Some(session) = self.session_mut(key) {
             session.batches_seen += 1;
         }
-        self.record_need(batch.need.milli_cores);
         let mut is_refused = false;
         for attempt in &batch.attempts {
             let task = batch.task(attempt);
@@ -39,7 +38,6 @@
                     phase: Phase::Starting { sends: 1, open_calls: 1 },
                 };
                 self.runs.insert(task.clone(), run);
-                self.use_offer(key, batch.need);
                 let payload = Arc::clone(&batch.payload);
                 effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
             } else {
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -209,7 +209,6 @@
             ToAgent::Start(batch) => supervisor.on_attempts(key, &batch),
             ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
             ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
-            ToAgent::SetWaiting(urgency) => supervisor.set_waiting(key, urgency),
             ToAgent::Heartbeat(entries) => {
                 self.known_entries.add_all(&entries);
                 Vec::new()
