Try for the last slots of an agent only with a probability (trial)

Change: the probability falls with each refusal and rises with each start, for the own zone and for others separately.

--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -4,7 +4,9 @@
 
 use crate::{
     JobStep,
-    dispatcher::{AgentKey, Dispatcher, agent_view::AgentView, job_state::JobState},
+    dispatcher::{
+        AgentKey, Dispatcher, agent_view::AgentView, contention::Contest, job_state::JobState,
+    },
 };
 
 /// Factor of the expected run time that should fit before the objective, because run times vary. An
@@ -101,6 +103,9 @@
                 })
                 || requirements.expected_ms / view.speed.value() > requirements.max_expected_ms
                 || avoided.contains(&key)
+                || self.contest(key, requirements.need).is_some_and(|contest| {
+                    !self.contention.may_try(contest, view.rank, requirements.now_ms)
+                })
             {
                 continue;
             }
@@ -121,6 +126,15 @@
         .map(|(_, key)| key)
     }
 
+    /// Returns what a task with these needs would compete for at an agent.
+    pub(crate) fn contest(&self, key: AgentKey, need: Resources) -> Option<Contest> {
+        let view = &self.agents[key.0 as usize];
+        if view.has_own_slot || !view.is_nearly_full(need) {
+            return None;
+        }
+        Some(if self.is_near(view) { Contest::Near } else { Contest::Far })
+    }
+
     /// Returns whether an agent on standby can run tasks of the step.
     fn has_standby(&self, pool: &str, step: &JobStep) -> bool {
         self.agents_of(pool).any(|(_, view)| view.is_standby() && view.fits(step))
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -27,6 +27,8 @@
     /// Number and resources of each batch that the agent's load does not account for yet.
     unacknowledged: VecDeque<(u64, Resources)>,
     pub(crate) attempts: IndexSet<AttemptId>,
+    /// Whether the last report told of the end of one of this entry's runs.
+    pub(crate) has_own_slot: bool,
     pub(crate) speed: Speed,
     pub(crate) health: UpstreamHealth,
 }
@@ -46,6 +48,7 @@
             batches_sent: 0,
             unacknowledged: VecDeque::new(),
             attempts: IndexSet::new(),
+            has_own_slot: false,
             speed: Speed::default(),
             health: UpstreamHealth::default(),
         }
@@ -104,6 +107,12 @@
         self.is_connected && self.load.is_open && is_ready
     }
 
+    /// Returns whether at most one more task would fit beside a task with these needs.
+    pub(crate) fn is_nearly_full(&self, need: Resources) -> bool {
+        let left = self.free().saturating_sub(need).saturating_sub(need);
+        !need.fits_in(left)
+    }
+
     /// Returns whether the upstream can run a task with these needs while it runs nothing else.
     pub(crate) fn fits(&self, step: &JobStep) -> bool {
         self.upstream.as_ref().is_some_and(|up| {
--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -235,7 +235,7 @@
         self.active_agents().filter(|(_, view)| self.is_near(view)).count()
     }
 
-    fn is_near(&self, view: &AgentView) -> bool {
+    pub(crate) fn is_near(&self, view: &AgentView) -> bool {
         view.upstream.as_ref().is_some_and(|upstream| *upstream.zone == *self.zone)
     }
 
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_outcomes;
 mod backlog;
 mod caller_age;
+mod contention;
 mod health;
 mod job_outcomes;
 mod job_state;
@@ -25,8 +26,14 @@
     AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
     ToAgent,
     dispatcher::{
-        agent_view::AgentView, backlog::Backlog, caller_age::CallerAges, job_state::JobState,
-        link_activity::LinkActivity, return_schedule::ReturnSchedule, speed::KindRatio,
+        agent_view::AgentView,
+        backlog::Backlog,
+        caller_age::CallerAges,
+        contention::{Contention, Contest},
+        job_state::JobState,
+        link_activity::LinkActivity,
+        return_schedule::ReturnSchedule,
+        speed::KindRatio,
     },
 };
 
@@ -75,6 +82,8 @@
     step: u16,
     index: u32,
     agent: AgentKey,
+    /// What it competes for with other entries.
+    contest: Option<Contest>,
 }
 
 /// State of an entry: its jobs, its agents and the attempts at these.
@@ -96,6 +105,7 @@
     returns: ReturnSchedule,
     backlog: Backlog,
     caller_ages: CallerAges,
+    contention: Contention,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -119,6 +129,7 @@
             returns: ReturnSchedule::default(),
             backlog: Backlog::default(),
             caller_ages: CallerAges::default(),
+            contention: Contention::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
@@ -226,6 +237,7 @@
         let mut effects = Vec::new();
         let Some(view) = self.agents.get_mut(key.0 as usize) else { return effects };
         view.on_report(report.load, now_ms);
+        view.has_own_slot = report.outcomes.iter().any(|(_, outcome)| outcome.frees_slot());
         if let Some(upstream) = report.upstream {
             let is_new = view
                 .upstream
