--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -4,9 +4,7 @@
 
 use crate::{
     JobStep,
-    dispatcher::{
-        AgentKey, Dispatcher, agent_view::AgentView, contention::Contest, job_state::JobState,
-    },
+    dispatcher::{AgentKey, Dispatcher, agent_view::AgentView, job_state::JobState},
 };
 
 /// Factor of the expected run time that should fit before the objective, because run times vary. An
@@ -103,9 +101,8 @@
                 })
                 || requirements.expected_ms / view.speed.value() > requirements.max_expected_ms
                 || avoided.contains(&key)
-                || self.contest(key, requirements.need).is_some_and(|contest| {
-                    !self.contention.may_try(contest, view.rank, requirements.now_ms)
-                })
+                || (self.is_contest(key, requirements.need)
+                    && !self.contention.may_try(view.rank, requirements.now_ms))
             {
                 continue;
             }
@@ -126,13 +123,11 @@
         .map(|(_, key)| key)
     }
 
-    /// Returns what a task with these needs would compete for at an agent.
-    pub(crate) fn contest(&self, key: AgentKey, need: Resources) -> Option<Contest> {
+    /// Returns whether a task with these needs would compete with other entries for the last slots
+    /// of an agent in another zone.
+    pub(crate) fn is_contest(&self, key: AgentKey, need: Resources) -> bool {
         let view = &self.agents[key.0 as usize];
-        if view.has_own_slot || !view.is_nearly_full(need) {
-            return None;
-        }
-        Some(if self.is_near(view) { Contest::Near } else { Contest::Far })
+        !self.is_near(view) && view.is_nearly_full(need)
     }
 
     /// Returns whether an agent on standby can run tasks of the step.
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -27,8 +27,6 @@
     /// Number and resources of each batch that the agent's load does not account for yet.
     unacknowledged: VecDeque<(u64, Resources)>,
     pub(crate) attempts: IndexSet<AttemptId>,
-    /// Whether the last report told of the end of one of this entry's runs.
-    pub(crate) has_own_slot: bool,
     pub(crate) speed: Speed,
     pub(crate) health: UpstreamHealth,
 }
@@ -48,7 +46,6 @@
             batches_sent: 0,
             unacknowledged: VecDeque::new(),
             attempts: IndexSet::new(),
-            has_own_slot: false,
             speed: Speed::default(),
             health: UpstreamHealth::default(),
         }
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -36,8 +36,8 @@
         let Some(attempt) = self.attempts.swap_remove(&id) else { return };
         let view = &mut self.agents[attempt.agent.0 as usize];
         view.attempts.swap_remove(&id);
-        if let Some(contest) = attempt.contest {
-            self.contention.record(contest, outcome != AttemptOutcome::NotStarted);
+        if attempt.is_contest {
+            self.contention.record(outcome != AttemptOutcome::NotStarted);
         }
         self.update_health(&attempt, outcome, now_ms, effects);
         let Some(state) = self.jobs.get_mut(&attempt.job) else {
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -26,13 +26,8 @@
     AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
     ToAgent,
     dispatcher::{
-        agent_view::AgentView,
-        backlog::Backlog,
-        caller_age::CallerAges,
-        contention::{Contention, Contest},
-        job_state::JobState,
-        link_activity::LinkActivity,
-        return_schedule::ReturnSchedule,
+        agent_view::AgentView, backlog::Backlog, caller_age::CallerAges, contention::Contention,
+        job_state::JobState, link_activity::LinkActivity, return_schedule::ReturnSchedule,
         speed::KindRatio,
     },
 };
@@ -82,8 +77,8 @@
     step: u16,
     index: u32,
     agent: AgentKey,
-    /// What it competes for with other entries.
-    contest: Option<Contest>,
+    /// Whether it competes with other entries for the last slots of an agent in another zone.
+    is_contest: bool,
 }
 
 /// State of an entry: its jobs, its agents and the attempts at these.
@@ -237,7 +232,6 @@
         let mut effects = Vec::new();
         let Some(view) = self.agents.get_mut(key.0 as usize) else { return effects };
         view.on_report(report.load, now_ms);
-        view.has_own_slot = report.outcomes.iter().any(|(_, outcome)| outcome.frees_slot());
         if let Some(upstream) = report.upstream {
             let is_new = view
                 .upstream
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -9,8 +9,7 @@
     Attempt, AttemptBatch, AttemptId, RefusalReason, ToAgent,
     dispatcher::{
         AgentKey, Dispatcher, DispatcherEffect, JobKey, OutstandingAttempt,
-        agent_choice::TaskRequirements, agent_view::AgentView, contention::Contest,
-        job_state::JobState,
+        agent_choice::TaskRequirements, agent_view::AgentView, job_state::JobState,
     },
 };
 
@@ -190,12 +189,12 @@
     ) {
         let Some(state) = self.jobs.get(&key) else { return };
         let need = state.job.steps[usize::from(step)].need;
-        let contests: IndexMap<AgentKey, Option<Contest>> =
-            plan.tasks_by_agent.keys().map(|agent| (*agent, self.contest(*agent, need))).collect();
+        let contests: Vec<AgentKey> =
+            plan.tasks_by_agent.keys().copied().filter(|key| self.is_contest(*key, need)).collect();
         let Some(state) = self.jobs.get_mut(&key) else { return };
         state.steps[usize::from(step)].pending = plan.unplaced;
         for (agent, tasks) in plan.tasks_by_agent {
-            let contest = contests.get(&agent).copied().flatten();
+            let is_contest = contests.contains(&agent);
             let mut attempts = Vec::with_capacity(tasks.len());
             for index in tasks {
                 let id = AttemptId(self.next_attempt);
@@ -210,7 +209,7 @@
                     step,
                     index,
                     agent,
-                    contest,
+                    is_contest,
                 };
                 self.attempts.insert(id, attempt);
                 self.agents[agent.0 as usize].attempts.insert(id);
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -129,11 +129,6 @@
 }
 
 impl AttemptOutcome {
-    /// Returns whether a run of the attempt has ended and left its capacity.
-    pub(crate) fn frees_slot(self) -> bool {
-        !matches!(self, Self::NotStarted | Self::Unhealthy)
-    }
-
     /// Returns the name of the outcome in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
