Do not count an entry's own pause as the silence of its agents

Cause (reading): the check for silent agents is made by the tick, which after a pause of the entry may run before the reports that arrived meanwhile are read. A pause of 400 ms, with a heartbeat 200 ms before, closed all active links at once, on the slowest hosts in the busiest moment. An operators' report: a machine that was only slow to report was given up.

Change: after a pause the silence is counted anew.

--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -42,6 +42,9 @@
 /// milliseconds.
 const NARROWING_LINKS: usize = 6;
 const NARROWING_PAUSE_MS: u64 = 250;
+/// Time between two checks for silent agents from which this process counts as paused, milliseconds;
+/// the checks are at most 100 ms apart otherwise.
+const OWN_PAUSE_MS: u64 = 250;
 
 types::plain! {
     /// State of the choice of active links.
@@ -54,6 +57,7 @@
         needed_ms: u64,
         widened_ms: Option<u64>,
         narrowed_ms: u64,
+        silence_checked_ms: u64,
     }
 }
 
@@ -210,7 +214,15 @@
     }
 
     /// Closes the connections of agents that have been silent for longer than their links allow.
+    /// After a pause of this process, messages of the agents may still be unread, so their silence
+    /// is counted anew.
     pub(crate) fn close_silent(&mut self, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
+        let since_check_ms = now_ms.saturating_sub(self.links.silence_checked_ms);
+        self.links.silence_checked_ms = now_ms;
+        if since_check_ms >= OWN_PAUSE_MS {
+            self.agents.iter_mut().for_each(|view| view.awaited_since_ms = now_ms);
+            return;
+        }
         let timing = self.timing;
         let silent = |view: &AgentView| {
             let limit_ms =
