Log whether an unresponsive executor refuses connections, and its youngest runs

Both hypotheses about repeated crashes need this. No decision changes; the client of the executor now returns typed errors.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -94,6 +94,15 @@
         self.runs.is_empty()
     }
 
+    /// Returns the tasks of the runs with their ages in milliseconds, the youngest first.
+    pub fn runs_by_age(&self, now_ms: u64) -> Vec<(TaskId, u64)> {
+        let age =
+            |(task, run): (&TaskId, &Run)| (task.clone(), now_ms.saturating_sub(run.accepted_ms));
+        let mut runs: Vec<_> = self.runs.iter().map(age).collect();
+        runs.sort_by_key(|(_, age_ms)| *age_ms);
+        runs
+    }
+
     /// Returns whether a stop is pending, so that the next run list is needed soon.
     pub fn has_pending_stop(&self) -> bool {
         !self.orphaned_runs.is_empty()
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -43,6 +43,8 @@
         pub(crate) number: u32,
         pub(crate) need: Resources,
         pub(crate) payload: Arc<str>,
+        /// Time at which the attempt was accepted, milliseconds.
+        pub(crate) accepted_ms: u64,
         /// Session and id of the attempt; `None` for a run that was found at the upstream.
         pub(crate) attempt: Option<(SessionKey, AttemptId)>,
         pub(crate) phase: Phase,
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -17,7 +17,12 @@
 impl Supervisor {
     /// Starts the attempts of a batch that fit the free capacity and whose tasks have no run yet.
     /// The others are settled as not started; all of them are if the agent accepts no attempts.
-    pub fn on_attempts(&mut self, key: SessionKey, batch: &AttemptBatch) -> Vec<SupervisorEffect> {
+    pub fn on_attempts(
+        &mut self,
+        key: SessionKey,
+        batch: &AttemptBatch,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
         if let Some(session) = self.session_mut(key) {
             session.batches_seen += 1;
@@ -35,6 +40,7 @@
                     need: batch.need,
                     attempt: Some((key, attempt.id)),
                     payload: Arc::clone(&batch.payload),
+                    accepted_ms: now_ms,
                     phase: Phase::Starting { sends: 1, open_calls: 1 },
                 };
                 self.runs.insert(task.clone(), run);
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -27,7 +27,7 @@
 
 impl Agent {
     fn starts(&mut self, job: &str, ids: &[u64], n: u32) -> Vec<StartRun> {
-        let effects = self.supervisor.on_attempts(self.entry, &batch(job, ids, cores(n)));
+        let effects = self.supervisor.on_attempts(self.entry, &batch(job, ids, cores(n)), 10);
         effects.into_iter().filter_map(as_start).collect()
     }
 
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -62,7 +62,7 @@
                 on_reply(&state, reply, sent_ms, received_ms);
             }
             Err(e) => {
-                state.on_call_timeout(&e.to_string());
+                state.on_call_error(&e);
                 sleep(FAILED_PAUSE).await;
             }
         }
@@ -79,7 +79,7 @@
     match reply {
         Ok(reply) if !reply.is_fenced => on_reply(&state, reply, sent_ms, clock::now_ms()),
         Ok(_) => {}
-        Err(e) => state.on_call_timeout(&e.to_string()),
+        Err(e) => state.on_call_error(&e),
     }
 }
 
@@ -109,7 +109,7 @@
         return;
     };
     let mut call = pin!(state.executor.start(&start, state.token(), lease_end));
-    let (result, clock_ms) = match timeout(state.call_overdue(), &mut call).await {
+    let answer = match timeout(state.call_overdue(), &mut call).await {
         Ok(answer) => answer,
         Err(_) => {
             state.on_start_overdue(&start.task, start.run);
@@ -117,12 +117,17 @@
         }
     };
     let received_ms = clock::now_ms();
-    state.record_upstream_clock(clock_ms, received_ms);
-    if result == StartResult::Unknown {
-        state.on_call_timeout("a start was not answered");
-    } else {
-        state.record_start_time(received_ms.saturating_sub(sent_ms));
-    }
+    let result = match answer {
+        Ok((result, clock_ms)) => {
+            state.record_upstream_clock(clock_ms, received_ms);
+            state.record_start_time(received_ms.saturating_sub(sent_ms));
+            result
+        }
+        Err(e) => {
+            state.on_call_error(&e);
+            StartResult::Unknown
+        }
+    };
     state.on_start_result(&start.task, start.run, result);
 }
 
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -206,7 +206,7 @@
         let mut supervisor = self.supervisor.borrow_mut();
         supervisor.on_entry_message(key, now_ms);
         let effects = match message {
-            ToAgent::Start(batch) => supervisor.on_attempts(key, &batch),
+            ToAgent::Start(batch) => supervisor.on_attempts(key, &batch, now_ms),
             ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
             ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
             ToAgent::Heartbeat(entries) => {
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -3,10 +3,14 @@
 use std::{rc::Rc, time::Duration};
 
 use direct::{RunList, StartResult, TaskId};
+use platform::CallError;
 use serde_json::json;
 
 use crate::{agent::state::AgentState, clock, events::Level};
 
+/// Number of runs that the line about an unresponsive upstream lists.
+const MAX_LISTED_RUNS: usize = 6;
+
 impl AgentState {
     /// Raises the fencing token above that of every earlier agent. Tokens are readings of the
     /// upstream's clock, which never goes back within its incarnation.
@@ -61,12 +65,21 @@
     }
 
     /// Handles a call that failed or was not answered in time.
-    pub(crate) fn on_call_timeout(self: &Rc<Self>, cause: &str) {
+    pub(crate) fn on_call_error(self: &Rc<Self>, error: &CallError) {
         let now_ms = self.now_ms();
         let was_answering = self.supervisor.borrow().grants_lease();
+        let runs = self.supervisor.borrow().runs_by_age(now_ms);
         let effects = self.supervisor.borrow_mut().on_call_timeout(now_ms);
         if was_answering && !self.supervisor.borrow().grants_lease() {
-            self.events.emit(Level::Notable, "upstream_mute", &[("cause", json!(cause))]);
+            let youngest = runs.iter().take(MAX_LISTED_RUNS);
+            let youngest = youngest.map(|(task, age_ms)| (task.to_string(), age_ms));
+            let fields = [
+                ("cause", json!(error.to_string())),
+                ("is_refused", json!(error.is_refused)),
+                ("runs", json!(runs.len())),
+                ("youngest", json!(youngest.collect::<Vec<_>>())),
+            ];
+            self.events.emit(Level::Notable, "upstream_mute", &fields);
         }
         self.apply(effects);
     }
