--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -29,6 +29,8 @@
 const MAX_LEASE: Duration = Duration::from_millis(1_000);
 /// Period of the heartbeats.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(50);
+/// How long an executor that has crashed is down.
+const CRASH_DOWN: Duration = Duration::from_millis(300);
 /// Longest time to wait for the response to a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -59,6 +61,9 @@
         pub fails_all: bool,
         /// Its heartbeats report that it is draining.
         pub is_draining: bool,
+        /// Start of the names of tasks that crash it when they start. It loses all its runs and is
+        /// back as another incarnation after 300 ms.
+        pub crashed_by: Option<&'static str>,
     }
 }
 
@@ -74,14 +79,24 @@
 #[derive(Debug)]
 struct Shared {
     settings: FakeExecutorSettings,
-    start: Instant,
-    incarnation: u64,
+    connections: Arc<Connections>,
+    lifetime: Mutex<Lifetime>,
     ledger: RunLedger,
     state: Mutex<RunTable>,
     faults: Mutex<FakeExecutorFaults>,
     run_ended: Notify,
 }
 
+/// The present incarnation of an executor.
+#[derive(Clone, Copy, Debug)]
+struct Lifetime {
+    start: Instant,
+    /// Unix milliseconds.
+    incarnation: u64,
+    crashes: u32,
+    is_down: bool,
+}
+
 /// The runs of an executor. Tasks are identified by name; a task may have several runs, whose
 /// numbers increase.
 #[derive(Debug, Default)]
@@ -119,10 +134,16 @@
     ) -> Result<Self, StepError> {
         let incarnation =
             SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let connections = Arc::new(Connections::new());
         let shared = Arc::new(Shared {
             settings,
-            start: Instant::now(),
-            incarnation: u64::try_from(incarnation).unwrap_or(0),
+            connections: Arc::clone(&connections),
+            lifetime: Mutex::new(Lifetime {
+                start: Instant::now(),
+                incarnation: u64::try_from(incarnation).unwrap_or(0),
+                crashes: 0,
+                is_down: false,
+            }),
             ledger,
             state: Mutex::default(),
             faults: Mutex::default(),
@@ -134,7 +155,7 @@
             .route("/-/hold", post(poll_runs))
             .with_state(Arc::clone(&shared));
         let addr = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::start(addr, router, Arc::new(Connections::new())).await?;
+        let server = Server::start(addr, router, connections).await?;
         let advancing = tokio::spawn(advance_runs(Arc::clone(&shared)));
         Ok(Self { server, shared, advancing })
     }
@@ -154,6 +175,11 @@
         lock(&self.shared.state).running.len()
     }
 
+    /// Returns how often it has crashed.
+    pub fn crashes(&self) -> u32 {
+        self.shared.lifetime().crashes
+    }
+
     /// Replaces the current faults.
     pub fn set_faults(&self, faults: FakeExecutorFaults) {
         *lock(&self.shared.faults) = faults;
@@ -173,9 +199,43 @@
 }
 
 impl Shared {
+    fn lifetime(&self) -> Lifetime {
+        *lock(&self.lifetime)
+    }
+
+    /// Crashes if a task that is being started does so; returns whether it has crashed.
+    fn crashes_under(self: &Arc<Self>, task: &str) -> bool {
+        let crashed_by = lock(&self.faults).crashed_by;
+        if !crashed_by.is_some_and(|prefix| task.starts_with(prefix)) {
+            return false;
+        }
+        let index = self.ledger.record_start(task, &self.settings.id);
+        self.ledger.record_end(index, false);
+        let runs = std::mem::take(&mut *lock(&self.state)).running;
+        runs.values().for_each(|run| self.ledger.record_end(run.ledger_index, false));
+        {
+            let mut lifetime = lock(&self.lifetime);
+            lifetime.crashes += 1;
+            lifetime.is_down = true;
+        }
+        self.connections.set_dead(true);
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(CRASH_DOWN).await;
+            {
+                let mut lifetime = lock(&shared.lifetime);
+                lifetime.start = Instant::now();
+                lifetime.incarnation += 1;
+                lifetime.is_down = false;
+            }
+            shared.connections.set_dead(false);
+        });
+        true
+    }
+
     /// Returns the time on the executor's clock in milliseconds, which starts at 1.
     fn clock_ms(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX) + 1
+        u64::try_from(self.lifetime().start.elapsed().as_millis()).unwrap_or(u64::MAX) + 1
     }
 
     /// Ends the runs that have completed, and every run when the lease has expired.
@@ -209,7 +269,7 @@
     }
 
     fn response(&self, status: StatusCode, reason: Option<&str>) -> Response {
-        let mut body = json!({ "clockMs": self.clock_ms(), "born": self.incarnation });
+        let mut body = json!({ "clockMs": self.clock_ms(), "born": self.lifetime().incarnation });
         if let Some(reason) = reason {
             body["reason"] = reason.into();
         }
@@ -263,7 +323,7 @@
             .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
             .collect();
         let has_ended_runs = !ended.is_empty();
-        let body = json!({ "clockMs": self.clock_ms(), "born": self.incarnation, "running": running, "ended": ended });
+        let body = json!({ "clockMs": self.clock_ms(), "born": self.lifetime().incarnation, "running": running, "ended": ended });
         (body, has_ended_runs)
     }
 
@@ -286,6 +346,10 @@
 
 async fn run_start(State(shared): State<Arc<Shared>>, Json(body): Json<Value>) -> Response {
     shared.hang_if_unresponsive().await;
+    let task = body.get("task").and_then(Value::as_str).unwrap_or("");
+    if shared.lifetime().is_down || shared.crashes_under(task) {
+        std::future::pending::<()>().await;
+    }
     let is_late = {
         let mut faults = lock(&shared.faults);
         let is_late = faults.late_starts > 0;
@@ -352,7 +416,16 @@
 
 async fn announce(shared: Arc<Shared>, own_addr: SocketAddr, control: SocketAddr) {
     let mut seq = 0;
+    let mut announced = shared.lifetime().incarnation;
     loop {
+        let lifetime = shared.lifetime();
+        if lifetime.is_down {
+            sleep(HEARTBEAT_PERIOD).await;
+            continue;
+        }
+        if lifetime.incarnation != announced {
+            (announced, seq) = (lifetime.incarnation, 0);
+        }
         seq += 1;
         let state = if lock(&shared.faults).is_draining { "draining" } else { "ready" };
         let settings = &shared.settings;
@@ -360,7 +433,7 @@
             "service": settings.pool, "address": own_addr.to_string(), "zone": settings.zone,
             "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
             "capacity": { "cpu": settings.milli_cores, "memMb": 65_536, "gpu": 0 },
-            "labels": ["a", "r1"], "clockMs": shared.clock_ms(), "seq": seq, "born": shared.incarnation,
+            "labels": ["a", "r1"], "clockMs": shared.clock_ms(), "seq": seq, "born": lifetime.incarnation,
         });
         let path = format!("/-/Instances.Heartbeat/{}", settings.id);
         let sent = timeout(HEARTBEAT_TIMEOUT, post_json(control, &path, &body.to_string())).await;
--- a/crates/node/tests/system/main.rs
+++ b/crates/node/tests/system/main.rs
@@ -2,6 +2,7 @@
 //! store and executors. The tests wait for conditions; timeouts only end a test that hangs.
 
 mod configuration;
+mod crashes;
 mod direct_jobs;
 mod failures;
 mod invalid_requests;
