Close an agent at the first refused connection of its upstream

Callers saw requests that waited 1.3 s for tasks that had never started, or were refused although the upstreams were back. Cause: an upstream whose process is gone counted as slow. For 0.2 s it got starts, each of which was sent four times and then counted as one that may have run; the lease of its runs was counted from calls that had been refused; the first call after its restart waited up to 0.15 s for a run to end.

A refused connection cannot have carried a call. Such a start is not started, such a call grants no lease, and the agent closes at once. The runs still count as lost only when their leases have ended, because the refusal may come from the network. Both new tests fail before (they need the new result and the new event; with on_call_timeout in their place the attempts stay outstanding).

--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -33,6 +33,8 @@
         Refused,
         /// The upstream refused the run because it is unhealthy; nothing was started.
         Unhealthy,
+        /// The connection for the request was refused, so the request did not arrive.
+        Undelivered,
         /// The request was not answered: the run may have started, or may still start.
         Unknown,
     }
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -1,6 +1,7 @@
 //! The agent's side of direct jobs: guards the capacity of one upstream, follows its runs and stops
 //! those that no entry needs any more.
 
+mod lease_record;
 mod messages;
 mod response_monitor;
 mod run;
@@ -21,6 +22,7 @@
 use crate::{
     AttemptId, AttemptOutcome, Load, Report, TaskId, Timing, Upstream, UpstreamState,
     supervisor::{
+        lease_record::LeaseRecord,
         response_monitor::ResponseMonitor,
         run::{Phase, Run},
         session::Session,
@@ -49,7 +51,7 @@
     /// Runs at the upstream that this agent did not start, for example those of an earlier agent;
     /// they are being stopped. The number is that of the run.
     orphaned_runs: IndexSet<(TaskId, u32)>,
-    last_lease_sent_ms: u64,
+    leases: LeaseRecord,
     /// Free capacity when the entries were last told of a change.
     reported_free: Resources,
     response_monitor: ResponseMonitor,
@@ -71,7 +73,7 @@
             is_leaving: false,
             orphaned_runs: IndexSet::new(),
             // An earlier agent may have granted a lease until now.
-            last_lease_sent_ms: now_ms,
+            leases: LeaseRecord::new(now_ms),
             reported_free: Resources::default(),
             response_monitor: ResponseMonitor::default(),
             start_timer: StartTimer::default(),
@@ -117,7 +119,13 @@
 
     /// Records that a call that grants a lease is being sent.
     pub fn record_lease_sent(&mut self, now_ms: u64) {
-        self.last_lease_sent_ms = now_ms;
+        self.leases.record_sent(now_ms);
+    }
+
+    /// Records the end of a call that grants a lease and was sent at `sent_ms`; a call whose
+    /// connection was refused has not arrived.
+    pub fn record_lease_call_end(&mut self, sent_ms: u64, may_have_arrived: bool) {
+        self.leases.record_end(sent_ms, may_have_arrived);
     }
 
     /// Applies the upstream's heartbeat. A heartbeat of an earlier incarnation, or with a `seq`
@@ -263,6 +271,13 @@
         if self.response_monitor.record_timeout(now_ms) { self.report_all() } else { Vec::new() }
     }
 
+    /// Records that the connection for a call to the upstream was refused: its process is gone, so
+    /// the entries are told at once. Its runs count as ended only when their leases have, because
+    /// the refusal may come from the network.
+    pub fn on_call_refused(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
+        if self.response_monitor.record_refusal(now_ms) { self.report_all() } else { Vec::new() }
+    }
+
     /// Acts on the passage of time: stops the runs of sessions that have timed out, settles all
     /// runs as lost when the last lease of an unresponsive upstream has ended, and reports a change
     /// of the free capacity on active links. Must be called periodically.
@@ -282,7 +297,7 @@
             session.is_connected
                 || now_ms.saturating_sub(session.last_heard_ms) < SESSION_RETENTION_MS
         });
-        let is_past_lease = now_ms >= self.last_lease_sent_ms + self.timing.lease_end_ms();
+        let is_past_lease = now_ms >= self.leases.last_ms() + self.timing.lease_end_ms();
         if self.response_monitor.is_unresponsive() && is_past_lease {
             self.settle_all_lost(&mut effects);
             self.orphaned_runs.clear();
--- a/crates/direct/src/supervisor/response_monitor.rs
+++ b/crates/direct/src/supervisor/response_monitor.rs
@@ -36,6 +36,16 @@
         becomes_unresponsive
     }
 
+    /// Records that nothing listens at the upstream's address, which unlike a lost call leaves no
+    /// doubt; returns whether this makes the upstream unresponsive.
+    pub(crate) fn record_refusal(&mut self, now_ms: u64) -> bool {
+        if self.unanswered == 0 {
+            self.first_unanswered_ms = now_ms;
+        }
+        self.unanswered += 1;
+        !std::mem::replace(&mut self.is_unresponsive, true)
+    }
+
     pub(crate) fn is_unresponsive(&self) -> bool {
         self.is_unresponsive
     }
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -127,9 +127,13 @@
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return effects;
         };
-        let Phase::Starting { sends, open_calls } = run.phase else {
+        let Phase::Starting { sends, open_calls } = &mut run.phase else {
             return effects;
         };
+        if result == StartResult::Undelivered {
+            *open_calls -= 1;
+        }
+        let (sends, open_calls) = (*sends, *open_calls);
         match result {
             StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
             StartResult::Unknown => match self.repeat_start(task, number, 1) {
@@ -137,13 +141,17 @@
                 None if open_calls > 1 => {}
                 None => self.stop_run(task, StopReport::NotStarted, &mut effects),
             },
+            // The other calls may have arrived.
+            StartResult::Undelivered if open_calls > 0 => {}
             // An earlier send may have started the run, whatever the answer to this one.
             _ if sends > 1 => self.stop_run(task, StopReport::NotStarted, &mut effects),
             StartResult::OldRun => {
                 self.run_numbers.insert(task.clone(), number + 1);
                 self.finish(task, AttemptOutcome::NotStarted, &mut effects);
             }
-            StartResult::Refused => self.finish(task, AttemptOutcome::NotStarted, &mut effects),
+            StartResult::Refused | StartResult::Undelivered => {
+                self.finish(task, AttemptOutcome::NotStarted, &mut effects)
+            }
             StartResult::Unhealthy => self.finish(task, AttemptOutcome::Unhealthy, &mut effects),
         }
         effects
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -255,6 +255,44 @@
     assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Lost)]);
 }
 
+// Incident docs/incidents/deadly-tasks.md: a crashed upstream passed for a free one for 0.2 s.
+#[test]
+fn an_upstream_that_refuses_connections_gets_no_attempts_from_the_first_refusal() {
+    let mut agent = agent();
+    agent.starts("j", &[1, 2], 1);
+    agent.supervisor.on_start_result(&task("j", 0), 1, StartResult::Started, 20);
+    agent.supervisor.record_lease_sent(20);
+    agent.supervisor.record_lease_call_end(20, true);
+    agent.supervisor.record_lease_sent(30);
+    agent.supervisor.on_call_refused(31);
+    agent.supervisor.record_lease_call_end(30, false);
+    let result = agent.supervisor.on_start_result(&task("j", 1), 1, StartResult::Undelivered, 31);
+    assert!(stops(&result).is_empty());
+    assert!(agent.starts("k", &[3], 1).is_empty());
+    let not_started = |id| (AttemptId(id), AttemptOutcome::NotStarted);
+    assert_eq!(agent.outcomes(), [not_started(2), not_started(3)]);
+    // The refused call granted no lease.
+    let end_ms = 20 + Timing::default().lease_end_ms();
+    agent.supervisor.on_entry_message(agent.entry, end_ms - 1);
+    agent.supervisor.tick(end_ms - 1);
+    assert!(agent.outcomes().is_empty());
+    agent.supervisor.tick(end_ms);
+    assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Lost)]);
+}
+
+#[test]
+fn a_start_of_which_one_call_was_refused_may_still_run_by_the_other() {
+    let mut agent = agent();
+    let t = task("j", 0);
+    agent.starts("j", &[1], 1);
+    agent.supervisor.on_start_overdue(&t, 1);
+    agent.supervisor.on_call_refused(31);
+    agent.supervisor.on_start_result(&t, 1, StartResult::Undelivered, 31);
+    assert!(agent.outcomes().is_empty());
+    agent.supervisor.on_start_result(&t, 1, StartResult::Unknown, 100);
+    assert!(agent.outcomes().is_empty());
+}
+
 #[test]
 fn single_unanswered_calls_do_not_make_the_upstream_unresponsive() {
     let mut agent = agent();
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use direct::{RunList, StartResult, StartRun, TaskId};
-use platform::RunListReply;
+use platform::{CallFailure, RunListReply};
 use tokio::{
     task::spawn_local,
     time::{sleep, timeout},
@@ -21,6 +21,8 @@
 const STOP_WAIT_MS: u64 = 30;
 /// Pause after a failed poll.
 const FAILED_PAUSE: Duration = Duration::from_millis(40);
+/// Pause after a poll whose connection broke: the next one shows whether the upstream still exists.
+const BROKEN_PAUSE: Duration = Duration::from_millis(2);
 /// Pause before an unacknowledged stop is repeated.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
@@ -28,8 +30,10 @@
 pub(crate) async fn poll_runs(state: Rc<AgentState>) {
     loop {
         let sent_ms = clock::now_ms();
+        // A poll that waits would delay the news that the upstream responds again.
         let wait_ms = match (state.is_open(), state.has_pending_stop()) {
             (false, false) => 0,
+            _ if !state.is_responsive() => 0,
             (_, true) => STOP_WAIT_MS,
             (true, false) if state.is_idle() => POLL_WAIT_MS,
             (true, false) => BUSY_POLL_WAIT_MS,
@@ -52,6 +56,7 @@
             }
         };
         let received_ms = clock::now_ms();
+        state.record_lease_call_end(sent_ms, &reply);
         match reply {
             Ok(reply) => {
                 state.record_upstream_clock(reply.clock_ms, received_ms);
@@ -63,7 +68,8 @@
             }
             Err(e) => {
                 state.on_call_error(&e);
-                sleep(FAILED_PAUSE).await;
+                sleep(if e.failure == CallFailure::Broken { BROKEN_PAUSE } else { FAILED_PAUSE })
+                    .await;
             }
         }
     }
@@ -76,6 +82,7 @@
     let lease_end = state.next_lease_end(sent_ms);
     let reply =
         state.executor.poll_runs(state.token(), state.last_ended_seq.get(), lease_end, 0).await;
+    state.record_lease_call_end(sent_ms, &reply);
     match reply {
         Ok(reply) if !reply.is_fenced => on_reply(&state, reply, sent_ms, clock::now_ms()),
         Ok(_) => {}
@@ -116,6 +123,7 @@
             call.await
         }
     };
+    state.record_lease_call_end(sent_ms, &answer);
     let received_ms = clock::now_ms();
     let result = match answer {
         Ok((result, clock_ms)) => {
@@ -125,7 +133,10 @@
         }
         Err(e) => {
             state.on_call_error(&e);
-            StartResult::Unknown
+            match e.failure {
+                CallFailure::Refused => StartResult::Undelivered,
+                CallFailure::Broken | CallFailure::Unanswered => StartResult::Unknown,
+            }
         }
     };
     state.on_start_result(&start.task, start.run, result);
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use direct::{RunList, StartResult, TaskId};
-use platform::CallError;
+use platform::{CallError, CallFailure};
 use serde_json::json;
 
 use crate::{agent::state::AgentState, clock, events::Level};
@@ -43,6 +43,17 @@
         Some(u64::try_from(now).unwrap_or(0) + self.timing.lease_ms)
     }
 
+    /// Records the end of a call that was sent at `sent_ms` and may have granted a lease.
+    pub(crate) fn record_lease_call_end<T>(&self, sent_ms: u64, result: &Result<T, CallError>) {
+        let is_refused = matches!(result, Err(e) if e.failure == CallFailure::Refused);
+        self.supervisor.borrow_mut().record_lease_call_end(sent_ms, !is_refused);
+    }
+
+    /// Returns whether the upstream responds.
+    pub(crate) fn is_responsive(&self) -> bool {
+        self.supervisor.borrow().grants_lease()
+    }
+
     pub(crate) fn on_run_list(self: &Rc<Self>, result: &RunList) {
         self.now_ms();
         let was_answering = self.supervisor.borrow().grants_lease();
@@ -69,13 +80,18 @@
         let now_ms = self.now_ms();
         let was_answering = self.supervisor.borrow().grants_lease();
         let runs = self.supervisor.borrow().runs_by_age(now_ms);
-        let effects = self.supervisor.borrow_mut().on_call_timeout(now_ms);
+        let effects = match error.failure {
+            CallFailure::Refused => self.supervisor.borrow_mut().on_call_refused(now_ms),
+            CallFailure::Broken | CallFailure::Unanswered => {
+                self.supervisor.borrow_mut().on_call_timeout(now_ms)
+            }
+        };
         if was_answering && !self.supervisor.borrow().grants_lease() {
             let youngest = runs.iter().take(MAX_LISTED_RUNS);
             let youngest = youngest.map(|(task, age_ms)| (task.to_string(), age_ms));
             let fields = [
                 ("cause", json!(error.to_string())),
-                ("is_refused", json!(error.is_refused)),
+                ("is_refused", json!(error.failure == CallFailure::Refused)),
                 ("runs", json!(runs.len())),
                 ("youngest", json!(youngest.collect::<Vec<_>>())),
             ];
