Give up a job that is proven to crash its upstreams

Callers of all kinds lost their requests while one task was started on upstream after upstream and crashed each. Cause: a run that ended with its upstream was lost, as after a cut, and nothing counted it; only the caller's timeout ended the repetition (five crashes under one batch task, 62 in the system test).

All entries get this within ms, also those that connect later, so the count survives a killed entry and a caller that goes elsewhere; leaving upstreams, cuts and several upstreams that crash at once blame nobody. A suspected job is started again only on its own: nothing else starts within 50 ms of it. It is answered as failed when one of its tasks was in two crashes without another suspect, or in three of which one had none.

Ruled out on the way: suspecting only the jobs that were suspected before.

The outcome of runs lost with another incarnation is now 'crashed' (one expectation of the supervisor's tests says so).

--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -4,7 +4,9 @@
 
 use crate::{
     JobStep,
-    dispatcher::{AgentKey, Dispatcher, agent_view::AgentView, job_state::JobState},
+    dispatcher::{
+        AgentKey, Dispatcher, agent_view::AgentView, crash_ledger::Suspicion, job_state::JobState,
+    },
 };
 
 /// Factor of the expected run time that should fit before the objective, because run times vary. An
@@ -16,6 +18,9 @@
 /// where they would probably miss the objective, milliseconds: about two activations.
 const WIDENING_WAIT_MS: u64 = 15;
 
+/// Cost of a fully used upstream for a job that may crash it; less than that of a probable miss.
+const SUSPECT_COMPANY_COST: f64 = 10.0;
+
 types::plain! {
     /// Requirements of a task on the upstream that runs it.
     #[derive(Copy)]
@@ -80,6 +85,7 @@
     ) -> Option<AgentKey> {
         let step = &state.job.steps[usize::from(step_index)];
         let avoided = self.avoided(state, step_index, task, requirements.now_ms);
+        let is_suspect = self.suspicion(state) != Suspicion::None;
         let mut best: Option<(f64, AgentKey)> = None;
         for (key, view) in self.active_agents() {
             let planned_here =
@@ -101,6 +107,7 @@
                 })
                 || requirements.expected_ms / view.speed.value() > requirements.max_expected_ms
                 || avoided.contains(&key)
+                || (is_suspect && self.has_other_suspect(view, state))
                 || (self.is_contest(key, requirements.need)
                     && !self.contention.may_try(view.rank, requirements.now_ms))
             {
@@ -109,7 +116,8 @@
             let is_near = *upstream.zone == *self.zone;
             let is_on_rack = step.rack.as_ref().is_none_or(|rack| upstream.labels.contains(rack));
             let cost =
-                cost(view.speed.value(), is_near, is_on_rack, planned_here > 0, requirements);
+                cost(view.speed.value(), is_near, is_on_rack, planned_here > 0, requirements)
+                    + if is_suspect { view.used_share() * SUSPECT_COMPANY_COST } else { 0.0 };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
@@ -130,6 +138,13 @@
         !self.is_near(view) && view.is_nearly_full(need)
     }
 
+    /// Returns whether an upstream runs a task of another job that is suspected of crashing
+    /// upstreams: a crash would then not tell which of the two is the cause.
+    fn has_other_suspect(&self, view: &AgentView, state: &JobState) -> bool {
+        let mut attempts = view.attempts.iter().filter_map(|id| self.attempts.get(id));
+        attempts.any(|attempt| attempt.is_suspect && attempt.job_id != *state.id())
+    }
+
     /// Returns whether an agent on standby can run tasks of the step.
     fn has_standby(&self, pool: &str, step: &JobStep) -> bool {
         self.agents_of(pool).any(|(_, view)| view.is_standby() && view.fits(step))
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -86,6 +86,12 @@
             .fold(self.load.free, |free, (_, need)| free.saturating_sub(*need))
     }
 
+    /// Returns the share of the processor capacity that is used, 0 to 1.
+    pub(crate) fn used_share(&self) -> f64 {
+        let capacity = self.upstream.as_ref().map_or(0, |up| up.capacity.milli_cores);
+        1.0 - f64::from(self.free().milli_cores.min(capacity)) / f64::from(capacity.max(1))
+    }
+
     /// Returns whether tasks may be sent: the link is active, and the agent accepts new tasks and
     /// sent a message within `silence_ms`.
     pub(crate) fn is_open(&self, now_ms: u64, silence_ms: u64) -> bool {
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -74,6 +74,10 @@
                     return;
                 }
             }
+            AttemptOutcome::Crashed => {
+                let history = state.histories.entry((attempt.step, attempt.index)).or_default();
+                history.crashes += 1;
+            }
             AttemptOutcome::Unhealthy => {
                 let history = state.histories.entry((attempt.step, attempt.index)).or_default();
                 history.avoided.push(attempt.agent);
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -16,6 +16,8 @@
 pub(crate) struct TaskHistory {
     pub(crate) runs: u32,
     pub(crate) failures: u16,
+    /// Runs during which the upstream crashed.
+    pub(crate) crashes: u32,
     /// Agents on whose upstreams the task failed, or whose upstreams refused it as unhealthy.
     pub(crate) avoided: Vec<AgentKey>,
 }
@@ -101,6 +103,11 @@
         self.has_run || self.outstanding > 0
     }
 
+    /// Returns the maximum number of crashes that one of its tasks has shared.
+    pub(crate) fn shared_crashes(&self) -> u32 {
+        self.histories.values().map(|history| history.crashes).max().unwrap_or(0)
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.unfinished == 0)
     }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -8,6 +8,8 @@
 mod backlog;
 mod caller_age;
 mod contention;
+mod crash_ledger;
+mod crash_response;
 mod health;
 mod job_outcomes;
 mod job_state;
@@ -26,8 +28,14 @@
     AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
     ToAgent,
     dispatcher::{
-        agent_view::AgentView, backlog::Backlog, caller_age::CallerAges, contention::Contention,
-        job_state::JobState, link_activity::LinkActivity, return_schedule::ReturnSchedule,
+        agent_view::AgentView,
+        backlog::Backlog,
+        caller_age::CallerAges,
+        contention::Contention,
+        crash_ledger::{CrashLedger, Suspicion},
+        job_state::JobState,
+        link_activity::LinkActivity,
+        return_schedule::ReturnSchedule,
         speed::KindRatio,
     },
 };
@@ -49,6 +57,13 @@
         Answer(JobKey, JobOutcome),
         /// Closes the connection of an agent, which has been silent for too long.
         CloseLink(AgentKey),
+        /// Reports that a job was given up because upstreams crash under it.
+        GivenUp {
+            /// Id of the job.
+            job: Arc<str>,
+            /// Kind of the job.
+            kind: Arc<str>,
+        },
         /// Reports that an upstream was ejected or is in use again.
         EjectionChanged {
             /// Name of the upstream's agent.
@@ -79,6 +94,8 @@
     agent: AgentKey,
     /// Whether it competes with other entries for the last slots of an agent in another zone.
     is_contest: bool,
+    /// Whether its job was suspected of crashing upstreams when it was sent.
+    is_suspect: bool,
 }
 
 /// State of an entry: its jobs, its agents and the attempts at these.
@@ -101,6 +118,7 @@
     backlog: Backlog,
     caller_ages: CallerAges,
     contention: Contention,
+    crashes: CrashLedger,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -125,6 +143,7 @@
             backlog: Backlog::default(),
             caller_ages: CallerAges::default(),
             contention: Contention::default(),
+            crashes: CrashLedger::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
@@ -145,8 +164,10 @@
             state.waiters.push(key);
             return (key, Vec::new());
         }
+        let is_deadly = self.crashes.suspicion(&job.id) == Suspicion::Proven;
         let refusal = match self.admission {
             Admission::Closed(reason) => Some(self.refusal(reason)),
+            Admission::Open if is_deadly => Some(JobOutcome::Failed),
             Admission::Open => self.unplaceable_outcome(&job, now_ms),
         };
         if let Some(outcome) = refusal {
@@ -221,7 +242,7 @@
         }
     }
 
-    /// Applies an agent's load report, settles the attempts that it lists and dispatches queued
+    /// Applies an agent's load report, acts on the crashes and settles the attempts that it lists and dispatches queued
     /// tasks.
     pub fn on_report(
         &mut self,
@@ -244,6 +265,7 @@
             view.upstream = Some(upstream);
             self.activate_at_rest(key, now_ms, &mut effects);
         }
+        self.on_crash_notices(key, report.crashes, now_ms, &mut effects);
         for (id, outcome) in report.outcomes {
             self.settle(id, outcome, now_ms, &mut effects);
         }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -9,7 +9,8 @@
     Attempt, AttemptBatch, AttemptId, RefusalReason, ToAgent,
     dispatcher::{
         AgentKey, Dispatcher, DispatcherEffect, JobKey, OutstandingAttempt,
-        agent_choice::TaskRequirements, agent_view::AgentView, job_state::JobState,
+        agent_choice::TaskRequirements, agent_view::AgentView, crash_ledger::Suspicion,
+        job_state::JobState,
     },
 };
 
@@ -33,7 +34,10 @@
             let Some(state) = self.jobs.get(&key) else { continue };
             // A job whose time has run out is answered by the next `tick`; its caller may already
             // have resubmitted it.
-            if self.stopping_jobs.contains_key(state.id()) || state.is_expired(now_ms) {
+            if self.stopping_jobs.contains_key(state.id())
+                || state.is_expired(now_ms)
+                || self.is_withheld(state)
+            {
                 continue;
             }
             let is_late = state.is_late && !state.may_have_run();
@@ -189,6 +193,7 @@
     ) {
         let Some(state) = self.jobs.get(&key) else { return };
         let need = state.job.steps[usize::from(step)].need;
+        let is_suspect = self.suspicion(state) != Suspicion::None;
         let contests: Vec<AgentKey> =
             plan.tasks_by_agent.keys().copied().filter(|key| self.is_contest(*key, need)).collect();
         let Some(state) = self.jobs.get_mut(&key) else { return };
@@ -210,6 +215,7 @@
                     index,
                     agent,
                     is_contest,
+                    is_suspect,
                 };
                 self.attempts.insert(id, attempt);
                 self.agents[agent.0 as usize].attempts.insert(id);
@@ -218,8 +224,15 @@
                 attempts.iter().fold(Resources::default(), |sum, _| sum.saturating_add(need));
             self.agents[agent.0 as usize].charge(charge);
             let payload = Arc::clone(&state.job.payload);
-            let batch =
-                AttemptBatch { job: Arc::clone(&state.job.id), step, payload, need, attempts };
+            let batch = AttemptBatch {
+                job: Arc::clone(&state.job.id),
+                kind: Arc::clone(&state.job.kind),
+                is_suspect,
+                step,
+                payload,
+                need,
+                attempts,
+            };
             effects.push(DispatcherEffect::Send(agent, ToAgent::Start(batch)));
         }
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,8 +22,8 @@
     },
     job::{DirectJob, JobOutcome, JobStep, RefusalReason},
     link_message::{
-        AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, EntryHello, Load, Report,
-        ToAgent,
+        AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
+        EntryHello, Load, Report, Suspect, ToAgent,
     },
     peer_choice::choose_peers,
     routing::{Queue, RequestLimits, Routing},
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -53,6 +53,10 @@
     pub struct AttemptBatch {
         /// Id of the job.
         pub job: Arc<str>,
+        /// Kind of the job.
+        pub kind: Arc<str>,
+        /// Whether the job is suspected of crashing upstreams.
+        pub is_suspect: bool,
         /// Position of the step in the job, from 0.
         pub step: u16,
         /// Input of the tasks, passed to the executor unchanged.
@@ -114,6 +118,37 @@
         Lost,
         /// The upstream refused the start because it is unhealthy; nothing has run.
         Unhealthy,
+        /// The upstream crashed while the task ran.
+        Crashed,
+    }
+
+    /// A task that may be the cause of a crash.
+    #[derive(Eq)]
+    pub struct Suspect {
+        /// The task.
+        pub task: TaskId,
+        /// Kind of its job.
+        pub kind: Arc<str>,
+    }
+
+    /// A crash of an upstream, as its agent has seen it.
+    #[derive(Eq)]
+    pub struct Crash {
+        /// Start time of the incarnation that crashed, Unix milliseconds.
+        pub incarnation: u64,
+        /// Time since the crash when this is sent, milliseconds.
+        pub age_ms: u64,
+        /// Tasks that may be the cause, the latest first; none if the cause is elsewhere.
+        pub suspects: Vec<Suspect>,
+    }
+
+    /// News about crashes of an upstream.
+    #[derive(Eq)]
+    pub enum CrashNotice {
+        /// The upstream has crashed.
+        Crashed(Crash),
+        /// This incarnation has answered again, so it had not crashed.
+        Refuted(u64),
     }
 
     /// Load report of an agent; it also serves as the agent's heartbeat.
@@ -125,6 +160,8 @@
         pub load: Load,
         /// Outcomes of this entry's attempts since the last report.
         pub outcomes: Vec<(AttemptId, AttemptOutcome)>,
+        /// Crashes of the upstream since the last report, also those that concern other entries.
+        pub crashes: Vec<CrashNotice>,
     }
 }
 
@@ -138,6 +175,7 @@
             Self::Stopped => "stopped",
             Self::Lost => "lost",
             Self::Unhealthy => "unhealthy",
+            Self::Crashed => "crashed",
         }
     }
 }
--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{AttemptId, AttemptOutcome, TaskId};
+use crate::{AttemptId, AttemptOutcome, Crash, TaskId};
 
 types::identifier! {
     /// Identifies the session with one incarnation of an entry at this agent.
@@ -90,6 +90,8 @@
         Report(SessionKey),
         /// Opens the agent: all runs of earlier agents have ended, so it may connect to entries.
         Open,
+        /// Reports a crash of the upstream for the log.
+        Crashed(Crash),
         /// Reports a settled attempt for the log: task, attempt and outcome.
         Settled(TaskId, Option<AttemptId>, AttemptOutcome),
     }
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -1,6 +1,8 @@
 //! The agent's side of direct jobs: guards the capacity of one upstream, follows its runs and stops
 //! those that no entry needs any more.
 
+mod crashes;
+mod isolation;
 mod lease_record;
 mod messages;
 mod response_monitor;
@@ -22,6 +24,8 @@
 use crate::{
     AttemptId, AttemptOutcome, Load, Report, TaskId, Timing, Upstream, UpstreamState,
     supervisor::{
+        crashes::Crashes,
+        isolation::Isolation,
         lease_record::LeaseRecord,
         response_monitor::ResponseMonitor,
         run::{Phase, Run},
@@ -55,6 +59,8 @@
     /// Free capacity when the entries were last told of a change.
     reported_free: Resources,
     response_monitor: ResponseMonitor,
+    crashes: Crashes,
+    isolation: Option<Isolation>,
     start_timer: StartTimer,
 }
 
@@ -76,6 +82,8 @@
             leases: LeaseRecord::new(now_ms),
             reported_free: Resources::default(),
             response_monitor: ResponseMonitor::default(),
+            crashes: Crashes::default(),
+            isolation: None,
             start_timer: StartTimer::default(),
         }
     }
@@ -130,8 +138,13 @@
 
     /// Applies the upstream's heartbeat. A heartbeat of an earlier incarnation, or with a `seq`
     /// that is not higher than the last one of the same incarnation, is late and is ignored. The
-    /// runs of a replaced upstream are settled as lost.
-    pub fn on_heartbeat(&mut self, upstream: Upstream, seq: i64) -> Vec<SupervisorEffect> {
+    /// runs of a replaced upstream are settled.
+    pub fn on_heartbeat(
+        &mut self,
+        upstream: Upstream,
+        seq: i64,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
         if let Some(known) = &self.upstream {
             let is_same = known.id == upstream.id && known.incarnation == upstream.incarnation;
@@ -139,7 +152,7 @@
                 return effects;
             }
             if !is_same {
-                self.settle_all_lost(&mut effects);
+                self.on_incarnation_end(now_ms, &mut effects);
                 self.run_numbers.clear();
             }
         }
@@ -177,6 +190,7 @@
         now_ms: u64,
     ) -> (SessionKey, Vec<SupervisorEffect>) {
         let mut effects = Vec::new();
+        let crashes = self.kept_crashes(now_ms);
         let known = self.sessions.get(entry).map(|(key, session)| (*key, session.incarnation));
         let key = match known {
             Some((key, number)) if number == incarnation => key,
@@ -201,6 +215,7 @@
             session.is_active = false;
             session.batches_seen = 0;
             session.unsent.clear();
+            session.unsent_crashes = crashes;
             for id in outstanding.iter().filter(|id| !live.contains(id)) {
                 let outcome = session.outcome(*id).unwrap_or(AttemptOutcome::NotStarted);
                 session.unsent.push((*id, outcome));
@@ -246,7 +261,8 @@
         if self.response_monitor.record_answer() {
             effects.extend(self.report_all());
         }
-        self.check_incarnation(list.incarnation, &mut effects);
+        effects.extend(self.on_outage_end(list.incarnation));
+        self.check_incarnation(list.incarnation, list.received_ms, &mut effects);
         for (task, number, run_outcome) in &list.ended {
             self.on_run_end(task, *number, *run_outcome, list.received_ms, &mut effects);
         }
@@ -268,18 +284,24 @@
     /// Records that a call to the upstream was not answered in time; reports to the entries when
     /// this makes the upstream count as unresponsive.
     pub fn on_call_timeout(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
-        if self.response_monitor.record_timeout(now_ms) { self.report_all() } else { Vec::new() }
+        if !self.response_monitor.record_timeout(now_ms) {
+            return Vec::new();
+        }
+        self.begin_outage(self.response_monitor.failing_since_ms(), false);
+        self.report_all()
     }
 
     /// Records that the connection for a call to the upstream was refused: its process is gone, so
     /// the entries are told at once. Its runs count as ended only when their leases have, because
     /// the refusal may come from the network.
     pub fn on_call_refused(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
-        if self.response_monitor.record_refusal(now_ms) { self.report_all() } else { Vec::new() }
+        let is_new = self.response_monitor.record_refusal(now_ms);
+        self.begin_outage(self.response_monitor.failing_since_ms(), true);
+        if is_new { self.report_all() } else { Vec::new() }
     }
 
     /// Acts on the passage of time: stops the runs of sessions that have timed out, settles all
-    /// runs as lost when the last lease of an unresponsive upstream has ended, and reports a change
+    /// runs as lost or crashed when the last lease of an unresponsive upstream has ended, and reports a change
     /// of the free capacity on active links. Must be called periodically.
     pub fn tick(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
@@ -297,9 +319,11 @@
             session.is_connected
                 || now_ms.saturating_sub(session.last_heard_ms) < SESSION_RETENTION_MS
         });
+        self.announce_refusal(now_ms, &mut effects);
+        self.advance_isolation(now_ms, &mut effects);
         let is_past_lease = now_ms >= self.leases.last_ms() + self.timing.lease_end_ms();
         if self.response_monitor.is_unresponsive() && is_past_lease {
-            self.settle_all_lost(&mut effects);
+            self.settle_all(self.loss(), &mut effects);
             self.orphaned_runs.clear();
             if !self.is_open {
                 self.is_open = true;
@@ -319,12 +343,14 @@
     /// the session is unknown or disconnected. `with_upstream` is to be set for the first report on
     /// a connection and after a change of the upstream.
     pub fn report(&mut self, key: SessionKey, with_upstream: bool) -> Option<Report> {
-        let load = Load { batches_seen: 0, free: self.free(), is_open: self.accepts_attempts() };
+        let is_open = self.accepts_attempts() && self.isolation.is_none();
+        let load = Load { batches_seen: 0, free: self.free(), is_open };
         let upstream = self.upstream.clone().filter(|_| with_upstream);
         let session = self.session_mut(key).filter(|session| session.is_connected)?;
         let outcomes = std::mem::take(&mut session.unsent);
+        let crashes = std::mem::take(&mut session.unsent_crashes);
         let load = Load { batches_seen: session.batches_seen, ..load };
-        Some(Report { upstream, load, outcomes })
+        Some(Report { upstream, load, outcomes, crashes })
     }
 
     /// Returns the capacity that no run occupies.
--- a/crates/direct/src/supervisor/response_monitor.rs
+++ b/crates/direct/src/supervisor/response_monitor.rs
@@ -46,6 +46,11 @@
         !std::mem::replace(&mut self.is_unresponsive, true)
     }
 
+    /// Returns the time of the first call that failed since the last answer, milliseconds.
+    pub(crate) fn failing_since_ms(&self) -> u64 {
+        self.first_unanswered_ms
+    }
+
     pub(crate) fn is_unresponsive(&self) -> bool {
         self.is_unresponsive
     }
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -8,6 +8,8 @@
     /// Phase of a run.
     #[derive(Copy, Eq)]
     pub(crate) enum Phase {
+        /// The start is held until the upstream is free of other fresh starts.
+        Held,
         /// The start has been sent and is unanswered.
         Starting {
             /// Number of times that the start was sent.
@@ -42,6 +44,10 @@
     pub(crate) struct Run {
         pub(crate) number: u32,
         pub(crate) need: Resources,
+        /// Kind of the job.
+        pub(crate) kind: Arc<str>,
+        /// Whether the entry suspects the job of crashing upstreams.
+        pub(crate) is_suspect: bool,
         pub(crate) payload: Arc<str>,
         /// Time at which the attempt was accepted, milliseconds.
         pub(crate) accepted_ms: u64,
@@ -50,3 +56,8 @@
         pub(crate) phase: Phase,
     }
 }
+
+impl Phase {
+    /// Phase of a run whose start is being sent for the first time.
+    pub(crate) const STARTING: Self = Self::Starting { sends: 1, open_calls: 1 };
+}
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -75,26 +75,31 @@
     }
 
     /// Discards the upstream if a later incarnation has replaced it at its address, and settles its
-    /// runs as lost.
+    /// runs.
     pub(crate) fn check_incarnation(
         &mut self,
         incarnation: Option<u64>,
+        now_ms: u64,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(incarnation) = incarnation else { return };
         if self.upstream.as_ref().is_some_and(|known| known.incarnation < incarnation) {
+            self.on_incarnation_end(now_ms, effects);
             self.upstream = None;
-            self.settle_all_lost(effects);
             self.run_numbers.clear();
             effects.extend(self.report_all());
         }
     }
 
-    /// Settles all runs as lost.
-    pub(crate) fn settle_all_lost(&mut self, effects: &mut Vec<SupervisorEffect>) {
+    /// Settles all runs with the same outcome.
+    pub(crate) fn settle_all(
+        &mut self,
+        outcome: AttemptOutcome,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
         let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
         for task in tasks {
-            self.finish(&task, AttemptOutcome::Lost, effects);
+            self.finish(&task, outcome, effects);
         }
     }
 
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use crate::{AttemptId, AttemptOutcome};
+use crate::{AttemptId, AttemptOutcome, CrashNotice};
 
 /// Maximum number of outcomes kept for an entry that reconnects: twice the number of tasks that an
 /// upstream of 64 cores completes in the duration of a session.
@@ -19,6 +19,8 @@
     pub(crate) batches_seen: u64,
     /// Outcomes that are not sent yet.
     pub(crate) unsent: Vec<(AttemptId, AttemptOutcome)>,
+    /// News about crashes that is not sent yet.
+    pub(crate) unsent_crashes: Vec<CrashNotice>,
     /// Latest outcomes, sent or not, the oldest first.
     recent: VecDeque<(AttemptId, AttemptOutcome)>,
 }
@@ -32,6 +34,7 @@
             is_active: false,
             batches_seen: 0,
             unsent: Vec::new(),
+            unsent_crashes: Vec::new(),
             recent: VecDeque::new(),
         }
     }
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -27,25 +27,32 @@
         if let Some(session) = self.session_mut(key) {
             session.batches_seen += 1;
         }
+        let was_isolated = self.isolation.is_some();
         let mut is_refused = false;
         for attempt in &batch.attempts {
             let task = batch.task(attempt);
             if self.accepts_attempts()
+                && !self.is_isolated_from(&batch.job)
                 && self.has_capacity(batch.need)
                 && !self.runs.contains_key(&task)
             {
+                let phase = self.first_phase(batch, now_ms);
                 let number = attempt.run.max(self.run_numbers.get(&task).map_or(0, |n| n + 1));
                 let run = Run {
                     number,
                     need: batch.need,
+                    kind: Arc::clone(&batch.kind),
+                    is_suspect: batch.is_suspect,
                     attempt: Some((key, attempt.id)),
                     payload: Arc::clone(&batch.payload),
                     accepted_ms: now_ms,
-                    phase: Phase::Starting { sends: 1, open_calls: 1 },
+                    phase,
                 };
                 self.runs.insert(task.clone(), run);
-                let payload = Arc::clone(&batch.payload);
-                effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
+                if phase != Phase::Held {
+                    let payload = Arc::clone(&batch.payload);
+                    effects.push(SupervisorEffect::Start(StartRun { task, run: number, payload }));
+                }
             } else {
                 is_refused = true;
                 self.settle(
@@ -56,6 +63,9 @@
                 );
             }
         }
+        if was_isolated != self.isolation.is_some() {
+            effects.extend(self.report_all());
+        }
         if is_refused {
             effects.push(SupervisorEffect::Report(key));
         }
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -146,7 +146,8 @@
             ];
             self.events.emit(Level::Notable, "upstream", &fields);
         }
-        let effects = self.supervisor.borrow_mut().on_heartbeat(upstream, seq);
+        let now_ms = self.now_ms();
+        let effects = self.supervisor.borrow_mut().on_heartbeat(upstream, seq, now_ms);
         self.apply(effects);
     }
 
@@ -283,6 +284,18 @@
                     self.is_open.set(true);
                     self.events.emit(Level::Notable, "open", &[]);
                 }
+                SupervisorEffect::Crashed(crash) => {
+                    counter!("agent_crashes").increment(1);
+                    let suspects = crash
+                        .suspects
+                        .iter()
+                        .map(|suspect| (suspect.task.to_string(), &*suspect.kind));
+                    let fields = [
+                        ("born", json!(crash.incarnation)),
+                        ("suspects", json!(suspects.collect::<Vec<_>>())),
+                    ];
+                    self.events.emit(Level::Notable, "upstream_crashed", &fields);
+                }
                 SupervisorEffect::Settled(task, attempt, outcome) => {
                     counter!("agent_orders", "outcome" => outcome.name()).increment(1);
                     let level = match outcome {
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -308,6 +308,11 @@
                     }
                 }
                 DispatcherEffect::CloseLink(agent) => self.close_link(agent, "silent"),
+                DispatcherEffect::GivenUp { job, kind } => {
+                    counter!("entry_jobs_given_up").increment(1);
+                    let fields = [("job", json!(&*job)), ("queue", json!(&*kind))];
+                    self.events.emit(Level::Notable, "given_up", &fields);
+                }
                 DispatcherEffect::EjectionChanged { agent, is_ejected } => {
                     let fields = [("agent", json!(&*agent)), ("is_ejected", json!(is_ejected))];
                     self.events.emit(Level::Notable, "upstream_judged", &fields);
