Contain a kind of job whose tasks keep crashing upstreams

Callers of kinds that crash nothing were refused for ten seconds, with 1 to 8% of the requests in time at worst. Cause: nothing bounds how much of a pool one kind may take down. Two or three poisoned jobs arrive in a second and an upstream is away for three, so their first starts alone take down nine of eleven; giving each of them up after two crashes changes nothing about that.

Each entry now weighs, crash by crash, whether a kind is among the suspects more often than its part of the starts explains (20 to 1, or one proven job). Such a kind starts only on a part of the pool as large as its part of the work, at least a quarter, until five seconds after its last crash; the other kinds go there only when nothing else is left, and jobs that are suspected after a single crash always start there. All entries choose the same upstreams and learn of the same crashes.

The tests of containment fail before: the kind's jobs go to all twelve upstreams.

--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -18,6 +18,9 @@
 /// where they would probably miss the objective, milliseconds: about two activations.
 const WIDENING_WAIT_MS: u64 = 15;
 
+/// Cost of an upstream for the jobs of another kind, which may crash it any moment; less than that
+/// of a probable miss.
+const CEDED_COST: f64 = 20.0;
 /// Cost of a fully used upstream for a job that may crash it; less than that of a probable miss.
 const SUSPECT_COMPANY_COST: f64 = 10.0;
 
@@ -86,6 +89,7 @@
         let step = &state.job.steps[usize::from(step_index)];
         let avoided = self.avoided(state, step_index, task, requirements.now_ms);
         let is_suspect = self.suspicion(state) != Suspicion::None;
+        let is_confined = self.is_confined(state, requirements.now_ms);
         let mut best: Option<(f64, AgentKey)> = None;
         for (key, view) in self.active_agents() {
             let planned_here =
@@ -107,6 +111,7 @@
                 })
                 || requirements.expected_ms / view.speed.value() > requirements.max_expected_ms
                 || avoided.contains(&key)
+                || (is_confined && !self.containment.is_member(&state.job.kind, key))
                 || (is_suspect && self.has_other_suspect(view, state))
                 || (self.is_contest(key, requirements.need)
                     && !self.contention.may_try(view.rank, requirements.now_ms))
@@ -117,7 +122,12 @@
             let is_on_rack = step.rack.as_ref().is_none_or(|rack| upstream.labels.contains(rack));
             let cost =
                 cost(view.speed.value(), is_near, is_on_rack, planned_here > 0, requirements)
-                    + if is_suspect { view.used_share() * SUSPECT_COMPANY_COST } else { 0.0 };
+                    + if is_suspect { view.used_share() * SUSPECT_COMPANY_COST } else { 0.0 }
+                    + if self.containment.is_ceded(&state.job.kind, key, requirements.now_ms) {
+                        CEDED_COST
+                    } else {
+                        0.0
+                    };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
--- a/crates/direct/src/dispatcher/crash_response.rs
+++ b/crates/direct/src/dispatcher/crash_response.rs
@@ -28,7 +28,7 @@
                 CrashNotice::Refuted(incarnation) => self.crashes.refute(agent, incarnation),
                 CrashNotice::Crashed(crash) => {
                     if self.crashes.record(agent, crash, now_ms) {
-                        self.on_crash(effects);
+                        self.on_crash(agent, now_ms, effects);
                     }
                 }
             }
@@ -36,15 +36,43 @@
     }
 
     /// Acts on the latest crash in the ledger.
-    fn on_crash(&mut self, effects: &mut Vec<DispatcherEffect>) {
-        let jobs = self.crashes.last_suspects().iter();
-        let keys: Vec<JobKey> =
-            jobs.filter_map(|suspect| self.by_id.get(&suspect.task.job).copied()).collect();
-        for key in keys {
-            self.give_up_if_proven(key, effects);
+    fn on_crash(&mut self, agent: AgentKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
+        let mut jobs: Vec<(Arc<str>, Arc<str>)> = Vec::new();
+        for suspect in self.crashes.last_suspects() {
+            if !jobs.iter().any(|(job, _)| *job == suspect.task.job) {
+                jobs.push((Arc::clone(&suspect.task.job), Arc::clone(&suspect.kind)));
+            }
+        }
+        let before = self.containment.contained(now_ms);
+        let kinds: Vec<Arc<str>> = jobs.iter().map(|(_, kind)| Arc::clone(kind)).collect();
+        self.containment.record_crash(&kinds, now_ms);
+        for (job, kind) in &jobs {
+            if self.crashes.suspicion(job) == Suspicion::Proven {
+                self.containment.record_proof(kind, now_ms);
+            }
+            self.choose_members(agent, kind);
+        }
+        let contained = self.containment.contained(now_ms);
+        let new = contained.into_iter().filter(|kind| !before.contains(kind));
+        effects.extend(new.map(|kind| DispatcherEffect::Contained { kind }));
+        for (job, _) in jobs {
+            if let Some(key) = self.by_id.get(&job).copied() {
+                self.give_up_if_proven(key, effects);
+            }
         }
     }
 
+    /// Chooses the upstreams for the suspected jobs of a kind out of the pool of an agent.
+    fn choose_members(&mut self, agent: AgentKey, kind: &str) {
+        let Some(upstream) = &self.agents[agent.0 as usize].upstream else { return };
+        let pool: Vec<(AgentKey, Arc<str>)> = self
+            .agents_of(&upstream.pool)
+            .filter(|(_, view)| view.is_connected)
+            .map(|(key, view)| (key, Arc::clone(&view.name)))
+            .collect();
+        self.containment.choose_members(kind, &pool);
+    }
+
     /// Returns what the crashes say about a job: those that its agents have attributed to it, and
     /// those that its tasks have shared.
     pub(crate) fn suspicion(&self, state: &JobState) -> Suspicion {
@@ -59,6 +87,12 @@
         state.shared_crashes() >= MAX_SHARED_CRASHES
     }
 
+    /// Returns whether a job's tasks start only on the upstreams of its kind's containment.
+    pub(crate) fn is_confined(&self, state: &JobState, now_ms: u64) -> bool {
+        self.containment.is_contained(&state.job.kind, now_ms)
+            || self.crashes.suspicion(state.id()) != Suspicion::None
+    }
+
     /// Answers a job as failed if it is proven to crash upstreams.
     fn give_up_if_proven(&mut self, key: JobKey, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -124,10 +124,12 @@
         now_ms: u64,
         effects: &mut Vec<DispatcherEffect>,
     ) {
-        let fits = |dispatcher: &Self, view: &AgentView| {
+        let fits = |dispatcher: &Self, agent: AgentKey, view: &AgentView| {
             steps.iter().any(|(key, step)| {
                 dispatcher.jobs.get(key).is_some_and(|state| {
-                    view.is_in_pool(&state.job.pool)
+                    (!dispatcher.is_confined(state, now_ms)
+                        || dispatcher.containment.is_member(&state.job.kind, agent))
+                        && view.is_in_pool(&state.job.pool)
                         && view.fits(&state.job.steps[usize::from(*step)])
                 })
             })
@@ -145,7 +147,7 @@
     fn widen(
         &mut self,
         links: usize,
-        is_wanted: impl Fn(&Self, &AgentView) -> bool,
+        is_wanted: impl Fn(&Self, AgentKey, &AgentView) -> bool,
         now_ms: u64,
         effects: &mut Vec<DispatcherEffect>,
     ) {
@@ -156,7 +158,7 @@
         let mut candidates: Vec<(bool, u64, AgentKey)> = (0u32..)
             .map(AgentKey)
             .zip(&self.agents)
-            .filter(|(_, view)| view.is_standby() && is_wanted(self, view))
+            .filter(|(key, view)| view.is_standby() && is_wanted(self, *key, view))
             .map(|(key, view)| (!self.is_near(view), view.rank, key))
             .collect();
         candidates.sort_unstable();
@@ -184,7 +186,7 @@
         let open = || self.active_agents().filter(|(_, view)| view.is_open(now_ms, silence_ms));
         let near = FreeShare::of(open().map(|(_, view)| view).filter(|view| self.is_near(view)));
         if !self.has_spare_capacity(now_ms) {
-            self.widen(MIN_WIDENING_LINKS, |_, _| true, now_ms, effects);
+            self.widen(MIN_WIDENING_LINKS, |_, _, _| true, now_ms, effects);
         } else if near.is_at_least(NEAR_FREE_PERCENT) {
             self.narrow(now_ms, effects);
         }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_outcomes;
 mod backlog;
 mod caller_age;
+mod containment;
 mod contention;
 mod crash_ledger;
 mod crash_response;
@@ -31,6 +32,7 @@
         agent_view::AgentView,
         backlog::Backlog,
         caller_age::CallerAges,
+        containment::Containment,
         contention::Contention,
         crash_ledger::{CrashLedger, Suspicion},
         job_state::JobState,
@@ -64,6 +66,11 @@
             /// Kind of the job.
             kind: Arc<str>,
         },
+        /// Reports that jobs of a kind keep crashing upstreams and start only on some of them.
+        Contained {
+            /// The kind.
+            kind: Arc<str>,
+        },
         /// Reports that an upstream was ejected or is in use again.
         EjectionChanged {
             /// Name of the upstream's agent.
@@ -119,6 +126,7 @@
     caller_ages: CallerAges,
     contention: Contention,
     crashes: CrashLedger,
+    containment: Containment,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -144,6 +152,7 @@
             caller_ages: CallerAges::default(),
             contention: Contention::default(),
             crashes: CrashLedger::default(),
+            containment: Containment::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -29,6 +29,7 @@
         let keys: Vec<JobKey> = self.queue.iter().map(|(.., key)| *key).collect();
         let mut free = self.max_free(now_ms);
         let mut unplaced = Vec::new();
+        let mut is_overloaded = false;
         let is_brief = self.backlog.is_brief(now_ms);
         for key in keys {
             let Some(state) = self.jobs.get(&key) else { continue };
@@ -40,6 +41,7 @@
             {
                 continue;
             }
+            let is_confined = self.is_confined(state, now_ms);
             let is_late = state.is_late && !state.may_have_run();
             let is_placed = if !state.min_need().fits_in(free) {
                 false
@@ -56,13 +58,14 @@
             }
             if !is_late {
                 let next = self.jobs.get(&key).and_then(|state| state.eligible_steps().next());
+                is_overloaded |= next.is_some() && !is_confined;
                 unplaced.extend(next.map(|step| (key, step)));
             }
             if self.start_late_or_refuse(key, is_brief, now_ms, &mut effects) {
                 free = self.max_free(now_ms);
             }
         }
-        self.backlog.record(!unplaced.is_empty(), now_ms);
+        self.backlog.record(is_overloaded, now_ms);
         if !unplaced.is_empty() {
             self.widen_for(&unplaced, now_ms, &mut effects);
         }
@@ -145,7 +148,7 @@
         if !plan.unplaced.is_empty() {
             return false;
         }
-        self.send_attempts(key, step, plan, effects);
+        self.send_attempts(key, step, plan, now_ms, effects);
         self.dequeue_if_placed(key);
         true
     }
@@ -161,7 +164,7 @@
         let state = &self.jobs[&key];
         let requirements = self.requirements(state, &state.job.steps[usize::from(step)], now_ms);
         let plan = self.plan_step(state, step, &requirements);
-        self.send_attempts(key, step, plan, effects);
+        self.send_attempts(key, step, plan, now_ms, effects);
     }
 
     /// Chooses an agent for each pending task of a step.
@@ -189,6 +192,7 @@
         key: JobKey,
         step: u16,
         plan: StepPlan,
+        now_ms: u64,
         effects: &mut Vec<DispatcherEffect>,
     ) {
         let Some(state) = self.jobs.get(&key) else { return };
@@ -197,9 +201,14 @@
         let contests: Vec<AgentKey> =
             plan.tasks_by_agent.keys().copied().filter(|key| self.is_contest(*key, need)).collect();
         let Some(state) = self.jobs.get_mut(&key) else { return };
+        let task_work =
+            f64::from(need.milli_cores) * f64::from(state.job.steps[usize::from(step)].estimate_ms);
         state.steps[usize::from(step)].pending = plan.unplaced;
         for (agent, tasks) in plan.tasks_by_agent {
             let is_contest = contests.contains(&agent);
+            #[allow(clippy::cast_precision_loss)]
+            let work = task_work * tasks.len() as f64;
+            self.containment.record_start(&state.job.kind, work, now_ms);
             let mut attempts = Vec::with_capacity(tasks.len());
             for index in tasks {
                 let id = AttemptId(self.next_attempt);
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -113,14 +113,19 @@
     effects.iter().filter_map(changed).collect()
 }
 
-/// Returns the attempts that are sent.
-pub fn attempts(effects: &[DispatcherEffect]) -> Vec<(AgentKey, AttemptId)> {
+/// Returns the batches that are sent.
+pub fn batches(effects: &[DispatcherEffect]) -> Vec<(AgentKey, AttemptBatch)> {
     let batch = |effect: &DispatcherEffect| match effect {
         DispatcherEffect::Send(agent, ToAgent::Start(batch)) => Some((*agent, batch.clone())),
         _ => None,
     };
-    let batches = effects.iter().filter_map(batch);
-    batches
+    effects.iter().filter_map(batch).collect()
+}
+
+/// Returns the attempts that are sent.
+pub fn attempts(effects: &[DispatcherEffect]) -> Vec<(AgentKey, AttemptId)> {
+    batches(effects)
+        .into_iter()
         .flat_map(|(agent, batch)| batch.attempts.into_iter().map(move |a| (agent, a.id)))
         .collect()
 }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -313,6 +313,10 @@
                     let fields = [("job", json!(&*job)), ("queue", json!(&*kind))];
                     self.events.emit(Level::Notable, "given_up", &fields);
                 }
+                DispatcherEffect::Contained { kind } => {
+                    counter!("entry_kinds_contained").increment(1);
+                    self.events.emit(Level::Notable, "contained", &[("queue", json!(&*kind))]);
+                }
                 DispatcherEffect::EjectionChanged { agent, is_ejected } => {
                     let fields = [("agent", json!(&*agent)), ("is_ejected", json!(is_ejected))];
                     self.events.emit(Level::Notable, "upstream_judged", &fields);
