Contain a kind sooner: narrower suspicion, and evidence of ten to one

Up to seven upstreams crashed before a kind was contained, because the suspects of each crash were the starts of 50 ms: up to six jobs, most of them of other kinds. The guilty task was never older than 23 ms in the logs, including the time to notice the crash, so starts of 30 ms are suspected now, and odds of 10 to 1 suffice: a kind that is contained wrongly still has its part of the pool.

--- a/crates/direct/src/dispatcher/containment.rs
+++ b/crates/direct/src/dispatcher/containment.rs
@@ -18,15 +18,15 @@
 
 use crate::dispatcher::AgentKey;
 
-/// Logarithm of the likelihood ratio from which a kind is held to cause the crashes: 20 to 1.
-const GUILTY_SCORE: f64 = 3.0;
+/// Logarithm of the likelihood ratio from which a kind is held to cause the crashes: 10 to 1.
+const GUILTY_SCORE: f64 = 2.3;
 /// Maximum of that logarithm, so that it falls again soon when crashes come without the kind.
 const MAX_SCORE: f64 = 4.0;
 /// Change with a crash for which no task of the kind is suspected.
 const ABSENT_SCORE: f64 = -2.0;
 /// Minimum part of all starts that a kind counts for, so that a rare kind is not held guilty after
 /// a single crash.
-const MIN_START_SHARE: f64 = 0.1;
+const MIN_START_SHARE: f64 = 0.15;
 /// How long a kind stays contained after the last crash under it, milliseconds.
 const CONTAINED_MS: u64 = 5_000;
 /// Minimum part of the pool's upstreams for a contained kind.
--- a/crates/direct/src/supervisor/crashes.rs
+++ b/crates/direct/src/supervisor/crashes.rs
@@ -16,7 +16,7 @@
 
 /// Age up to which a run may be the cause of a crash, milliseconds: a task that crashes its upstream
 /// does so when it is loaded. An entry counts the crashes that older runs share by itself.
-pub(crate) const SUSPECT_AGE_MS: u64 = 50;
+pub(crate) const SUSPECT_AGE_MS: u64 = 30;
 /// Time after the first failed call at which the suspects are determined, milliseconds; starts that
 /// were refused meanwhile are not among them.
 const SETTLING_MS: u64 = 5;
