Follow a capacity that shrinks while the upstream runs

Two faults where a capacity shrinks and grows again. A job that fits no upstream for now was answered as failed, though it had fitted and would again: its entry took the present capacity for the largest. Upstreams now report the largest capacity of their incarnation too, and such a job is refused as not run. And an agent that was suspended for seconds started tasks by a capacity from before, until the next heartbeat: after a suspension with a heartbeat older than 2.5 s it accepts nothing until the next one, within the time that the platform allows for keeping to a smaller capacity.

Ruled out, each by a test: runs being stopped and starts on their way still count; a late heartbeat does not bring the larger capacity back; a queued task that no longer fits is refused as not run.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -75,11 +75,15 @@
         if job.steps.iter().all(fits) {
             return None;
         }
-        // While some upstream is unavailable, one that fits may come back: the caller may resubmit.
+        // While some upstream is unavailable or smaller than it was, one that fits may come back:
+        // the caller may resubmit.
+        let fitted =
+            |step: &JobStep| self.agents_of(&job.pool).any(|(_, view)| view.once_fitted(step));
+        let is_temporary = job.steps.iter().all(fitted);
         let is_available =
             |view: &AgentView| view.is_open(now_ms, self.timing.silence_ms) || view.is_standby();
         let is_all_available = self.agents_of(&job.pool).all(|(_, view)| is_available(view));
-        Some(if is_all_available {
+        Some(if is_all_available && !is_temporary {
             JobOutcome::Failed
         } else {
             self.refusal(RefusalReason::NoUpstream)
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -118,13 +118,20 @@
 
     /// Returns whether the upstream can run a task with these needs while it runs nothing else.
     pub(crate) fn fits(&self, step: &JobStep) -> bool {
-        self.upstream.as_ref().is_some_and(|up| {
-            step.need.fits_in(up.capacity)
-                && step.label.as_ref().is_none_or(|label| up.labels.contains(label))
-        })
+        self.upstream.as_ref().is_some_and(|up| has_room(up, up.capacity, step))
+    }
+
+    /// Returns whether the upstream could run such a task with the largest capacity that it had.
+    pub(crate) fn once_fitted(&self, step: &JobStep) -> bool {
+        self.upstream.as_ref().is_some_and(|up| has_room(up, up.largest_capacity, step))
     }
 
     pub(crate) fn is_in_pool(&self, pool: &str) -> bool {
         self.upstream.as_ref().is_some_and(|up| &*up.pool == pool)
     }
 }
+
+fn has_room(upstream: &Upstream, capacity: Resources, step: &JobStep) -> bool {
+    step.need.fits_in(capacity)
+        && step.label.as_ref().is_none_or(|label| upstream.labels.contains(label))
+}
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -38,12 +38,22 @@
 /// any outage after which an entry of the same incarnation requests its outcomes.
 const SESSION_RETENTION_MS: u64 = 60_000;
 
+/// Age of the last heartbeat from which a suspended process no longer relies on it, milliseconds:
+/// longer than the period of heartbeats, shorter than the time in which a smaller capacity must be
+/// kept to.
+const OUTDATED_MS: u64 = 2_500;
+
 /// State of an agent: its upstream, the runs there and the sessions with entries.
 #[derive(Debug)]
 pub struct Supervisor {
     timing: Timing,
     upstream: Option<Upstream>,
     heartbeat_seq: i64,
+    /// Time of the last heartbeat, milliseconds.
+    heartbeat_ms: u64,
+    /// Whether this process was suspended for so long that the upstream's capacity may have shrunk
+    /// unnoticed.
+    is_capacity_outdated: bool,
     runs: IndexMap<TaskId, Run>,
     /// Highest run number known for each ended task; the task's next run gets a higher one.
     run_numbers: IndexMap<TaskId, u32>,
@@ -71,6 +81,8 @@
             timing,
             upstream: None,
             heartbeat_seq: -1,
+            heartbeat_ms: now_ms,
+            is_capacity_outdated: false,
             runs: IndexMap::new(),
             run_numbers: IndexMap::new(),
             sessions: IndexMap::new(),
@@ -141,7 +153,7 @@
     /// runs of a replaced upstream are settled.
     pub fn on_heartbeat(
         &mut self,
-        upstream: Upstream,
+        mut upstream: Upstream,
         seq: i64,
         now_ms: u64,
     ) -> Vec<SupervisorEffect> {
@@ -151,12 +163,17 @@
             if (is_same && seq <= self.heartbeat_seq) || upstream.incarnation < known.incarnation {
                 return effects;
             }
-            if !is_same {
+            if is_same {
+                upstream.largest_capacity =
+                    upstream.largest_capacity.max_each(known.largest_capacity);
+            } else {
                 self.on_incarnation_end(now_ms, &mut effects);
                 self.run_numbers.clear();
             }
         }
         self.heartbeat_seq = seq;
+        self.heartbeat_ms = now_ms;
+        self.is_capacity_outdated = false;
         let is_changed = self.upstream.as_ref() != Some(&upstream);
         self.upstream = Some(upstream);
         if is_changed {
@@ -165,6 +182,16 @@
         effects
     }
 
+    /// Handles a suspension of this process that has just ended. If the last heartbeat is old, no
+    /// attempts are accepted until the next one.
+    pub fn on_resumed(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
+        if now_ms.saturating_sub(self.heartbeat_ms) < OUTDATED_MS {
+            return Vec::new();
+        }
+        self.is_capacity_outdated = true;
+        self.report_all()
+    }
+
     /// Marks the upstream as draining when it announces that it leaves.
     pub fn on_upstream_leaving(&mut self) -> Vec<SupervisorEffect> {
         if let Some(upstream) = &mut self.upstream {
@@ -370,6 +397,7 @@
             && !self.is_leaving
             && !self.response_monitor.is_unresponsive()
             && self.orphaned_runs.is_empty()
+            && !self.is_capacity_outdated
     }
 
     fn session_mut(&mut self, key: SessionKey) -> Option<&mut Session> {
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -24,8 +24,10 @@
         pub pool: Arc<str>,
         /// Availability zone.
         pub zone: Arc<str>,
-        /// Total resources for concurrent tasks.
+        /// Total resources for concurrent tasks; may shrink and grow while the upstream runs.
         pub capacity: Resources,
+        /// The largest capacity that this incarnation has reported.
+        pub largest_capacity: Resources,
         /// Labels, among them its kind and its rack.
         pub labels: Vec<Arc<str>>,
         /// Whether it accepts new tasks.
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -20,6 +20,7 @@
         pool: "kitchen".into(),
         zone: "mid-a".into(),
         capacity: cores(8),
+        largest_capacity: cores(8),
         labels: vec!["a".into(), "r1".into()],
         state: UpstreamState::Ready,
     }
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -56,6 +56,8 @@
     clock_offset_ms: Cell<Option<i64>>,
     suspensions: SuspensionDetector,
     suspension_count: Cell<u64>,
+    /// Whether the process has resumed from a suspension that the supervisor does not know of.
+    is_resumed: Cell<bool>,
     /// Whether the runs of an earlier agent have ended, so that entries may be dialled.
     is_open: Cell<bool>,
     /// Sequence number of the last ended run that the upstream has listed.
@@ -84,6 +86,7 @@
             clock_offset_ms: Cell::new(None),
             suspensions: SuspensionDetector::new(process.timing.suspension_ms),
             suspension_count: Cell::new(0),
+            is_resumed: Cell::new(false),
             is_open: Cell::new(false),
             last_ended_seq: Cell::new(0),
             upstream_incarnation: Cell::new(None),
@@ -97,10 +100,19 @@
         if let Some(gap_ms) = suspended_ms {
             self.events.emit(Level::Notable, "suspended", &[("gap_ms", json!(gap_ms))]);
             self.suspension_count.set(self.suspension_count.get() + 1);
+            self.is_resumed.set(true);
         }
         now_ms
     }
 
+    /// Tells the supervisor of a suspension that has ended since the last call.
+    fn resume(&self, now_ms: u64) -> Vec<SupervisorEffect> {
+        if !self.is_resumed.take() {
+            return Vec::new();
+        }
+        self.supervisor.borrow_mut().on_resumed(now_ms)
+    }
+
     /// Returns the longest time from a stop signal to the end of the process, milliseconds.
     pub(crate) fn grace_ms(&self) -> u64 {
         self.grace_ms.get()
@@ -169,7 +181,8 @@
 
     pub(crate) fn tick(self: &Rc<Self>) {
         let now_ms = self.now_ms();
-        let effects = self.supervisor.borrow_mut().tick(now_ms);
+        let mut effects = self.resume(now_ms);
+        effects.extend(self.supervisor.borrow_mut().tick(now_ms));
         self.apply(effects);
         self.events.flush();
     }
@@ -204,6 +217,7 @@
 
     pub(crate) fn on_entry_message(self: &Rc<Self>, key: SessionKey, message: ToAgent) {
         let now_ms = self.now_ms();
+        let resumed = self.resume(now_ms);
         let mut supervisor = self.supervisor.borrow_mut();
         supervisor.on_entry_message(key, now_ms);
         let effects = match message {
@@ -217,6 +231,7 @@
             ToAgent::Hello(_) => Vec::new(),
         };
         drop(supervisor);
+        self.apply(resumed);
         self.apply(effects);
     }
 
