--- a/crates/ebonycroft/tests/soak/caller.rs
+++ b/crates/ebonycroft/tests/soak/caller.rs
@@ -17,6 +17,8 @@
 use crate::system::System;
 
 const CALLERS: u64 = 6;
+/// Start of the ids of one caller's jobs; while the fault lasts, they crash every executor.
+pub(crate) const DEADLY_CALLER: &str = "00000005";
 const MAX_TASKS: usize = 6;
 /// Time for which a caller waits for the reply to one submission, milliseconds.
 const CALLER_TIMEOUT_MS: u64 = 1_500;
@@ -46,6 +48,16 @@
         self.replies.iter().all(is_refusal)
     }
 
+    /// Returns whether a submission was answered as failed.
+    pub(crate) fn is_failed(&self) -> bool {
+        self.replies.contains(&Some((StatusCode::OK, false)))
+    }
+
+    /// Returns whether the job may crash executors.
+    pub(crate) fn is_deadly(&self) -> bool {
+        self.id.starts_with(DEADLY_CALLER)
+    }
+
     pub(crate) fn is_unknown(&self) -> bool {
         !self.is_succeeded() && !self.is_refused()
     }
--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    caller::DEADLY_CALLER,
     process::Process,
     system::{System, config},
 };
@@ -25,18 +26,20 @@
     UnresponsiveExecutor,
     LateStarts,
     FailingExecutor,
+    DeadlyTasks,
     StoreOutage,
     ConfigChange,
 }
 
 /// All faults, each with the same probability.
-const ALL: [Fault; 8] = [
+const ALL: [Fault; 9] = [
     Fault::Kill,
     Fault::Freeze,
     Fault::Stop,
     Fault::UnresponsiveExecutor,
     Fault::LateStarts,
     Fault::FailingExecutor,
+    Fault::DeadlyTasks,
     Fault::StoreOutage,
     Fault::ConfigChange,
 ];
@@ -89,6 +92,20 @@
                 let faults = FakeExecutorFaults { fails_all: true, ..Default::default() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
+            Fault::DeadlyTasks => {
+                let faults =
+                    FakeExecutorFaults { crashed_by: Some(DEADLY_CALLER), ..Default::default() };
+                system.executors.iter().for_each(|executor| executor.set_faults(faults));
+                sleep(duration / 2).await;
+                // The process that knows of the crashes is lost in the middle of them.
+                let process = random_process(system, &mut rng);
+                process.signal(Signal::KILL);
+                process.wait();
+                process.restart();
+                sleep(duration / 2).await;
+                let none = FakeExecutorFaults::default();
+                system.executors.iter().for_each(|executor| executor.set_faults(none));
+            }
             Fault::StoreOutage => {
                 let silent = rng.random_bool(0.5);
                 let faults = LogFaults { silent, down: !silent, ..LogFaults::default() };
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -9,7 +9,10 @@
 
 use std::{env, time::Duration};
 
-use crate::system::{SLOTS, System};
+use crate::{
+    faults::Fault,
+    system::{SLOTS, System},
+};
 
 const DEFAULT_SEED: u64 = 1;
 const DEFAULT_SECONDS: u64 = 8;
@@ -45,6 +48,8 @@
         for job in &jobs {
             let runs = ledger.count_runs(&job.id);
             assert!(!job.is_refused() || runs == 0, "seed {seed}: {} ran though refused", job.id);
+            let may_fail = job.is_deadly() || injected.contains_key(&Fault::FailingExecutor);
+            assert!(!job.is_failed() || may_fail, "seed {seed}: {} was given up", job.id);
             assert!(!job.is_succeeded() || runs >= job.tasks, "seed {seed}: {} is partial", job.id);
         }
         assert!(jobs.iter().any(caller::Job::is_succeeded), "seed {seed}: nothing was served");
