Settle a held start as not started when the upstream crashes

Found by reading: a suspected task whose start waits for its turn counted as one that shared the crash, so three such waits would have kept it from starting again. The new test fails before.

--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -4,7 +4,7 @@
     AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
-        run::{Phase, StopReport},
+        run::{Phase, Run, StopReport},
     },
 };
 
@@ -91,14 +91,17 @@
         }
     }
 
-    /// Settles all runs with the same outcome.
+    /// Settles all runs with the same outcome; those whose start is still held have not started.
     pub(crate) fn settle_all(
         &mut self,
         outcome: AttemptOutcome,
         effects: &mut Vec<SupervisorEffect>,
     ) {
-        let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
-        for task in tasks {
+        let is_held = |run: &Run| run.phase == Phase::Held;
+        let tasks: Vec<(TaskId, bool)> =
+            self.runs.iter().map(|(task, run)| (task.clone(), is_held(run))).collect();
+        for (task, is_held) in tasks {
+            let outcome = if is_held { AttemptOutcome::NotStarted } else { outcome };
             self.finish(&task, outcome, effects);
         }
     }
--- a/crates/direct/tests/crashes.rs
+++ b/crates/direct/tests/crashes.rs
@@ -162,6 +162,22 @@
     assert_eq!(agent.notices(), [CrashNotice::Crashed(expected)]);
 }
 
+// A task that had not started counted as one that shared the crash.
+#[test]
+fn a_held_start_has_not_run_when_the_upstream_crashes() {
+    let mut agent = Agent::new();
+    agent.start("fresh", 1, 190);
+    let mut suspect = batch("again", &[2], cores(1));
+    suspect.is_suspect = true;
+    agent.supervisor.on_attempts(agent.entry, &suspect, 200);
+    agent.supervisor.on_heartbeat(upstream("u", 2), 1, 205);
+    let report = agent.supervisor.report(agent.entry, false).expect("the session is connected");
+    let expected =
+        [(AttemptId(1), AttemptOutcome::Crashed), (AttemptId(2), AttemptOutcome::NotStarted)];
+    assert_eq!(report.outcomes, expected);
+    assert_eq!(report.crashes, [crash(1, &["fresh"])]);
+}
+
 struct Entry {
     dispatcher: Dispatcher,
     agents: Vec<AgentKey>,
