Take the part of a contained kind of the work in its own pool

Found by reading: with several pools, a kind's part of the starts and of the work was taken over all of them, so the only kind of one pool would have been contained to a part of it for nobody's sake. The new test fails before (3 upstreams of 12 are used). Deployments with one pool behave as before.

--- a/crates/direct/src/dispatcher/containment.rs
+++ b/crates/direct/src/dispatcher/containment.rs
@@ -38,6 +38,8 @@
     /// State of one kind of job.
     #[derive(Default)]
     struct Kind {
+        /// Pool that runs the kind's tasks.
+        pool: Arc<str>,
         /// Decayed number and work of the starts; work is in milli-core milliseconds.
         starts: f64,
         work: f64,
@@ -57,8 +59,14 @@
 }
 
 impl Containment {
-    /// Records that tasks of a kind are sent to an agent.
-    pub(crate) fn record_start(&mut self, kind: &Arc<str>, work: f64, now_ms: u64) {
+    /// Records that tasks of a kind are sent to an agent of the pool.
+    pub(crate) fn record_start(
+        &mut self,
+        kind: &Arc<str>,
+        pool: &Arc<str>,
+        work: f64,
+        now_ms: u64,
+    ) {
         if now_ms >= self.halved_ms + HALVING_MS {
             self.halved_ms = now_ms;
             self.kinds.values_mut().for_each(|kind| {
@@ -67,22 +75,23 @@
             });
         }
         let known = self.kinds.entry(Arc::clone(kind)).or_default();
+        known.pool = Arc::clone(pool);
         known.starts += 1.0;
         known.work += work;
     }
 
-    /// Records a crash with the kinds of the suspected jobs, one for each job. A kind that is there
-    /// gains by how improbable this is if the crash has another cause.
-    pub(crate) fn record_crash(&mut self, suspects: &[Arc<str>], now_ms: u64) {
+    /// Records a crash in a pool with the kinds of the suspected jobs, one for each job. A kind that
+    /// is there gains by how improbable this is if the crash has another cause.
+    pub(crate) fn record_crash(&mut self, pool: &Arc<str>, suspects: &[Arc<str>], now_ms: u64) {
         if suspects.is_empty() {
             return;
         }
-        let total = self.kinds.values().map(|kind| kind.starts).sum::<f64>().max(1.0);
         for name in suspects {
-            self.kinds.entry(Arc::clone(name)).or_default();
+            self.kinds.entry(Arc::clone(name)).or_default().pool = Arc::clone(pool);
         }
+        let total = self.sum(pool, |kind| kind.starts);
         let jobs = i32::try_from(suspects.len()).unwrap_or(i32::MAX);
-        for (name, kind) in &mut self.kinds {
+        for (name, kind) in self.kinds.iter_mut().filter(|(_, kind)| kind.pool == *pool) {
             let share = (kind.starts / total).clamp(MIN_START_SHARE, 1.0);
             let by_chance = 1.0 - (1.0 - share).powi(jobs);
             let change = if suspects.contains(name) { -by_chance.ln() } else { ABSENT_SCORE };
@@ -104,7 +113,8 @@
 
     /// Chooses the upstreams of a kind out of those of its pool.
     pub(crate) fn choose_members(&mut self, kind: &str, pool: &[(AgentKey, Arc<str>)]) {
-        let total = self.kinds.values().map(|kind| kind.work).sum::<f64>().max(1.0);
+        let Some(known) = self.kinds.get(kind) else { return };
+        let total = self.sum(&known.pool, |kind| kind.work);
         let Some(known) = self.kinds.get_mut(kind) else { return };
         let share = (known.work / total).clamp(MIN_POOL_SHARE, 1.0);
         #[allow(
@@ -119,6 +129,12 @@
         known.members = ranked.into_iter().take(count).map(|(_, key)| key).collect();
     }
 
+    /// Returns the sum of a figure over the kinds of a pool, at least 1.
+    fn sum(&self, pool: &str, figure: impl Fn(&Kind) -> f64) -> f64 {
+        let kinds = self.kinds.values().filter(|kind| *kind.pool == *pool);
+        kinds.map(figure).sum::<f64>().max(1.0)
+    }
+
     /// Returns whether a kind is contained.
     pub(crate) fn is_contained(&self, kind: &str, now_ms: u64) -> bool {
         now_ms < self.contained_until_ms
--- a/crates/direct/src/dispatcher/crash_response.rs
+++ b/crates/direct/src/dispatcher/crash_response.rs
@@ -45,7 +45,9 @@
         }
         let before = self.containment.contained(now_ms);
         let kinds: Vec<Arc<str>> = jobs.iter().map(|(_, kind)| Arc::clone(kind)).collect();
-        self.containment.record_crash(&kinds, now_ms);
+        if let Some(upstream) = &self.agents[agent.0 as usize].upstream {
+            self.containment.record_crash(&upstream.pool, &kinds, now_ms);
+        }
         for (job, kind) in &jobs {
             if self.crashes.suspicion(job) == Suspicion::Proven {
                 self.containment.record_proof(kind, now_ms);
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -208,7 +208,7 @@
             let is_contest = contests.contains(&agent);
             #[allow(clippy::cast_precision_loss)]
             let work = task_work * tasks.len() as f64;
-            self.containment.record_start(&state.job.kind, work, now_ms);
+            self.containment.record_start(&state.job.kind, &state.job.pool, work, now_ms);
             let mut attempts = Vec::with_capacity(tasks.len());
             for index in tasks {
                 let id = AttemptId(self.next_attempt);
--- a/crates/direct/tests/containment.rs
+++ b/crates/direct/tests/containment.rs
@@ -141,6 +141,28 @@
     assert_eq!(entry.agents_of("deadly", AGENTS, 3_000).len(), 12);
 }
 
+// The parts of a pool were taken of the work of all pools.
+#[test]
+fn work_in_other_pools_does_not_make_a_part_smaller() {
+    let mut entry = Entry::new(1, &["deadly"]);
+    let hello = AgentHello { agent: "other".into(), incarnation: 1, entries: Vec::new() };
+    let (other, _, _) = entry.dispatcher.on_agent_hello(&hello, 0);
+    let elsewhere = direct::Upstream { pool: "bakery".into(), ..upstream("other", 1) };
+    for n in 0..60 {
+        entry.dispatcher.on_report(other, report(Some(elsewhere.clone()), cores(8), 1_000), 0);
+        let job = DirectJob {
+            pool: "bakery".into(),
+            kind: "bake".into(),
+            ..job(&format!("other-{n}"), 2)
+        };
+        entry.dispatcher.submit(job, 0);
+    }
+    for round in 0..6 {
+        entry.crash(round as usize, 1, &["deadly"], 1_000 + 300 * round);
+    }
+    assert_eq!(entry.agents_of("deadly", AGENTS, 3_000).len(), 12);
+}
+
 #[test]
 fn a_suspected_job_starts_only_where_its_kind_would_be_contained() {
     let mut entry = Entry::new(1, &["a", "b", "c", "d"]);
