--- a/crates/direct/src/dispatcher/crash_response.rs
+++ b/crates/direct/src/dispatcher/crash_response.rs
@@ -10,8 +10,8 @@
     },
 };
 
-/// Number of crashes that a task may share before it is not started again. It is not given up,
-/// because sharing a crash proves nothing: it may still be answered when other runs of it end.
+/// Number of crashes that a task may share before it is not started again. Its job is not answered
+/// as failed, because sharing a crash proves nothing; it is answered when its caller's time is up.
 const MAX_SHARED_CRASHES: u32 = 3;
 
 impl Dispatcher {
