--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -3,7 +3,7 @@
 use std::{
     io::Write,
     net::TcpStream,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
     thread,
 };
 
@@ -23,6 +23,7 @@
         "late-stop" => late_stop(folder, has_trouble),
         "lost" => lost(folder, has_trouble),
         "held-up" => held_up(folder, has_trouble),
+        "older-clock" => older_clock(folder, has_trouble),
         "same-id" => same_id(folder, has_trouble),
         _ => {
             eprintln!("no such case: {case}");
@@ -450,3 +451,37 @@
     }
     rig.finish(None);
 }
+
+/// DRAIN: an executor that started while its time of day was ahead starts again after that, and
+/// then leaves.
+fn older_clock(folder: &str, has_trouble: bool) {
+    const DRAIN_MS: u64 = 2_000;
+    let rig = Rig::start(folder, 1, &["huvo11a"], &[route("/lohu930/", "huvo11a")], 482_113);
+    let exec = Arc::clone(&rig.execs[0]);
+    exec.clock_step_ms.store(if has_trouble { 2_000 } else { 0 }, Ordering::SeqCst);
+    exec.crash(300);
+    sleep_ms(300);
+    exec.clock_step_ms.store(0, Ordering::SeqCst);
+    exec.crash(300);
+    sleep_ms(3_000);
+    rig.record.line("the executor says that it is draining");
+    exec.is_draining.store(true, Ordering::SeqCst);
+    let end_ms = now_ms() + 9_000;
+    for n in 0u64.. {
+        if now_ms() >= end_ms {
+            break;
+        }
+        let path = format!("/lohu930/{:016x}", 0xcc00_0000 + n);
+        submit(&rig, 0, &path, &job(1, 1_000, 50), 1_500);
+        sleep_ms(100);
+    }
+    let acked_ms = exec.drain_acked_ms.load(Ordering::SeqCst);
+    if acked_ms == 0 {
+        rig.cannot_run("no draining heartbeat was acknowledged");
+    }
+    let rows = rig.ledger.rows();
+    let late = rows.iter().filter(|row| row.start_ms > acked_ms + DRAIN_MS).count();
+    rig.finish(
+        (late > 0).then(|| format!("DRAIN: {late} starts later than drainMs after the ack")),
+    );
+}
--- a/review/rig/exec.rs
+++ b/review/rig/exec.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -128,6 +128,11 @@
     /// Share of the orders, percent, that get no answer and are carried out 2 to 12 s later.
     late_percent: AtomicU64,
     random: AtomicU64,
+    /// How far the time of day of the executor's machine is ahead, milliseconds.
+    pub clock_step_ms: AtomicU64,
+    pub is_draining: AtomicBool,
+    /// When a heartbeat with `draining` was acknowledged first; 0 before.
+    pub drain_acked_ms: AtomicU64,
 }
 
 impl Exec {
@@ -153,6 +158,9 @@
             server: Mutex::default(),
             late_percent: AtomicU64::new(0),
             random: AtomicU64::new(seed),
+            clock_step_ms: AtomicU64::new(0),
+            is_draining: AtomicBool::new(false),
+            drain_acked_ms: AtomicU64::new(0),
         });
         exec.begin_life(first_clock_ms);
         let (beats, timers) = (Arc::clone(&exec), Arc::clone(&exec));
@@ -167,7 +175,7 @@
         *life = Life {
             is_up: true,
             number: life.number + 1,
-            born: unix_ms(),
+            born: unix_ms() + self.clock_step_ms.load(Ordering::SeqCst),
             started_ms: now_ms(),
             clock_base,
             ..Life::default()
@@ -207,10 +215,13 @@
             }
             life.seq += 1;
             let (number, zone) = (life.number, "mid-a");
+            let is_draining = self.is_draining.load(Ordering::SeqCst);
+            let state = if is_draining { "draining" } else { "ready" };
             let body = format!(
-                r#"{{"service":"{}","address":"{}","zone":"{zone}","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"capacity":{{"cpu":{CAPACITY_CPU},"memMb":32768,"gpu":0}},"labels":["a","r1-1"],"clockMs":{},"seq":{},"born":{}}}"#,
+                r#"{{"service":"{}","address":"{}","zone":"{zone}","version":"v1","slots":8,"state":"{}","coldRemainingMs":0,"capacity":{{"cpu":{CAPACITY_CPU},"memMb":32768,"gpu":0}},"labels":["a","r1-1"],"clockMs":{},"seq":{},"born":{}}}"#,
                 self.service,
                 self.addr,
+                state,
                 life.clock(),
                 life.seq,
                 life.born
@@ -220,6 +231,10 @@
             let control = self.control.parse().unwrap();
             let reply = http::call(control, "POST", &path, &[], body.as_bytes(), 1_000);
             let is_acked = matches!(reply, Reply::Status(200..=299, _));
+            if is_acked && is_draining {
+                let first = |at_ms| (at_ms == 0).then(now_ms);
+                let _ = self.drain_acked_ms.fetch_update(Ordering::SeqCst, Ordering::SeqCst, first);
+            }
             let end_ms = now_ms() + if is_acked { HEARTBEAT_MS } else { 100 };
             while now_ms() < end_ms && self.life.lock().unwrap().number == number {
                 sleep_ms(10);
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -14,6 +14,7 @@
     fs,
     io::Write,
     net::{SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, OnceLock},
@@ -26,6 +27,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, arg: u64) -> i32;
 }
 
 pub const SIGKILL: i32 = 9;
@@ -89,7 +91,17 @@
 
     pub fn start(&self) {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new("target/release/ebonycroft")
+        /// Linux's option that ends a process with the thread that started it.
+        const PR_SET_PDEATHSIG: i32 = 1;
+        let mut command = Command::new("target/release/ebonycroft");
+        // The case's programs end with it, however it ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .args([self.role, "--config"])
             .arg(&self.settings)
             .stdin(Stdio::null())
