Review case 1: put the final fault right after a configuration

Cause of the fault: an agent keeps its fencing token, a reading of its executor's clock, over a restart of the executor, whose clock starts anew; the next agent stays fenced.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     CANCEL_MS, RECOVERY_MS, RESEND_MS, Record, Rig, Route, SIGCONT, SIGSTOP, SIGTERM,
-    STOP_TIMEOUT_MS,
+    STOP_TIMEOUT_MS, config,
     http::{self, Reply},
     now_ms, sleep_ms,
 };
@@ -119,6 +119,10 @@
     }
     sleep_ms(3_000);
     let fault_ms = now_ms();
+    // The final fault follows the store's acknowledgement of one more configuration.
+    let changed = Route { timeout_ms: 1_600, ..route("/lohu930/", "huvo11a") };
+    rig.store.put("keyed.op", "config", config(3, &[changed]).as_bytes());
+    rig.record.line("the store has acknowledged configuration 3");
     rig.record.line("final fault: all processes are killed");
     rig.entries.iter().for_each(|entry| entry.program.kill());
     rig.agents.iter().for_each(|agent| agent.kill());
