Stop what an entry no longer wants when its session is resumed

Cause: an entry sends the stop of an answered job once. An agent that resumes from a suspension drops its connections unread, and the stop with them. The next handshake listed the attempt as outstanding although its job was gone, and the agent compared that list in one direction only, so the run went on beside that of the resubmitted job.

Change: the handshake carries the unsettled attempts in two sets, wanted and stopping; the agent stops every run of the session that is not wanted. This replaces any message that a connection loses, so it covers cancelled jobs and attempts that the entry has settled as lost as well.

Tests, both red before the change: a_resumed_session_stops_the_runs_whose_stop_was_lost (no stop), a_handshake_names_the_attempts_of_answered_jobs_as_stopping (all three attempts listed as wanted).

--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -27,7 +27,7 @@
 pub use crate::dispatcher::summary::{AgentSummary, PoolCapacity};
 use crate::{
     AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
-    ToAgent,
+    ToAgent, UnsettledAttempts,
     dispatcher::{
         agent_view::AgentView,
         backlog::Backlog,
@@ -208,12 +208,12 @@
     }
 
     /// Handles the handshake of an agent; settles the attempts at an earlier incarnation as lost.
-    /// Returns the agent's key and the ids of its attempts without an outcome.
+    /// Returns the agent's key and its attempts without an outcome.
     pub fn on_agent_hello(
         &mut self,
         hello: &AgentHello,
         now_ms: u64,
-    ) -> (AgentKey, Vec<AttemptId>, Vec<DispatcherEffect>) {
+    ) -> (AgentKey, UnsettledAttempts, Vec<DispatcherEffect>) {
         let mut effects = Vec::new();
         let position = self.agents.iter().position(|view| view.name == hello.agent);
         let index = match position {
@@ -237,8 +237,17 @@
             effects.extend(self.settle_all(key, AttemptOutcome::Lost, now_ms));
         }
         self.activate_at_rest(key, now_ms, &mut effects);
-        let outstanding = self.agents[index].attempts.iter().copied().collect();
-        (key, outstanding, effects)
+        (key, self.unsettled_at(key), effects)
+    }
+
+    /// Returns the attempts at an agent without an outcome, by whether their jobs are answered.
+    fn unsettled_at(&self, key: AgentKey) -> UnsettledAttempts {
+        let ids = self.agents[key.0 as usize].attempts.iter().copied();
+        let is_wanted = |id: &AttemptId| {
+            self.attempts.get(id).is_some_and(|attempt| self.jobs.contains_key(&attempt.job))
+        };
+        let (wanted, stopping) = ids.partition(is_wanted);
+        UnsettledAttempts { wanted, stopping }
     }
 
     /// Marks an agent as disconnected. Its attempts stay outstanding until it reconnects and
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -23,7 +23,7 @@
     job::{DirectJob, JobOutcome, JobStep, RefusalReason},
     link_message::{
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
-        EntryHello, Load, Report, Suspect, ToAgent,
+        EntryHello, Load, Report, Suspect, ToAgent, UnsettledAttempts,
     },
     peer_choice::choose_peers,
     routing::{Queue, RequestLimits, Routing},
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -23,6 +23,16 @@
         pub entries: Vec<SocketAddr>,
     }
 
+    /// Attempts at one agent whose outcome the entry does not know. Every other attempt of the
+    /// entry has ended as far as the entry is concerned.
+    #[derive(Eq, Default)]
+    pub struct UnsettledAttempts {
+        /// Attempts of jobs that are not answered yet.
+        pub wanted: Vec<AttemptId>,
+        /// Attempts of answered or cancelled jobs, which must be stopped.
+        pub stopping: Vec<AttemptId>,
+    }
+
     /// Handshake of the entry in reply to [`AgentHello`], its first message on a connection.
     #[derive(Eq)]
     pub struct EntryHello {
@@ -30,8 +40,9 @@
         pub entry: Arc<str>,
         /// Start time of the entry process, Unix milliseconds.
         pub incarnation: u64,
-        /// Attempts at this agent whose outcome the entry does not know.
-        pub outstanding: Vec<AttemptId>,
+        /// Attempts at this agent without an outcome. They replace whatever the two sides knew of
+        /// each other, so a message that an earlier connection lost is made good.
+        pub attempts: UnsettledAttempts,
         /// Addresses of the entries that it knows.
         pub entries: Vec<SocketAddr>,
     }
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -22,7 +22,8 @@
     RunList, RunOutcome, RunRow, SessionKey, StartResult, StartRun, SupervisorEffect,
 };
 use crate::{
-    AttemptId, AttemptOutcome, Load, Report, TaskId, Timing, Upstream, UpstreamState,
+    AttemptId, AttemptOutcome, Load, Report, TaskId, Timing, UnsettledAttempts, Upstream,
+    UpstreamState,
     supervisor::{
         crashes::Crashes,
         isolation::Isolation,
@@ -207,13 +208,14 @@
     }
 
     /// Opens a session with an entry, or resumes that of the same incarnation; the runs of an
-    /// earlier incarnation are stopped. Of the `outstanding` attempts, those without a run here are
-    /// reported with their recorded outcome, or as not started.
+    /// earlier incarnation are stopped, and so are those that the entry does not want any more: the
+    /// stop may have been lost with an earlier connection. Of the unsettled `attempts`, those
+    /// without a run here are reported with their recorded outcome, or as not started.
     pub fn on_entry_hello(
         &mut self,
         entry: &Arc<str>,
         incarnation: u64,
-        outstanding: &[AttemptId],
+        attempts: &UnsettledAttempts,
         now_ms: u64,
     ) -> (SessionKey, Vec<SupervisorEffect>) {
         let mut effects = Vec::new();
@@ -231,6 +233,8 @@
                 key
             }
         };
+        let is_unwanted = |owner, id| owner == key && !attempts.wanted.contains(&id);
+        self.stop_attempts(is_unwanted, &mut effects);
         let live: Vec<AttemptId> = self
             .runs
             .values()
@@ -243,7 +247,8 @@
             session.batches_seen = 0;
             session.unsent.clear();
             session.unsent_crashes = crashes;
-            for id in outstanding.iter().filter(|id| !live.contains(id)) {
+            let unsettled = attempts.wanted.iter().chain(&attempts.stopping);
+            for id in unsettled.filter(|id| !live.contains(id)) {
                 let outcome = session.outcome(*id).unwrap_or(AttemptOutcome::NotStarted);
                 session.unsent.push((*id, outcome));
             }
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -57,7 +57,7 @@
     }
 
     /// Stops the runs whose attempts are selected by session and id.
-    fn stop_attempts(
+    pub(crate) fn stop_attempts(
         &mut self,
         is_selected: impl Fn(SessionKey, AttemptId) -> bool,
         effects: &mut Vec<SupervisorEffect>,
--- a/crates/direct/tests/capacity.rs
+++ b/crates/direct/tests/capacity.rs
@@ -8,14 +8,15 @@
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, DirectJob, Dispatcher, DispatcherEffect,
     JobOutcome, RefusalReason, SessionKey, StartResult, Supervisor, SupervisorEffect, Timing,
-    Upstream,
+    UnsettledAttempts, Upstream,
 };
 
 fn agent() -> (Supervisor, SessionKey) {
     let mut supervisor = Supervisor::new(Timing::default(), 0);
     supervisor.on_heartbeat(upstream("u", 1), 1, 0);
     supervisor.on_run_list(&run_list(1, &[]));
-    let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &[], 2);
+    let (entry, _) =
+        supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2);
     supervisor.report(entry, true);
     (supervisor, entry)
 }
--- a/crates/direct/tests/crashes.rs
+++ b/crates/direct/tests/crashes.rs
@@ -8,7 +8,7 @@
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, Crash, CrashNotice, Dispatcher,
     DispatcherEffect, JobOutcome, SessionKey, StartResult, Supervisor, SupervisorEffect, Suspect,
-    Timing,
+    Timing, UnsettledAttempts,
 };
 
 struct Agent {
@@ -21,7 +21,8 @@
         let mut supervisor = Supervisor::new(Timing::default(), 0);
         supervisor.on_heartbeat(upstream("u", 1), 1, 0);
         supervisor.on_run_list(&run_list(1, &[]));
-        let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &[], 2);
+        let (entry, _) =
+            supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2);
         supervisor.report(entry, true);
         Self { supervisor, entry }
     }
@@ -96,7 +97,7 @@
     agent.supervisor.tick(510);
     agent.supervisor.on_run_list(&run_list(700, &[(&task("j", 0), 1)]));
     assert_eq!(agent.notices(), [crash(1, &["j"]), CrashNotice::Refuted(1)]);
-    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &[], 800);
+    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 800);
     assert_eq!(agent.notices(), []);
 }
 
@@ -120,7 +121,8 @@
     agent.supervisor.on_call_refused(500);
     agent.supervisor.tick(510);
     agent.supervisor.on_heartbeat(upstream("u", 2), 1, 2_000);
-    let (entry, _) = agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &[], 3_000);
+    let (entry, _) =
+        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 3_000);
     let report = agent.supervisor.report(entry, false).expect("the session is connected");
     let known = Crash { incarnation: 1, age_ms: 2_500, suspects: suspects(&["j"]) };
     assert_eq!(report.crashes, [CrashNotice::Crashed(known)]);
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -5,7 +5,8 @@
 use common::{cores, job, report, step, upstream};
 use direct::{
     Admission, AgentHello, AgentKey, AttemptBatch, AttemptId, AttemptOutcome, DirectJob,
-    Dispatcher, DispatcherEffect, JobOutcome, RefusalReason, Timing, ToAgent, Upstream,
+    Dispatcher, DispatcherEffect, JobOutcome, RefusalReason, Timing, ToAgent, UnsettledAttempts,
+    Upstream,
 };
 
 fn hello(agent: &str, incarnation: u64) -> AgentHello {
@@ -253,8 +254,8 @@
     let (_, effects) = dispatcher.submit(job("j", 1), 0);
     let (agent, _) = attempts(&effects)[0];
     let name = dispatcher.agent_name(agent).cloned().unwrap_or_default();
-    let (_, outstanding, effects) = dispatcher.on_agent_hello(&hello(&name, 2), 50);
-    assert!(outstanding.is_empty());
+    let (_, unsettled, effects) = dispatcher.on_agent_hello(&hello(&name, 2), 50);
+    assert_eq!(unsettled, UnsettledAttempts::default());
     let placed = attempts(&effects);
     assert_eq!(placed.len(), 1);
     assert_ne!(placed[0].0, agent, "the restarted agent has not reported yet");
@@ -283,8 +284,31 @@
     let (_, effects) = dispatcher.submit(job("j", 2), 0);
     let ids: Vec<_> = attempts(&effects).into_iter().map(|(_, id)| id).collect();
     dispatcher.on_disconnected(keys[0]);
-    let (_, outstanding, _) = dispatcher.on_agent_hello(&hello("a", 1), 50);
-    assert_eq!(outstanding, ids);
+    let (_, unsettled, _) = dispatcher.on_agent_hello(&hello("a", 1), 50);
+    assert_eq!(unsettled, UnsettledAttempts { wanted: ids, stopping: Vec::new() });
+}
+
+/// Guards against an entry that claims the attempts of an answered job as its own in a handshake,
+/// so that their agent lets them run on.
+#[test]
+fn a_handshake_names_the_attempts_of_answered_jobs_as_stopping() {
+    let (mut dispatcher, keys) = dispatcher(&[("a", 4)]);
+    let mut ids = Vec::new();
+    let mut submit = |id: &str, caller_timeout_ms| {
+        let job = DirectJob { caller_timeout_ms, ..job(id, 1) };
+        let (key, effects) = dispatcher.submit(job, 0);
+        ids.push(attempts(&effects)[0].1);
+        key
+    };
+    submit("expired", 500);
+    let cancelled = submit("cancelled", 1_500);
+    submit("unanswered", 1_500);
+    dispatcher.on_disconnected(keys[0]);
+    dispatcher.cancel(cancelled, 100);
+    assert_eq!(job_outcomes(&dispatcher.tick(500)), [JobOutcome::TimedOut]);
+    let (_, unsettled, _) = dispatcher.on_agent_hello(&hello("a", 1), 510);
+    let (wanted, stopping) = (vec![ids[2]], vec![ids[0], ids[1]]);
+    assert_eq!(unsettled, UnsettledAttempts { wanted, stopping });
 }
 
 #[test]
--- a/crates/direct/tests/link_activity.rs
+++ b/crates/direct/tests/link_activity.rs
@@ -253,8 +253,8 @@
     let name = fleet.dispatcher.agent_name(agent).cloned().expect("the agent is known");
     fleet.dispatcher.on_disconnected(agent);
     let hello = AgentHello { agent: name, incarnation: 1, entries: Vec::new() };
-    let (_, outstanding, effects) = fleet.dispatcher.on_agent_hello(&hello, 130);
-    assert_eq!(outstanding, [id]);
+    let (_, unsettled, effects) = fleet.dispatcher.on_agent_hello(&hello, 130);
+    assert_eq!(unsettled.wanted, [id]);
     assert_eq!(activated(&effects), [agent], "its session needs frequent heartbeats");
 }
 
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -7,7 +7,7 @@
 use common::{batch, cores, run_list, task, upstream};
 use direct::{
     AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, StartResult, StartRun, Supervisor,
-    SupervisorEffect, TaskId, Timing, UpstreamState,
+    SupervisorEffect, TaskId, Timing, UnsettledAttempts, UpstreamState,
 };
 
 struct Agent {
@@ -20,7 +20,8 @@
     let mut supervisor = Supervisor::new(Timing::default(), 0);
     supervisor.on_heartbeat(upstream("u", 1), 1, 30);
     supervisor.on_run_list(&run_list(1, &[]));
-    let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &[], 10);
+    let (entry, _) =
+        supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 10);
     supervisor.report(entry, true);
     Agent { supervisor, entry }
 }
@@ -36,6 +37,10 @@
     }
 }
 
+fn wanted(ids: &[AttemptId]) -> UnsettledAttempts {
+    UnsettledAttempts { wanted: ids.to_vec(), stopping: Vec::new() }
+}
+
 fn as_start(effect: SupervisorEffect) -> Option<StartRun> {
     match effect {
         SupervisorEffect::Start(start) => Some(start),
@@ -168,7 +173,8 @@
 fn only_active_links_get_a_report_of_each_change_of_load() {
     let mut agent = agent();
     agent.supervisor.tick(15);
-    let (other, _) = agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &[], 16);
+    let (other, _) =
+        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 16);
     let timing = Timing::default();
     assert_eq!(agent.supervisor.heartbeat_ms(other), timing.standby_heartbeat_ms);
     let effects = agent.supervisor.set_active(other, true);
@@ -177,7 +183,8 @@
     agent.starts("j", &[1], 1);
     assert_eq!(agent.supervisor.tick(20), [SupervisorEffect::Report(other)]);
     assert!(agent.supervisor.tick(40).is_empty(), "nothing has changed");
-    let (again, _) = agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &[], 50);
+    let (again, _) =
+        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 50);
     assert_eq!(agent.supervisor.heartbeat_ms(again), timing.standby_heartbeat_ms, "a new link");
 }
 
@@ -211,7 +218,8 @@
 fn a_new_incarnation_of_an_entry_stops_the_runs_of_the_previous_one() {
     let mut agent = agent();
     agent.starts("j", &[1], 1);
-    let (_, effects) = agent.supervisor.on_entry_hello(&Arc::from("e1"), 2, &[], 30);
+    let (_, effects) =
+        agent.supervisor.on_entry_hello(&Arc::from("e1"), 2, &UnsettledAttempts::default(), 30);
     assert_eq!(stops(&effects), [(task("j", 0), 1)]);
 }
 
@@ -226,8 +234,8 @@
     let mut list = run_list(30, &[(&task("j", 1), 1)]);
     list.ended.push((task("j", 0), 1, RunOutcome::Done));
     agent.supervisor.on_run_list(&list);
-    let outstanding = [AttemptId(1), AttemptId(2), AttemptId(3)];
-    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &outstanding, 40);
+    let ids = [AttemptId(1), AttemptId(2), AttemptId(3)];
+    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &wanted(&ids), 40);
     let expected = [
         (AttemptId(1), AttemptOutcome::Done { run_ms: 11 }),
         (AttemptId(3), AttemptOutcome::NotStarted),
@@ -235,6 +243,23 @@
     assert_eq!(agent.outcomes(), expected);
 }
 
+/// Guards against a stop that was lost with its connection and never sent again: the run of an
+/// answered job went on beside that of the resubmitted one.
+#[test]
+fn a_resumed_session_stops_the_runs_whose_stop_was_lost() {
+    let mut agent = agent();
+    agent.starts("j", &[1, 2, 3], 1);
+    for i in 0..3 {
+        agent.supervisor.on_start_result(&task("j", i), 1, StartResult::Started, 20);
+    }
+    agent.supervisor.on_disconnected(agent.entry);
+    // The third attempt counts as lost at the entry, which lists it no longer.
+    let attempts = UnsettledAttempts { wanted: vec![AttemptId(1)], stopping: vec![AttemptId(2)] };
+    let (_, effects) = agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &attempts, 40);
+    assert_eq!(stops(&effects), [(task("j", 1), 1), (task("j", 2), 1)]);
+    assert!(agent.outcomes().is_empty(), "a stop without an acknowledgement is no outcome");
+}
+
 #[test]
 fn an_unresponsive_upstream_gets_no_lease_and_its_runs_are_lost_when_the_last_one_has_ended() {
     let mut agent = agent();
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -204,7 +204,7 @@
         let (key, effects) = self.supervisor.borrow_mut().on_entry_hello(
             &hello.entry,
             hello.incarnation,
-            &hello.outstanding,
+            &hello.attempts,
             now_ms,
         );
         let wake = Rc::new(Notify::new());
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -237,12 +237,11 @@
         self.known_entries.add_all(&hello.entries);
         let id = self.next_connection_id.get();
         self.next_connection_id.set(id + 1);
-        let (key, outstanding, effects) =
-            self.dispatcher.borrow_mut().on_agent_hello(hello, now_ms);
+        let (key, attempts, effects) = self.dispatcher.borrow_mut().on_agent_hello(hello, now_ms);
         let reply = EntryHello {
             entry: self.name(),
             incarnation: self.incarnation,
-            outstanding,
+            attempts,
             entries: self.connected_entries(),
         };
         // The outbox is new, so it has capacity.
