Stop the runs of a killed entry when its address refuses connections

Cause: an agent began to stop the runs of a dead entry session_ms (900 ms) after its last message, also where it knew that the process was gone: the connection was reset and every further one refused. 900 of the 1,300 ms until the callers resubmit went into waiting.

Change: a refused connection to the address of a session's entry ends the session's runs at once. A reset alone does not, because it may come from the network, and silence is no proof either.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -285,6 +285,14 @@
         }
     }
 
+    /// Handles the end of an entry's process, of which a refused connection leaves no doubt: stops
+    /// its runs without waiting for the session to time out.
+    pub fn on_entry_gone(&mut self, key: SessionKey) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        self.stop_session(key, &mut effects);
+        effects
+    }
+
     /// Applies a run list of the upstream: settles runs that have ended or are missing, and stops
     /// runs that the agent did not start. The agent opens once the upstream lists no run and none
     /// of these stops is pending.
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -214,6 +214,17 @@
     assert_eq!(stops(&agent.supervisor.tick(911)), [(t, 1)]);
 }
 
+/// Guards against a stop that waits for the session of a killed entry to time out, although its
+/// process is known to be gone.
+#[test]
+fn runs_of_an_entry_whose_process_is_gone_are_stopped_at_once() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    agent.supervisor.on_disconnected(agent.entry);
+    let effects = agent.supervisor.on_entry_gone(agent.entry);
+    assert_eq!(stops(&effects), [(task("j", 0), 1)]);
+}
+
 #[test]
 fn a_new_incarnation_of_an_entry_stops_the_runs_of_the_previous_one() {
     let mut agent = agent();
--- a/crates/ebonycroft/src/commands/explain.rs
+++ b/crates/ebonycroft/src/commands/explain.rs
@@ -10,11 +10,12 @@
 
 /// Events about the state of a process or its peers; shown when they are close in time to the
 /// request.
-const CONTEXT_EVENTS: [&str; 16] = [
+const CONTEXT_EVENTS: [&str; 17] = [
     "agent_connected",
     "agent_lost",
     "config_in_force",
     "entry_connected",
+    "entry_gone",
     "entry_lost",
     "lines_dropped",
     "start",
--- a/crates/ebonycroft/tests/direct_roles/direct_system.rs
+++ b/crates/ebonycroft/tests/direct_roles/direct_system.rs
@@ -73,9 +73,16 @@
 
     /// Submits a job and returns the status of the reply.
     pub(crate) async fn submit(&self, id: &str, body: &Value) -> StatusCode {
+        self.try_submit(id, body).await.expect("an answer comes")
+    }
+
+    /// Submits a job and returns the status of the reply, or `None` if the connection ends without
+    /// one.
+    pub(crate) async fn try_submit(&self, id: &str, body: &Value) -> Option<StatusCode> {
         let url = format!("http://{}/j/{id}", self.entry.addr("callers"));
         let call = self.client.post(url).header("Host", "jobs.example").body(body.to_string());
-        call.header("Deadline-Ms", "20000").send().await.expect("an answer comes").status()
+        let reply = call.header("Deadline-Ms", "20000").send().await.ok()?;
+        Some(reply.status())
     }
 
     /// Waits until the executor runs two tasks, which is all that it can run at the same time.
@@ -85,6 +92,20 @@
         }
     }
 
+    /// Waits until the executor runs nothing.
+    pub(crate) async fn until_executor_is_idle(&self) {
+        while self.executor.running() > 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Stops the agent and returns the events of its remaining decision lines.
+    pub(crate) fn finish_agent(mut self) -> Vec<String> {
+        self.agent.signal(Signal::TERM);
+        let event = |line: Value| line["event"].as_str().map(str::to_owned);
+        self.agent.remaining_lines().into_iter().filter_map(event).collect()
+    }
+
     /// Stops both roles and returns the decision lines about a job: those of the entry and those of
     /// the agent.
     pub(crate) fn finish(mut self, id: &str) -> (Vec<Value>, Vec<Value>) {
--- a/crates/ebonycroft/tests/direct_roles/role.rs
+++ b/crates/ebonycroft/tests/direct_roles/role.rs
@@ -72,11 +72,17 @@
         }
     }
 
+    /// Returns the remaining lines, up to the end of the role.
+    pub(crate) fn remaining_lines(&mut self) -> Vec<Value> {
+        let lines = self.output.by_ref().lines().map_while(Result::ok);
+        lines.filter_map(|text| serde_json::from_str::<Value>(&text).ok()).collect()
+    }
+
     /// Returns the remaining lines about a job, up to the end of the role.
     pub(crate) fn lines_about(&mut self, job: &str) -> Vec<Value> {
-        let lines = self.output.by_ref().lines().map_while(Result::ok);
-        let objects = lines.filter_map(|text| serde_json::from_str::<Value>(&text).ok());
-        objects.filter(|line| line["job"] == job).collect()
+        let mut lines = self.remaining_lines();
+        lines.retain(|line| line["job"] == job);
+        lines
     }
 
     pub(crate) fn signal(&self, signal: Signal) {
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -5,6 +5,7 @@
 use direct::{Report, SessionKey, ToAgent};
 use rand::RngExt;
 use tokio::{
+    net::TcpStream,
     sync::Notify,
     task::spawn_local,
     time::{sleep, timeout},
@@ -39,15 +40,26 @@
 /// [`MAX_FAILED_ATTEMPTS`], when the address is removed from the known entries.
 pub(crate) async fn dial(addr: SocketAddr, state: Rc<AgentState>) {
     let mut failures = 0;
+    let mut last_session = None;
     while failures < MAX_FAILED_ATTEMPTS {
-        let mut was_connected = false;
         let is_long = failures % ATTEMPTS_PER_LONG_ONE == ATTEMPTS_PER_LONG_ONE - 1;
         let connect_timeout = if is_long { LONG_CONNECT_TIMEOUT } else { CONNECT_TIMEOUT };
-        if let Err(e) = serve(addr, connect_timeout, &state, &mut was_connected).await {
+        let mut session = None;
+        let result = match frames::connect(addr, connect_timeout).await {
+            Ok(stream) => serve(stream, addr, &state, &mut session).await,
+            Err(e) => {
+                if e.is_refused {
+                    last_session.take().into_iter().for_each(|key| state.on_entry_gone(key));
+                }
+                Err(e.into())
+            }
+        };
+        if let Err(e) = result {
             log::debug!("link to entry {addr} failed: {e}; reconnecting");
         }
         state.known_entries.set_connected(addr, false);
-        if was_connected {
+        if session.is_some() {
+            last_session = session;
             failures = 0;
         }
         failures += 1;
@@ -67,15 +79,14 @@
     MIN_PAUSE_MS * (unconnected / ENTRIES_PER_MIN_PAUSE).clamp(1, LONG_PAUSE_MS / MIN_PAUSE_MS)
 }
 
-/// Exchanges messages over one connection until it ends. Returns `Ok` when the entry was silent for
-/// too long or the process was suspended.
+/// Exchanges messages over one connection until it ends, and sets `session` after the handshake.
+/// Returns `Ok` when the entry was silent for too long or the process was suspended.
 async fn serve(
+    stream: TcpStream,
     addr: SocketAddr,
-    connect_timeout: Duration,
     state: &Rc<AgentState>,
-    was_connected: &mut bool,
+    session: &mut Option<SessionKey>,
 ) -> Result<(), StepError> {
-    let stream = frames::connect(addr, connect_timeout).await?;
     let (mut tx, rx) = frames::split::<FirstMessage, ToAgent>(stream, addr)?;
     tx.feed(&FirstMessage::Agent(state.hello())).await?;
     tx.flush().await?;
@@ -83,11 +94,11 @@
     let silence_timeout = Duration::from_millis(state.timing.silence_ms);
     let Ok(first) = timeout(silence_timeout, rx.next()).await else { return Ok(()) };
     let ToAgent::Hello(hello) = first? else { return Ok(()) };
-    *was_connected = true;
     state.known_entries.set_connected(addr, true);
     state.known_entries.add_all(&hello.entries);
     let suspensions = state.suspension_count();
     let (key, wake) = state.on_entry_connected(&hello);
+    *session = Some(key);
     let writer = spawn_local(write(tx.retype(), key, Rc::clone(&wake), Rc::clone(state)));
     let standby_silence = Duration::from_millis(state.timing.standby_silence_ms);
     let mut is_active = false;
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -257,6 +257,14 @@
         self.supervisor.borrow_mut().on_disconnected(key);
     }
 
+    /// Handles the end of an entry's process, which a refused connection has shown.
+    pub(crate) fn on_entry_gone(self: &Rc<Self>, key: SessionKey) {
+        let entry = self.supervisor.borrow().session_entry(key).map(ToString::to_string);
+        self.events.emit(Level::Notable, "entry_gone", &[("entry", json!(entry))]);
+        let effects = self.supervisor.borrow_mut().on_entry_gone(key);
+        self.apply(effects);
+    }
+
     /// Returns the period of a session's heartbeats.
     pub(crate) fn heartbeat(&self, key: SessionKey) -> Duration {
         Duration::from_millis(self.supervisor.borrow().heartbeat_ms(key))
--- a/crates/node/src/frames.rs
+++ b/crates/node/src/frames.rs
@@ -1,6 +1,6 @@
 //! Typed messages over TCP: length-delimited frames, encoded with postcard.
 
-use std::{marker::PhantomData, net::SocketAddr, time::Duration};
+use std::{io, marker::PhantomData, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt, stream::SplitSink, stream::SplitStream};
@@ -43,16 +43,30 @@
     Ok((tx, FrameRx { stream, peer, _message: PhantomData }))
 }
 
-/// Connects to a peer; fails if that takes longer than `within`.
-pub(crate) async fn connect(addr: SocketAddr, within: Duration) -> Result<TcpStream, StepError> {
-    let fail = |e: &dyn std::fmt::Display| StepError::new("connecting", Peer::Address(addr), e);
-    match timeout(within, TcpStream::connect(addr)).await {
-        Ok(Ok(stream)) => Ok(stream),
-        Ok(Err(e)) => Err(fail(&e)),
-        Err(e) => Err(fail(&e)),
+types::plain! {
+    /// A failed attempt to connect.
+    pub(crate) struct ConnectError {
+        pub(crate) error: StepError,
+        /// Whether the peer's host refused the connection: no process listens at the address.
+        pub(crate) is_refused: bool,
+    }
+}
+
+impl From<ConnectError> for StepError {
+    fn from(e: ConnectError) -> Self {
+        e.error
     }
 }
 
+/// Connects to a peer; fails if that takes longer than `within`.
+pub(crate) async fn connect(addr: SocketAddr, within: Duration) -> Result<TcpStream, ConnectError> {
+    let result = timeout(within, TcpStream::connect(addr)).await;
+    result.unwrap_or_else(|e| Err(e.into())).map_err(|e| ConnectError {
+        is_refused: e.kind() == io::ErrorKind::ConnectionRefused,
+        error: StepError::new("connecting", Peer::Address(addr), e),
+    })
+}
+
 impl<T> FrameTx<T> {
     /// Changes the type of the messages that are sent from now on.
     pub(crate) fn retype<U>(self) -> FrameTx<U> {
