Send an overdue stop again beside the unanswered one

Cause: a stop without an answer was repeated only when its call had timed out, 120 ms later, and stops shared 12 permits with starts. Three or four tries fit between the end of a session and the callers' resubmission; with half of the orders unanswered 6% of the runs go on, of 30 runs at once some almost always.

Change: as starts already do, a stop is sent again as soon as its answer is overdue by the times of the others, up to eight calls side by side; stops have permits of their own.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -66,6 +66,8 @@
     /// Runs at the upstream that this agent did not start, for example those of an earlier agent;
     /// they are being stopped. The number is that of the run.
     orphaned_runs: IndexSet<(TaskId, u32)>,
+    /// Number of unanswered stop calls for each run.
+    open_stops: IndexMap<(TaskId, u32), u32>,
     leases: LeaseRecord,
     /// Free capacity when the entries were last told of a change.
     reported_free: Resources,
@@ -91,6 +93,7 @@
             is_open: false,
             is_leaving: false,
             orphaned_runs: IndexSet::new(),
+            open_stops: IndexMap::new(),
             // An earlier agent may have granted a lease until now.
             leases: LeaseRecord::new(now_ms),
             reported_free: Resources::default(),
@@ -311,7 +314,7 @@
             let is_known = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
             let orphaned = (row.task.clone(), row.run);
             if !is_known && self.orphaned_runs.insert(orphaned) {
-                effects.push(SupervisorEffect::Stop(row.task.clone(), row.run));
+                effects.extend(self.send_stop(&row.task, row.run));
             }
         }
         if !self.is_open && list.running.is_empty() && self.orphaned_runs.is_empty() {
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -8,6 +8,10 @@
     },
 };
 
+/// Maximum number of unanswered calls of one stop: as many as become overdue, one after the other,
+/// within the timeout of a call. Stops are idempotent.
+const MAX_OPEN_STOPS: u32 = 8;
+
 impl Supervisor {
     /// Stops the runs of the given attempts at the request of their entry.
     pub fn on_stop(&mut self, key: SessionKey, ids: &[AttemptId]) -> Vec<SupervisorEffect> {
@@ -16,8 +20,17 @@
         effects
     }
 
-    /// Applies the result of a stop; an unacknowledged stop is sent again. A run that the agent
-    /// started counts as ended only when a later list does not contain it.
+    /// Sends a stop again whose answer is overdue; the earlier call may still be answered.
+    pub fn on_stop_overdue(&mut self, task: &TaskId, number: u32) -> Vec<SupervisorEffect> {
+        if self.is_stop_pending(task, number) {
+            self.send_stop(task, number).into_iter().collect()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Applies the result of one call of a stop; an unacknowledged stop is sent again. A run that
+    /// the agent started counts as ended only when a later list does not contain it.
     pub fn on_stop_result(
         &mut self,
         task: &TaskId,
@@ -25,32 +38,51 @@
         is_acknowledged: bool,
         now_ms: u64,
     ) -> Vec<SupervisorEffect> {
-        let orphaned = (task.clone(), number);
-        if self.orphaned_runs.contains(&orphaned) {
-            if is_acknowledged {
-                self.orphaned_runs.shift_remove(&orphaned);
-                return Vec::new();
+        let run_key = (task.clone(), number);
+        if let Some(open) = self.open_stops.get_mut(&run_key) {
+            *open -= 1;
+            if *open == 0 {
+                self.open_stops.swap_remove(&run_key);
             }
-            return vec![SupervisorEffect::Stop(task.clone(), number)];
         }
+        if !is_acknowledged {
+            return self.on_stop_overdue(task, number);
+        }
+        self.orphaned_runs.shift_remove(&run_key);
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return Vec::new();
         };
         match &mut run.phase {
-            Phase::Stopping { acked_ms, report } if is_acknowledged => {
-                *acked_ms = Some(now_ms);
+            Phase::Stopping { acked_ms, report } => {
+                // A list is proof from the first acknowledgement on.
+                acked_ms.get_or_insert(now_ms);
                 match report {
                     StopReport::Stopped => Vec::new(),
                     StopReport::NotStarted => vec![SupervisorEffect::PollRuns],
                 }
             }
-            Phase::Stopping { acked_ms: None, .. } => {
-                vec![SupervisorEffect::Stop(task.clone(), number)]
-            }
             _ => Vec::new(),
         }
     }
 
+    /// Returns whether a run is to be stopped and no stop has been acknowledged.
+    fn is_stop_pending(&self, task: &TaskId, number: u32) -> bool {
+        self.orphaned_runs.contains(&(task.clone(), number))
+            || self.runs.get(task).is_some_and(|run| {
+                run.number == number && matches!(run.phase, Phase::Stopping { acked_ms: None, .. })
+            })
+    }
+
+    /// Sends a stop of a run unless enough calls of it are unanswered.
+    pub(crate) fn send_stop(&mut self, task: &TaskId, number: u32) -> Option<SupervisorEffect> {
+        let open = self.open_stops.entry((task.clone(), number)).or_insert(0);
+        if *open >= MAX_OPEN_STOPS {
+            return None;
+        }
+        *open += 1;
+        Some(SupervisorEffect::Stop(task.clone(), number))
+    }
+
     /// Stops all runs of a session.
     pub(crate) fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
         self.stop_attempts(|owner, _| owner == key, effects);
@@ -86,6 +118,7 @@
             return;
         }
         run.phase = Phase::Stopping { acked_ms: None, report };
-        effects.push(SupervisorEffect::Stop(task.clone(), run.number));
+        let number = run.number;
+        effects.extend(self.send_stop(task, number));
     }
 }
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -145,8 +145,15 @@
 /// Stops a run at the upstream.
 pub(crate) async fn stop(state: Rc<AgentState>, task: TaskId, run: u32) {
     let is_acknowledged = {
-        let Ok(_permit) = state.calls.acquire().await else { return };
-        state.executor.stop(&task, run, state.token()).await
+        let Ok(_permit) = state.stops.acquire().await else { return };
+        let mut call = pin!(state.executor.stop(&task, run, state.token()));
+        match timeout(state.call_overdue(), &mut call).await {
+            Ok(is_acknowledged) => is_acknowledged,
+            Err(_) => {
+                state.on_stop_overdue(&task, run);
+                call.await
+            }
+        }
     };
     if !is_acknowledged {
         sleep(STOP_PAUSE).await;
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -31,17 +31,22 @@
     known_entries::KnownEntries,
 };
 
-/// Most concurrent calls to the upstream, not counting the poll that waits for runs to end. It is
-/// well below the number of connections that an upstream accepts.
+/// Most concurrent calls to the upstream, not counting stops and the poll that waits for runs to
+/// end. Together with [`MAX_CONCURRENT_STOPS`] it is well below the number of connections that an
+/// upstream accepts.
 const MAX_CONCURRENT_CALLS: usize = 12;
+/// Most concurrent stops; they are not delayed by unanswered starts.
+const MAX_CONCURRENT_STOPS: usize = 24;
 
 pub(crate) struct AgentState {
     pub(crate) timing: Timing,
     pub(crate) known_entries: Rc<KnownEntries>,
     pub(crate) events: Rc<Events>,
     pub(crate) executor: ExecutorClient,
-    /// Permits for calls to the upstream.
+    /// Permits for calls to the upstream other than stops.
     pub(crate) calls: Semaphore,
+    /// Permits for stops.
+    pub(crate) stops: Semaphore,
     name: Arc<str>,
     grace_ms: Cell<u64>,
     /// Start of the process, Unix milliseconds.
@@ -77,6 +82,7 @@
             events: Events::start(&process.name, process.log_decisions),
             executor: ExecutorClient::new(settings.upstream, timeout)?,
             calls: Semaphore::new(MAX_CONCURRENT_CALLS),
+            stops: Semaphore::new(MAX_CONCURRENT_STOPS),
             name: Arc::clone(&process.name),
             grace_ms: Cell::new(process.grace_ms),
             incarnation: clock::unix_ms(),
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use direct::{RunList, StartResult, TaskId};
+use metrics::counter;
 use platform::{CallError, CallFailure};
 use serde_json::json;
 
@@ -150,6 +151,13 @@
         self.apply(effects);
     }
 
+    /// Sends a stop again whose answer is overdue.
+    pub(crate) fn on_stop_overdue(self: &Rc<Self>, task: &TaskId, run: u32) {
+        let effects = self.supervisor.borrow_mut().on_stop_overdue(task, run);
+        counter!("agent_stops_repeated").increment(effects.len() as u64);
+        self.apply(effects);
+    }
+
     pub(crate) fn on_stop_result(self: &Rc<Self>, task: &TaskId, run: u32, is_acknowledged: bool) {
         let now_ms = self.now_ms();
         let effects =
