Grant no lease before an agent has opened

Cause: the next agent stops the runs that it finds at its executor, but its polls extended their leases by 1,000 ms each. Runs whose stops got no answer went on past resendMs, although without any call they would have ended with the lease of the earlier agent.

Change: an agent that has not opened grants no lease; it has no runs of its own that need one.

Test: an_agent_that_has_not_opened_grants_no_lease (red without the condition).

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -135,12 +135,18 @@
             || self.runs.values().any(|run| matches!(run.phase, Phase::Stopping { .. }))
     }
 
-    /// Returns whether the next call should grant a lease. No lease is granted while the upstream
-    /// is unresponsive, so that its runs end with the last one.
-    pub fn grants_lease(&self) -> bool {
+    /// Returns whether the upstream answers calls.
+    pub fn is_responsive(&self) -> bool {
         !self.response_monitor.is_unresponsive()
     }
 
+    /// Returns the end of a lease that is granted now, milliseconds; `None` while none is granted.
+    /// An unresponsive upstream gets no lease, so that its runs end with the last one, and an agent
+    /// that has not opened grants none to the runs of an earlier agent, which it stops.
+    pub fn lease_end_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.is_open && self.is_responsive()).then(|| now_ms + self.timing.lease_ms)
+    }
+
     /// Records that a call that grants a lease is being sent.
     pub fn record_lease_sent(&mut self, now_ms: u64) {
         self.leases.record_sent(now_ms);
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -214,6 +214,21 @@
     assert_eq!(stops(&agent.supervisor.tick(911)), [(t, 1)]);
 }
 
+/// Guards against a new agent whose polls extend the leases of the runs that it stops: after the loss
+/// of an entry and an agent they went on while stops got no answer.
+#[test]
+fn an_agent_that_has_not_opened_grants_no_lease() {
+    let mut supervisor = Supervisor::new(Timing::default(), 0);
+    supervisor.on_heartbeat(upstream("u", 1), 1, 1);
+    assert_eq!(supervisor.lease_end_ms(1), None);
+    let effects = supervisor.on_run_list(&run_list(2, &[(&task("j", 0), 1)]));
+    assert_eq!(stops(&effects), [(task("j", 0), 1)]);
+    assert_eq!(supervisor.lease_end_ms(3), None);
+    supervisor.on_stop_result(&task("j", 0), 1, true, 4);
+    supervisor.on_run_list(&run_list(5, &[]));
+    assert_eq!(supervisor.lease_end_ms(6), Some(6 + Timing::default().lease_ms));
+}
+
 /// Guards against a stop that waits for the session of a killed entry to time out, although its
 /// process is known to be gone.
 #[test]
@@ -280,7 +295,7 @@
     for at_ms in [200, 350, 450] {
         agent.supervisor.on_call_timeout(at_ms);
     }
-    assert!(!agent.supervisor.grants_lease());
+    assert_eq!(agent.supervisor.lease_end_ms(460), None);
     assert!(agent.starts("k", &[2], 1).is_empty());
     agent.outcomes();
     let end_ms = 100 + Timing::default().lease_end_ms();
@@ -334,7 +349,7 @@
     let mut agent = agent();
     agent.supervisor.on_call_timeout(100);
     agent.supervisor.on_call_timeout(400);
-    assert!(agent.supervisor.grants_lease());
+    assert!(agent.supervisor.lease_end_ms(410).is_some());
     agent.supervisor.on_run_list(&run_list(410, &[]));
     agent.supervisor.on_call_timeout(900);
     assert_eq!(agent.starts("j", &[1], 1).len(), 1);
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -36,12 +36,10 @@
     pub(crate) fn next_lease_end(&self, now_ms: u64) -> Option<u64> {
         let offset = self.clock_offset_ms.get()?;
         let mut supervisor = self.supervisor.borrow_mut();
-        if !supervisor.grants_lease() {
-            return None;
-        }
+        let end_ms = supervisor.lease_end_ms(now_ms)?;
         supervisor.record_lease_sent(now_ms);
-        let now = i64::try_from(now_ms).ok()?.checked_add(offset)?;
-        Some(u64::try_from(now).unwrap_or(0) + self.timing.lease_ms)
+        let end_ms = i64::try_from(end_ms).ok()?.checked_add(offset)?;
+        Some(u64::try_from(end_ms).unwrap_or(0))
     }
 
     /// Records the end of a call that was sent at `sent_ms` and may have granted a lease.
@@ -52,14 +50,14 @@
 
     /// Returns whether the upstream responds.
     pub(crate) fn is_responsive(&self) -> bool {
-        self.supervisor.borrow().grants_lease()
+        self.supervisor.borrow().is_responsive()
     }
 
     pub(crate) fn on_run_list(self: &Rc<Self>, result: &RunList) {
         self.now_ms();
-        let was_answering = self.supervisor.borrow().grants_lease();
+        let was_answering = self.supervisor.borrow().is_responsive();
         let effects = self.supervisor.borrow_mut().on_run_list(result);
-        if !was_answering && self.supervisor.borrow().grants_lease() {
+        if !was_answering && self.supervisor.borrow().is_responsive() {
             let fields =
                 [("running", json!(result.running.len())), ("ended", json!(result.ended.len()))];
             self.events.emit(Level::Notable, "upstream_back", &fields);
@@ -79,7 +77,7 @@
     /// Handles a call that failed or was not answered in time.
     pub(crate) fn on_call_error(self: &Rc<Self>, error: &CallError) {
         let now_ms = self.now_ms();
-        let was_answering = self.supervisor.borrow().grants_lease();
+        let was_answering = self.supervisor.borrow().is_responsive();
         let runs = self.supervisor.borrow().runs_by_age(now_ms);
         let effects = match error.failure {
             CallFailure::Refused => self.supervisor.borrow_mut().on_call_refused(now_ms),
@@ -87,7 +85,7 @@
                 self.supervisor.borrow_mut().on_call_timeout(now_ms)
             }
         };
-        if was_answering && !self.supervisor.borrow().grants_lease() {
+        if was_answering && !self.supervisor.borrow().is_responsive() {
             let youngest = runs.iter().take(MAX_LISTED_RUNS);
             let youngest = youngest.map(|(task, age_ms)| (task.to_string(), age_ms));
             let fields = [
