End leases in time for every run that they protect

An agent that dies late in the session of a dead entry left a lease of another 1,000 ms behind, too.

Change: a lease ends at most run_limit_ms (1,205 ms) after the last message by which the entry is known to have wanted a run, for each run that it protects. For a stopped run this is the message before the stop, and later ones do not move it. Timing::check requires that a stop has the time of one call before that, so the runs of other entries lose their lease only if stops fail repeatedly.

Tests, both red with the limit disabled (ends 1300 instead of 1215, 2000 instead of 1405): no_lease_outlives_the_limit_of_a_run_that_cannot_be_stopped, messages_after_a_stop_do_not_extend_the_limit_of_the_stopped_run.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -143,8 +143,23 @@
     /// Returns the end of a lease that is granted now, milliseconds; `None` while none is granted.
     /// An unresponsive upstream gets no lease, so that its runs end with the last one, and an agent
     /// that has not opened grants none to the runs of an earlier agent, which it stops.
+    ///
+    /// All runs share the lease, so it ends in time for each of them: a run that no stop reaches
+    /// must not outlive the limit that follows from the last time at which its entry wanted it.
     pub fn lease_end_ms(&self, now_ms: u64) -> Option<u64> {
-        (self.is_open && self.is_responsive()).then(|| now_ms + self.timing.lease_ms)
+        if !self.is_open || !self.is_responsive() {
+            return None;
+        }
+        let wanted_ms = self.runs.values().filter_map(|run| self.wanted_until_ms(run));
+        let limit_ms = wanted_ms.min().map_or(u64::MAX, |ms| ms + self.timing.run_limit_ms());
+        Some(limit_ms.min(now_ms + self.timing.lease_ms)).filter(|end_ms| *end_ms > now_ms)
+    }
+
+    /// Returns the last time at which the entry of a run is known to have wanted it, milliseconds.
+    fn wanted_until_ms(&self, run: &Run) -> Option<u64> {
+        let (owner, _) = run.attempt?;
+        let session = || self.sessions.values().find(|(key, _)| *key == owner);
+        run.wanted_until_ms.or_else(|| session().map(|(_, session)| session.last_heard_ms))
     }
 
     /// Records that a call that grants a lease is being sent.
@@ -242,15 +257,16 @@
                 key
             }
         };
-        let is_unwanted = |owner, id| owner == key && !attempts.wanted.contains(&id);
-        self.stop_attempts(is_unwanted, &mut effects);
+        let heard_ms = self.session_mut(key).map_or(now_ms, |session| session.last_heard_ms);
+        let is_unwanted = |id| !attempts.wanted.contains(&id);
+        self.stop_attempts(key, heard_ms, is_unwanted, &mut effects);
         let live: Vec<AttemptId> = self
             .runs
             .values()
             .filter_map(|run| run.attempt.filter(|(owner, _)| *owner == key).map(|(_, id)| id))
             .collect();
         if let Some((_, session)) = self.sessions.get_mut(entry) {
-            session.last_heard_ms = now_ms;
+            session.on_message(now_ms);
             session.is_connected = true;
             session.is_active = false;
             session.batches_seen = 0;
@@ -269,7 +285,7 @@
     /// Records the time of a message from an entry, which keeps its session alive.
     pub fn on_entry_message(&mut self, key: SessionKey, now_ms: u64) {
         if let Some(session) = self.session_mut(key) {
-            session.last_heard_ms = now_ms;
+            session.on_message(now_ms);
         }
     }
 
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -54,6 +54,9 @@
         /// Session and id of the attempt; `None` for a run that was found at the upstream.
         pub(crate) attempt: Option<(SessionKey, AttemptId)>,
         pub(crate) phase: Phase,
+        /// Last time at which the entry is known to have wanted the run, milliseconds; `None` while
+        /// it still does, as far as is known.
+        pub(crate) wanted_until_ms: Option<u64>,
     }
 }
 
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -11,6 +11,8 @@
 pub(crate) struct Session {
     pub(crate) incarnation: u64,
     pub(crate) last_heard_ms: u64,
+    /// Time of the message before the last one.
+    pub(crate) heard_before_ms: u64,
     /// Whether the session has a connection; it outlives the connection for a limited time.
     pub(crate) is_connected: bool,
     /// Whether the link is active, that is, its entry needs each change of the load.
@@ -30,6 +32,7 @@
         Self {
             incarnation,
             last_heard_ms: now_ms,
+            heard_before_ms: now_ms,
             is_connected: true,
             is_active: false,
             batches_seen: 0,
@@ -39,6 +42,12 @@
         }
     }
 
+    /// Records the time of a message.
+    pub(crate) fn on_message(&mut self, now_ms: u64) {
+        self.heard_before_ms = self.last_heard_ms;
+        self.last_heard_ms = now_ms;
+    }
+
     /// Records the outcome of an attempt, to be sent with the next report.
     pub(crate) fn record_outcome(&mut self, id: AttemptId, outcome: AttemptOutcome) {
         self.unsent.push((id, outcome));
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -47,6 +47,7 @@
                     payload: Arc::clone(&batch.payload),
                     accepted_ms: now_ms,
                     phase,
+                    wanted_until_ms: None,
                 };
                 self.runs.insert(task.clone(), run);
                 if phase != Phase::Held {
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -16,7 +16,9 @@
     /// Stops the runs of the given attempts at the request of their entry.
     pub fn on_stop(&mut self, key: SessionKey, ids: &[AttemptId]) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
-        self.stop_attempts(|owner, id| owner == key && ids.contains(&id), &mut effects);
+        // The entry still wanted the attempts when it sent the message before this one.
+        let wanted_ms = self.session_mut(key).map_or(0, |session| session.heard_before_ms);
+        self.stop_attempts(key, wanted_ms, |id| ids.contains(&id), &mut effects);
         effects
     }
 
@@ -85,22 +87,25 @@
 
     /// Stops all runs of a session.
     pub(crate) fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
-        self.stop_attempts(|owner, _| owner == key, effects);
+        let heard_ms = self.session_mut(key).map_or(0, |session| session.last_heard_ms);
+        self.stop_attempts(key, heard_ms, |_| true, effects);
     }
 
-    /// Stops the runs whose attempts are selected by session and id.
+    /// Stops the runs of a session whose attempts are selected by id; their entry wanted them until
+    /// `wanted_ms` at least.
     pub(crate) fn stop_attempts(
         &mut self,
-        is_selected: impl Fn(SessionKey, AttemptId) -> bool,
+        key: SessionKey,
+        wanted_ms: u64,
+        is_selected: impl Fn(AttemptId) -> bool,
         effects: &mut Vec<SupervisorEffect>,
     ) {
-        let selected = |run: &Run| run.attempt.is_some_and(|(owner, id)| is_selected(owner, id));
-        let tasks: Vec<TaskId> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| selected(run))
-            .map(|(task, _)| task.clone())
-            .collect();
+        let selected = |run: &Run| run.attempt.is_some_and(|(k, id)| k == key && is_selected(id));
+        let mut tasks: Vec<TaskId> = Vec::new();
+        for (task, run) in self.runs.iter_mut().filter(|(_, run)| selected(run)) {
+            run.wanted_until_ms.get_or_insert(wanted_ms);
+            tasks.push(task.clone());
+        }
         for task in tasks {
             self.stop_run(&task, StopReport::Stopped, effects);
         }
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -2,6 +2,9 @@
 
 /// Maximum error of an executor's lease clock: it may run this many percent slow.
 const LEASE_CLOCK_ERROR_PERCENT: u64 = 2;
+/// Time between the end of an entry's process and the moment at which its agents could last have
+/// received a message from it, milliseconds.
+const MESSAGE_DELAY_MS: u64 = 20;
 
 types::settings! {
     /// Timeouts and periods that bound when runs end, milliseconds.
@@ -54,7 +57,8 @@
     pub enum BoundsError {
         /// Runs of an unresponsive entry may end after its callers resubmit their jobs.
         SessionOutlivesResend {
-            /// Sum of the session timeout, one lost stop call and the stop itself, milliseconds.
+            /// Time from an entry's last message until its runs have ended, if one stop call is
+            /// lost, milliseconds.
             end_ms: u64,
             /// Time after which callers resubmit, milliseconds.
             resend_ms: u64,
@@ -97,6 +101,13 @@
         self.session_ms + self.call_ms + self.stop_ms
     }
 
+    /// Returns the time from an entry's last message after which no lease may protect its runs any
+    /// more, milliseconds: whatever happens to their stops, they end before the callers resubmit.
+    pub fn run_limit_ms(&self) -> u64 {
+        let limit_ms = self.resend_ms.saturating_sub(self.stop_ms + MESSAGE_DELAY_MS);
+        limit_ms * 100 / (100 + LEASE_CLOCK_ERROR_PERCENT)
+    }
+
     /// Checks that the runs of a failed entry end before its callers resubmit their jobs.
     ///
     /// # Errors
@@ -104,9 +115,13 @@
     /// Returns the inconsistency if the runs of a session end too late, if a connection is
     /// replaced only after its session has ended, or if a healthy connection is replaced.
     pub fn check(&self) -> Result<(), BoundsError> {
-        if self.session_end_ms() > self.resend_ms {
-            let (end_ms, resend_ms) = (self.session_end_ms(), self.resend_ms);
-            return Err(BoundsError::SessionOutlivesResend { end_ms, resend_ms });
+        // All runs of an upstream share a lease, so those of a failed entry must have ended by its
+        // limit; otherwise the runs of other entries end with them.
+        let limit_ms = self.run_limit_ms();
+        if self.session_ms + self.call_ms > limit_ms {
+            let end_ms =
+                self.session_end_ms() + self.resend_ms.saturating_sub(limit_ms + self.stop_ms);
+            return Err(BoundsError::SessionOutlivesResend { end_ms, resend_ms: self.resend_ms });
         }
         if self.silence_ms >= self.session_ms {
             return Err(BoundsError::SilenceOutlivesSession);
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -214,6 +214,50 @@
     assert_eq!(stops(&agent.supervisor.tick(911)), [(t, 1)]);
 }
 
+/// Guards against a lease that protects the runs of a failed entry beyond the resubmission of its
+/// jobs, because the agent extends it for the runs of other entries.
+#[test]
+fn no_lease_outlives_the_limit_of_a_run_that_cannot_be_stopped() {
+    let timing = Timing::default();
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let (other, _) =
+        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 20);
+    agent.supervisor.on_attempts(other, &batch("k", &[1], cores(1)), 20);
+    // The entry of the first run was last heard at 10 ms.
+    let limit_ms = 10 + timing.run_limit_ms();
+    assert!(limit_ms * 102 / 100 + timing.stop_ms <= 10 + timing.resend_ms);
+    for now_ms in (100..limit_ms).step_by(100) {
+        agent.supervisor.on_entry_message(other, now_ms);
+        agent.supervisor.tick(now_ms);
+        let end_ms = limit_ms.min(now_ms + timing.lease_ms);
+        assert_eq!(agent.supervisor.lease_end_ms(now_ms), Some(end_ms), "at {now_ms} ms");
+    }
+    assert_eq!(agent.supervisor.lease_end_ms(limit_ms), None);
+    let mut list = run_list(limit_ms, &[(&task("k", 0), 1)]);
+    list.ended.push((task("j", 0), 1, RunOutcome::Terminated));
+    agent.supervisor.on_run_list(&list);
+    let end_ms = limit_ms + timing.lease_ms;
+    assert_eq!(agent.supervisor.lease_end_ms(limit_ms), Some(end_ms), "the run has ended");
+}
+
+/// Guards against a lease that protects the run of an answered job beyond the resubmission of the job,
+/// because its entry goes on to send messages.
+#[test]
+fn messages_after_a_stop_do_not_extend_the_limit_of_the_stopped_run() {
+    let timing = Timing::default();
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    agent.supervisor.on_entry_message(agent.entry, 200);
+    agent.supervisor.on_entry_message(agent.entry, 400);
+    agent.supervisor.on_stop(agent.entry, &[AttemptId(1)]);
+    for now_ms in [600, 800, 1_000] {
+        agent.supervisor.on_entry_message(agent.entry, now_ms);
+    }
+    // The entry wanted the run when it sent the message before the stop.
+    assert_eq!(agent.supervisor.lease_end_ms(1_000), Some(200 + timing.run_limit_ms()));
+}
+
 /// Guards against a new agent whose polls extend the leases of the runs that it stops: after the loss
 /// of an entry and an agent they went on while stops got no answer.
 #[test]
