Let an odd element of a list from outside cost only itself

Report: operators of similar systems saw machines end or stop following a list because of one odd entry in it.

Found, the gravest first: an executor's reply that could not be decoded counted as a list without runs, so all runs were settled as lost while they went on, and started again elsewhere. One sequence number out of range lost all later outcomes of an executor. An unreadable item made a page of log-newest fail for ever, or ended the list. One odd label cost a heartbeat.

Cause: documents were decoded as a whole, and a failure became an empty value.

Ruled out: processes that end by themselves; the decoder's depth limit held for a nesting of 400,000.

--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -73,6 +73,8 @@
         pub incarnation: Option<u64>,
         /// Runs in progress.
         pub running: Vec<RunRow>,
+        /// Tasks in progress whose run number cannot be read.
+        pub unnumbered: Vec<TaskId>,
         /// Ended runs: task, number of the run, outcome.
         pub ended: Vec<(TaskId, u32, RunOutcome)>,
     }
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -47,6 +47,7 @@
     pub(crate) fn settle_absent(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
         let listed = |task: &TaskId, number: u32| {
             list.running.iter().any(|row| &row.task == task && row.run == number)
+                || list.unnumbered.contains(task)
         };
         let mut absent = Vec::new();
         for (task, run) in &self.runs {
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -399,6 +399,19 @@
     assert_eq!(agent.starts("j", &[1], 1).len(), 1);
 }
 
+/// Guards against a row with an unreadable run number that passes for a run that has ended.
+#[test]
+fn a_run_that_is_listed_with_an_unreadable_number_is_not_lost() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    agent.supervisor.on_start_result(&task("j", 0), 1, StartResult::Started, 20);
+    let list = RunList { unnumbered: vec![task("j", 0)], ..run_list(40, &[]) };
+    agent.supervisor.on_run_list(&list);
+    assert!(agent.outcomes().is_empty());
+    agent.supervisor.on_run_list(&run_list(50, &[]));
+    assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Lost)]);
+}
+
 #[test]
 fn a_new_incarnation_of_the_upstream_loses_all_runs() {
     let mut agent = agent();
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -91,14 +91,14 @@
 }
 
 fn on_reply(state: &Rc<AgentState>, reply: RunListReply, sent_ms: u64, received_ms: u64) {
-    let (running, ended) = (reply.running, reply.ended);
     state.record_last_ended(reply.incarnation, reply.last_ended_seq);
     state.on_run_list(&RunList {
         sent_ms,
         received_ms,
         incarnation: reply.incarnation,
-        running,
-        ended,
+        running: reply.running,
+        unnumbered: reply.unnumbered,
+        ended: reply.ended,
     });
 }
 
--- a/crates/node/src/known_entries.rs
+++ b/crates/node/src/known_entries.rs
@@ -44,8 +44,11 @@
         }
     }
 
+    /// Adds an address, unless no process can listen there.
     pub(crate) fn add(&self, addr: SocketAddr) {
-        self.addrs.borrow_mut().entry(addr).or_default();
+        if addr.port() != 0 && !addr.ip().is_unspecified() && !addr.ip().is_multicast() {
+            self.addrs.borrow_mut().entry(addr).or_default();
+        }
     }
 
     pub(crate) fn add_all(&self, addrs: &[SocketAddr]) {
