Skip an unreadable claim instead of following no more claims

Report: a reader that stops following a list at one odd entry. Seen here in the roles for stored jobs: after one unreadable record in the stream of claims an entry followed no claims any more, so it took over nothing, also not what it claimed itself.

Cause: the follower was parked for ever on FollowerEvent::Unreadable.

--- a/crates/ebonycroft/tests/system/entry_loss.rs
+++ b/crates/ebonycroft/tests/system/entry_loss.rs
@@ -1,7 +1,9 @@
 //! Crash of the entry that owns a job.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use platform::StoreClient;
+use ports::{Log, StreamName};
 use types::{JobId, Partition};
 
 use crate::support::{System, bookings, id_owned_by, run, scalings, tasks, until};
@@ -58,6 +60,30 @@
     });
 }
 
+/// Guards against an entry that follows no claims after an unreadable one, and so takes over nothing.
+#[test]
+fn partitions_are_taken_over_after_an_unreadable_claim() {
+    run(async {
+        let system = Arc::new(System::builder().entries(2).upstreams(2).start().await);
+        let log = StoreClient::new(system.log.url(), Duration::from_secs(5)).unwrap();
+        log.append(&StreamName::claims(), b"\xffnoise".to_vec()).await.unwrap();
+        system.entries[1].kill();
+        let killed = system.entries[1].identity().clone();
+        until(async || {
+            (0..16).all(|p| {
+                let owner = system.entries[0].owner_of(Partition(p));
+                owner.is_some_and(|owner| owner != killed)
+            })
+        })
+        .await;
+        until(async || {
+            let id = JobId::generate();
+            system.submit(0, id, "scale", scalings(1, 10)).await.is_complete()
+        })
+        .await;
+    });
+}
+
 #[test]
 fn every_partition_is_served_after_a_crash() {
     run(async {
--- a/crates/entry/src/ownership/mod.rs
+++ b/crates/entry/src/ownership/mod.rs
@@ -470,8 +470,10 @@
                 ownership_manager.tell(ClaimsTruncated { oldest }).await.is_ok()
             }
             FollowerEvent::Unreadable(e) => {
-                log::error!("stopped following the claims, ownership stays as it is: {e}");
-                return std::future::pending().await;
+                // All entries skip the same record, so they agree on the claims that remain.
+                log::error!("skipped an unreadable record of the claims: {e}");
+                follower.seek(follower.position().next());
+                continue;
             }
         };
         if !is_sent {
