Let the soak overlap faults, and let its tasks outlive their jobs

Its tasks lasted 120 ms against callers that wait 1,500 ms, each job had one step, and faults came one after the other.

Change: a quarter of twelve callers submit jobs whose tasks last 3,600 ms; others have up to three steps; two sequences of faults overlap (SOAK_FAULTS); a share of the starts and stops of all executors gets no answer and takes effect late, with an entry killed meanwhile; SOAK_PROCESSES sets the number of processes. Signals to a process that another sequence has ended are left out.

--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -2,6 +2,10 @@
 
 use std::{
     collections::BTreeMap,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -25,6 +29,7 @@
     Stop,
     UnresponsiveExecutor,
     LateStarts,
+    LateOrders,
     FailingExecutor,
     DeadlyTasks,
     StoreOutage,
@@ -32,27 +37,49 @@
 }
 
 /// All faults, each with the same probability.
-const ALL: [Fault; 9] = [
+const ALL: [Fault; 10] = [
     Fault::Kill,
     Fault::Freeze,
     Fault::Stop,
     Fault::UnresponsiveExecutor,
     Fault::LateStarts,
+    Fault::LateOrders,
     Fault::FailingExecutor,
     Fault::DeadlyTasks,
     Fault::StoreOutage,
     Fault::ConfigChange,
 ];
 
+/// Injects several sequences of random faults at the same time. Returns the number of faults of
+/// each kind.
+pub(crate) async fn inject_all(
+    system: &System,
+    seed: u64,
+    sequences: u64,
+    length: Duration,
+) -> BTreeMap<Fault, usize> {
+    let version = AtomicU64::new(1);
+    let sequence = |n: u64| inject(system, seed ^ (n << 40), length, &version);
+    let counts = futures::future::join_all((0..sequences).map(sequence)).await;
+    let mut sums = BTreeMap::new();
+    for (fault, count) in counts.into_iter().flatten() {
+        *sums.entry(fault).or_insert(0) += count;
+    }
+    // A sequence may have replaced the faults of another one in the middle.
+    system.executors.iter().for_each(|executor| executor.set_faults(FakeExecutorFaults::default()));
+    system.store.faults().clear();
+    sums
+}
+
 /// Injects random faults one after the other for a time. Returns the number of faults of each kind.
-pub(crate) async fn inject(
-    system: &mut System,
+async fn inject(
+    system: &System,
     seed: u64,
     length: Duration,
+    version: &AtomicU64,
 ) -> BTreeMap<Fault, usize> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut counts = BTreeMap::new();
-    let mut version = 1;
     let start = Instant::now();
     while start.elapsed() < length {
         sleep(Duration::from_millis(rng.random_range(100..600))).await;
@@ -61,23 +88,16 @@
         let duration = Duration::from_millis(rng.random_range(50..2_000));
         match fault {
             Fault::Kill => {
-                let process = random_process(system, &mut rng);
-                process.signal(Signal::KILL);
-                process.wait();
-                sleep(duration / 4).await;
-                process.restart();
+                end(random_process(system, &mut rng), Signal::KILL, duration / 4).await;
             }
             Fault::Freeze => {
                 let process = random_process(system, &mut rng);
-                process.signal(Signal::STOP);
+                lock(process).signal(Signal::STOP);
                 sleep(duration).await;
-                process.signal(Signal::CONT);
+                lock(process).signal(Signal::CONT);
             }
             Fault::Stop => {
-                let process = random_process(system, &mut rng);
-                process.signal(Signal::TERM);
-                process.wait();
-                process.restart();
+                end(random_process(system, &mut rng), Signal::TERM, Duration::ZERO).await;
             }
             Fault::UnresponsiveExecutor => {
                 let faults = FakeExecutorFaults { is_unresponsive: true, ..Default::default() };
@@ -88,6 +108,18 @@
                 let faults = FakeExecutorFaults { late_starts, ..Default::default() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
+            Fault::LateOrders => {
+                let late_percent = rng.random_range(20..60);
+                let late = FakeExecutorFaults { late_percent, ..Default::default() };
+                system.executors.iter().for_each(|executor| executor.set_faults(late));
+                sleep(duration / 2).await;
+                // Stops that get no answer matter most when an entry is lost.
+                let entry = &system.entries[rng.random_range(0..system.entries.len())];
+                end(entry, Signal::KILL, duration).await;
+                sleep(duration).await;
+                let none = FakeExecutorFaults::default();
+                system.executors.iter().for_each(|executor| executor.set_faults(none));
+            }
             Fault::FailingExecutor => {
                 let faults = FakeExecutorFaults { fails_all: true, ..Default::default() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
@@ -98,10 +130,7 @@
                 system.executors.iter().for_each(|executor| executor.set_faults(faults));
                 sleep(duration / 2).await;
                 // The process that knows of the crashes is lost in the middle of them.
-                let process = random_process(system, &mut rng);
-                process.signal(Signal::KILL);
-                process.wait();
-                process.restart();
+                end(random_process(system, &mut rng), Signal::KILL, Duration::ZERO).await;
                 sleep(duration / 2).await;
                 let none = FakeExecutorFaults::default();
                 system.executors.iter().for_each(|executor| executor.set_faults(none));
@@ -114,7 +143,8 @@
                 system.store.faults().clear();
             }
             Fault::ConfigChange => {
-                version += rng.random_range(1..5);
+                let step = rng.random_range(1..5);
+                let version = version.fetch_add(step, Ordering::Relaxed) + step;
                 system.store.put_config(&config(version));
             }
         }
@@ -122,11 +152,33 @@
     counts
 }
 
+fn lock(process: &Mutex<Process>) -> MutexGuard<'_, Process> {
+    process.lock().expect("no holder of the lock panics")
+}
+
 /// Returns a random entry or agent.
-fn random_process<'a>(system: &'a mut System, rng: &mut StdRng) -> &'a mut Process {
-    let processes = if rng.random_bool(0.5) { &mut system.entries } else { &mut system.agents };
-    let index = rng.random_range(0..processes.len());
-    &mut processes[index]
+fn random_process<'a>(system: &'a System, rng: &mut StdRng) -> &'a Mutex<Process> {
+    let processes = if rng.random_bool(0.5) { &system.entries } else { &system.agents };
+    &processes[rng.random_range(0..processes.len())]
+}
+
+/// Ends a process by a signal and starts it again after a pause, unless another sequence of faults
+/// has done so in the meantime.
+async fn end(process: &Mutex<Process>, signal: Signal, pause: Duration) {
+    let id = {
+        let mut process = lock(process);
+        process.signal(signal);
+        process.id()
+    };
+    let is_own_life = |process: &Process| process.id() == id;
+    while is_own_life(&lock(process)) && !lock(process).has_ended() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(pause).await;
+    let mut process = lock(process);
+    if is_own_life(&process) {
+        process.restart();
+    }
 }
 
 /// Sets faults at a random executor for a time.
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! Invariants of real processes under load and random faults: no task runs twice at the same time,
 //! no executor is over its capacity, no refused job runs, and each task of a succeeded job has run.
-//! `SOAK_SEED` and `SOAK_SECONDS` choose another sequence of faults and another length.
+//! `SOAK_SEED` and `SOAK_SECONDS` choose another sequence of faults and another length,
+//! `SOAK_PROCESSES` another number of processes, `SOAK_FAULTS` how many faults may overlap.
 
 mod caller;
 mod faults;
@@ -16,6 +17,9 @@
 
 const DEFAULT_SEED: u64 = 1;
 const DEFAULT_SECONDS: u64 = 8;
+const DEFAULT_PROCESSES: u64 = 6;
+/// Number of sequences of faults that go on at the same time.
+const DEFAULT_FAULTS: u64 = 2;
 
 fn env_number(name: &str, default: u64) -> u64 {
     env::var(name).ok().map_or(default, |text| text.parse().expect("the variable is a number"))
@@ -26,11 +30,14 @@
     let (seed, seconds) =
         (env_number("SOAK_SEED", DEFAULT_SEED), env_number("SOAK_SECONDS", DEFAULT_SECONDS));
     let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
     runtime.expect("a runtime can be built").block_on(async {
-        let mut system = System::start().await;
+        let processes = usize::try_from(env_number("SOAK_PROCESSES", DEFAULT_PROCESSES));
+        let system = System::start(processes.expect("the number is small")).await;
         let callers = caller::start(&system, seed);
-        let injected = faults::inject(&mut system, seed, Duration::from_secs(seconds)).await;
+        let sequences = env_number("SOAK_FAULTS", DEFAULT_FAULTS);
+        let injected =
+            faults::inject_all(&system, seed, sequences, Duration::from_secs(seconds)).await;
         let jobs = callers.finish().await;
         system.until_serving().await;
         let ledger = &system.ledger;
@@ -50,7 +57,7 @@
             assert!(!job.is_refused() || runs == 0, "seed {seed}: {} ran though refused", job.id);
             let may_fail = job.is_deadly() || injected.contains_key(&Fault::FailingExecutor);
             assert!(!job.is_failed() || may_fail, "seed {seed}: {} was given up", job.id);
-            assert!(!job.is_succeeded() || runs >= job.tasks, "seed {seed}: {} is partial", job.id);
+            assert!(!job.is_succeeded() || runs >= job.shape.task_count(), "seed {seed}: {} is partial", job.id);
         }
         assert!(jobs.iter().any(caller::Job::is_succeeded), "seed {seed}: nothing was served");
     });
--- a/crates/ebonycroft/tests/soak/process.rs
+++ b/crates/ebonycroft/tests/soak/process.rs
@@ -30,15 +30,24 @@
         text.and_then(|text| text.parse().ok()).expect("the line start has the address")
     }
 
-    pub(crate) fn signal(&self, signal: Signal) {
+    /// Returns the process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, unless the process has ended.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        if self.has_ended() {
+            return;
+        }
         let id = i32::try_from(self.child.id()).expect("a process id is small");
         let pid = Pid::from_raw(id).expect("a process id is not 0");
         kill_process(pid, signal).expect("the process is there");
     }
 
-    /// Waits until a process that has been signalled to stop has exited.
-    pub(crate) fn wait(&mut self) {
-        self.child.wait().expect("the process ends");
+    /// Returns whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be waited for").is_some()
     }
 
     /// Starts the process again after its exit.
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -13,10 +13,14 @@
 use serde_json::json;
 use tokio::{task::JoinHandle, time::sleep};
 
-use crate::{caller, process::Process};
+use crate::{
+    caller::{self, Shape},
+    process::Process,
+};
 
-const ENTRIES: usize = 2;
-const AGENTS: usize = 4;
+/// One process in so many is an entry.
+const PROCESSES_PER_ENTRY: usize = 6;
+const MIN_ENTRIES: usize = 2;
 /// Tasks that an executor can run at the same time.
 pub(crate) const SLOTS: usize = 4;
 /// Run time of a task, milliseconds.
@@ -29,8 +33,8 @@
     pub(crate) store: LogServer,
     pub(crate) ledger: RunLedger,
     pub(crate) executors: Vec<FakeExecutor>,
-    pub(crate) entries: Vec<Process>,
-    pub(crate) agents: Vec<Process>,
+    pub(crate) entries: Vec<Mutex<Process>>,
+    pub(crate) agents: Vec<Mutex<Process>>,
     /// Addresses of the entries for callers; they stay the same over restarts.
     pub(crate) callers: Arc<Mutex<Vec<SocketAddr>>>,
     _heartbeats: Vec<JoinHandle<()>>,
@@ -38,7 +42,9 @@
 }
 
 impl System {
-    pub(crate) async fn start() -> Self {
+    /// Starts this number of processes, about a sixth of them entries.
+    pub(crate) async fn start(processes: usize) -> Self {
+        let entry_count = (processes / PROCESSES_PER_ENTRY).max(MIN_ENTRIES);
         let dir = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a folder can be made");
         let any_port = "127.0.0.1:0".parse().expect("it is an address");
@@ -48,8 +54,8 @@
         let ledger = RunLedger::default();
         let (mut executors, mut agents, mut heartbeats) = (Vec::new(), Vec::new(), Vec::new());
         let entries: Vec<Process> =
-            (0..ENTRIES).map(|i| start_entry(&dir, i, store.addr())).collect();
-        for i in 0..AGENTS {
+            (0..entry_count).map(|i| start_entry(&dir, i, store.addr())).collect();
+        for i in 0..processes - entry_count {
             let settings = FakeExecutorSettings {
                 id: format!("executor-{i}"),
                 pool: "kitchen".into(),
@@ -70,8 +76,8 @@
             store,
             ledger,
             executors,
-            entries,
-            agents,
+            entries: entries.into_iter().map(Mutex::new).collect(),
+            agents: agents.into_iter().map(Mutex::new).collect(),
             callers,
             _heartbeats: heartbeats,
             dir,
@@ -85,11 +91,12 @@
         let client = Client::builder().no_proxy().build().expect("a client can be built");
         let start = std::time::Instant::now();
         for (i, entry) in self.entries.iter().enumerate() {
+            let addr = entry.lock().expect("no holder of the lock panics").addr("callers");
             let mut n = 0_u64;
             loop {
                 n += 1;
                 let id = format!("{:016x}", 0xffff_0000_0000_0000_u64 + i as u64 * 10_000 + n);
-                let reply = caller::submit(&client, entry.addr("callers"), &id, 1).await;
+                let reply = caller::submit(&client, addr, &id, &Shape::default()).await;
                 if reply == Some((StatusCode::OK, true)) {
                     break;
                 }
--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -1,7 +1,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -46,7 +49,7 @@
         pub zone: String,
         /// Processor capacity in thousandths of a core.
         pub milli_cores: u32,
-        /// Run time of each task in milliseconds.
+        /// Run time of a task in milliseconds, unless its payload is `run_ms=N`.
         pub run_ms: u64,
     }
 
@@ -57,6 +60,9 @@
         pub is_unresponsive: bool,
         /// Number of further starts that get no response and take effect late, after 2 seconds.
         pub late_starts: u32,
+        /// Share of starts and stops, percent, that get no response and take effect late, after 2
+        /// seconds.
+        pub late_percent: u64,
         /// Every run that completes is reported as failed.
         pub fails_all: bool,
         /// Its heartbeats report that it is draining.
@@ -84,6 +90,8 @@
     ledger: RunLedger,
     state: Mutex<RunTable>,
     faults: Mutex<FakeExecutorFaults>,
+    /// Number of starts and stops so far.
+    orders: AtomicU64,
     run_ended: Notify,
 }
 
@@ -147,6 +155,7 @@
             ledger,
             state: Mutex::default(),
             faults: Mutex::default(),
+            orders: AtomicU64::new(0),
             run_ended: Notify::new(),
         });
         let router = Router::new()
@@ -303,7 +312,10 @@
         state.lease_until = state.lease_until.max(deadline_ms.min(max_lease_until));
         state.highest_run.insert(task.to_owned(), run);
         let ledger_index = self.ledger.record_start(task, &self.settings.id);
-        let ends_at = Instant::now() + Duration::from_millis(self.settings.run_ms);
+        let payload = body.get("spec").and_then(Value::as_str).unwrap_or("");
+        let run_ms = payload.strip_prefix("run_ms=").and_then(|text| text.parse().ok());
+        let run_ms = run_ms.unwrap_or(self.settings.run_ms);
+        let ends_at = Instant::now() + Duration::from_millis(run_ms);
         state.running.insert(task.to_owned(), ActiveRun { run, ledger_index, ends_at });
         self.response(StatusCode::OK, None)
     }
@@ -327,6 +339,13 @@
         (body, has_ended_runs)
     }
 
+    /// Returns whether the next order gets no response and takes effect late.
+    fn is_next_order_late(&self) -> bool {
+        let number = self.orders.fetch_add(1, Ordering::Relaxed);
+        // Multiples of a prime spread the late orders evenly.
+        number * 37 % 100 < lock(&self.faults).late_percent
+    }
+
     async fn hang_if_unresponsive(&self) {
         if lock(&self.faults).is_unresponsive {
             std::future::pending::<()>().await;
@@ -334,6 +353,8 @@
     }
 }
 
+/// Time after which a late order takes effect.
+const LATE_AFTER: Duration = Duration::from_millis(2_000);
 /// Period of the check for runs that have ended.
 const ADVANCE_PERIOD: Duration = Duration::from_millis(5);
 
@@ -355,11 +376,11 @@
         let is_late = faults.late_starts > 0;
         faults.late_starts = faults.late_starts.saturating_sub(1);
         is_late
-    };
+    } || shared.is_next_order_late();
     if is_late {
         let late = Arc::clone(&shared);
         tokio::spawn(async move {
-            sleep(Duration::from_millis(2_000)).await;
+            sleep(LATE_AFTER).await;
             late.start_run(&body);
         });
         std::future::pending::<()>().await;
@@ -370,6 +391,18 @@
 
 async fn run_stop(State(shared): State<Arc<Shared>>, Json(body): Json<Value>) -> Response {
     shared.hang_if_unresponsive().await;
+    if shared.is_next_order_late() {
+        let late = Arc::clone(&shared);
+        tokio::spawn(async move {
+            sleep(LATE_AFTER).await;
+            stop_run(&late, &body);
+        });
+        return std::future::pending().await;
+    }
+    stop_run(&shared, &body)
+}
+
+fn stop_run(shared: &Shared, body: &Value) -> Response {
     shared.advance();
     let int_field = |field: &str| body.get(field).and_then(Value::as_u64).unwrap_or(0);
     let task = body.get("task").and_then(Value::as_str).unwrap_or("").to_owned();
