Take the fencing token of an agent from its incarnation

Executors crash and restart one after the other, then all processes are killed; before the final fault 246 of 250 requests are served, after it 0 of 88.

Cause: the token was a reading of the executor's clock. An agent kept it when its executor restarted with a new clock, and passed it on to the new life; the next agent was refused until the new clock had passed the old reading, and polled meanwhile without a pause.

Change: the token starts with the agent's incarnation and rises by a doubling step where it is refused; a refused poll is repeated after 10 ms. The line open has the token, fencing_token is written when it is raised.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 //! milliseconds on a monotonic clock that includes time spent suspended.
 
 mod dispatcher;
+mod fencing;
 mod job;
 mod link_message;
 mod peer_choice;
@@ -20,6 +21,7 @@
     dispatcher::{
         Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, PoolCapacity,
     },
+    fencing::FencingToken,
     job::{DirectJob, JobOutcome, JobStep, RefusalReason},
     link_message::{
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -23,6 +23,8 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(40);
 /// Pause after a poll whose connection broke: the next one shows whether the upstream still exists.
 const BROKEN_PAUSE: Duration = Duration::from_millis(2);
+/// Pause after a poll that was refused because of its fencing token.
+const FENCED_PAUSE: Duration = Duration::from_millis(10);
 /// Pause before an unacknowledged stop is repeated.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
@@ -60,8 +62,9 @@
         match reply {
             Ok(reply) => {
                 state.record_upstream_clock(reply.clock_ms, received_ms);
-                if reply.is_fenced || state.token() == 0 {
+                if reply.is_fenced {
                     state.raise_token();
+                    sleep(FENCED_PAUSE).await;
                     continue;
                 }
                 on_reply(&state, reply, sent_ms, received_ms);
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -10,8 +10,8 @@
 };
 
 use direct::{
-    AgentHello, AttemptOutcome, EntryHello, Report, SessionKey, Supervisor, SupervisorEffect,
-    Timing, ToAgent, Upstream,
+    AgentHello, AttemptOutcome, EntryHello, FencingToken, Report, SessionKey, Supervisor,
+    SupervisorEffect, Timing, ToAgent, Upstream,
 };
 use indexmap::IndexMap;
 use metrics::counter;
@@ -54,8 +54,8 @@
     supervisor: RefCell<Supervisor>,
     /// Wakes the task that sends reports to an entry.
     report_wakers: RefCell<IndexMap<SessionKey, Rc<Notify>>>,
-    /// Fencing token of calls to the upstream; 0 before the upstream's first reply.
-    token: Cell<u64>,
+    /// Fencing token of calls to the upstream.
+    token: Cell<FencingToken>,
     /// The upstream's clock minus this process's clock, milliseconds; `None` before the first
     /// reply.
     clock_offset_ms: Cell<Option<i64>>,
@@ -75,6 +75,7 @@
         let process = &settings.process;
         let known_entries = Rc::new(KnownEntries::from_seeds(process, None));
         let now_ms = clock::now_ms();
+        let incarnation = clock::unix_ms();
         let timeout = Duration::from_millis(process.timing.call_ms);
         Ok(Rc::new(Self {
             timing: process.timing,
@@ -85,10 +86,10 @@
             stops: Semaphore::new(MAX_CONCURRENT_STOPS),
             name: Arc::clone(&process.name),
             grace_ms: Cell::new(process.grace_ms),
-            incarnation: clock::unix_ms(),
+            incarnation,
             supervisor: RefCell::new(Supervisor::new(process.timing, now_ms)),
             report_wakers: RefCell::default(),
-            token: Cell::new(0),
+            token: Cell::new(FencingToken::new(incarnation)),
             clock_offset_ms: Cell::new(None),
             suspensions: SuspensionDetector::new(process.timing.suspension_ms),
             suspension_count: Cell::new(0),
@@ -150,7 +151,7 @@
     }
 
     pub(crate) fn token(&self) -> u64 {
-        self.token.get()
+        self.token.get().value()
     }
 
     pub(crate) fn on_heartbeat(self: &Rc<Self>, upstream: Upstream, seq: i64) {
@@ -311,7 +312,8 @@
                 }
                 SupervisorEffect::Open => {
                     self.is_open.set(true);
-                    self.events.emit(Level::Notable, "open", &[]);
+                    let fields = [("token", json!(self.token()))];
+                    self.events.emit(Level::Notable, "open", &fields);
                 }
                 SupervisorEffect::Crashed(crash) => {
                     counter!("agent_crashes").increment(1);
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -7,20 +7,18 @@
 use platform::{CallError, CallFailure};
 use serde_json::json;
 
-use crate::{agent::state::AgentState, clock, events::Level};
+use crate::{agent::state::AgentState, events::Level};
 
 /// Number of runs that the line about an unresponsive upstream lists.
 const MAX_LISTED_RUNS: usize = 6;
 
 impl AgentState {
-    /// Raises the fencing token above that of every earlier agent. Tokens are readings of the
-    /// upstream's clock, which never goes back within its incarnation.
+    /// Raises the fencing token after the upstream has refused it as outdated.
     pub(crate) fn raise_token(&self) {
-        let now_ms = i64::try_from(clock::now_ms()).unwrap_or(i64::MAX);
-        let clock_ms = self.clock_offset_ms.get().map_or(0, |offset| now_ms + offset);
-        let token = u64::try_from(clock_ms).unwrap_or(0).max(self.token.get()) + 1;
+        let mut token = self.token.get();
+        token.raise();
         self.token.set(token);
-        self.events.emit(Level::Notable, "fencing_token", &[("token", json!(token))]);
+        self.events.emit(Level::Notable, "fencing_token", &[("token", json!(token.value()))]);
     }
 
     /// Records the upstream's clock from a reply that arrived at `received_ms`.
@@ -141,7 +139,7 @@
             ("job", json!(&*task.job)),
             ("task", json!(task.to_string())),
             ("run", json!(run)),
-            ("token", json!(self.token.get())),
+            ("token", json!(self.token())),
             ("result", json!(format!("{result:?}"))),
         ];
         self.events.emit(level, event, &fields);
