Identify a direct job by its queue and its id

Cause: an entry used the id alone as the identity of a job, but callers choose ids per queue.

Change: direct::JobName (queue and id) is the key of joined submissions, of runs that are being stopped, of attempts that outlive their job and of suspicion of crashes.

Tests, red before: two_pools, two_pools_in_the_other_order, one_pool, a_resubmission_waits_only_for_runs_of_its_own_queue, a_job_is_not_blamed_for_crashes_under_the_same_id_of_another_queue.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -49,6 +49,7 @@
             })
             .collect();
         JobState {
+            name: job.name(),
             arrived_ms: now_ms,
             objective_ms,
             objective_at_ms: (now_ms + objective_ms).saturating_sub(age_ms),
--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -152,7 +152,7 @@
     /// upstreams: a crash would then not tell which of the two is the cause.
     fn has_other_suspect(&self, view: &AgentView, state: &JobState) -> bool {
         let mut attempts = view.attempts.iter().filter_map(|id| self.attempts.get(id));
-        attempts.any(|attempt| attempt.is_suspect && attempt.job_id != *state.id())
+        attempts.any(|attempt| attempt.is_suspect && attempt.job_name != *state.name())
     }
 
     /// Returns whether an agent on standby can run tasks of the step.
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -41,10 +41,10 @@
         }
         self.update_health(&attempt, outcome, now_ms, effects);
         let Some(state) = self.jobs.get_mut(&attempt.job) else {
-            if let Some(count) = self.stopping_jobs.get_mut(&attempt.job_id) {
+            if let Some(count) = self.stopping_jobs.get_mut(&attempt.job_name) {
                 *count -= 1;
                 if *count == 0 {
-                    self.stopping_jobs.swap_remove(&attempt.job_id);
+                    self.stopping_jobs.swap_remove(&attempt.job_name);
                 }
             }
             return;
--- a/crates/direct/src/dispatcher/crash_ledger.rs
+++ b/crates/direct/src/dispatcher/crash_ledger.rs
@@ -6,11 +6,11 @@
 //! was there in at least two crashes that leave no other suspect, or in three of which one does.
 //! Upstreams that crash at the same moment have a cause of their own and nobody is suspected.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::collections::VecDeque;
 
 use indexmap::IndexMap;
 
-use crate::{Crash, Suspect, dispatcher::AgentKey};
+use crate::{Crash, JobName, Suspect, dispatcher::AgentKey};
 
 /// Number of crashes without another suspect that prove a task to be the cause.
 const PROVING_CRASHES: u32 = 2;
@@ -57,7 +57,7 @@
     pub(crate) struct CrashLedger {
         seen: VecDeque<SeenCrash>,
         /// Suspected tasks of each job, by step and position.
-        jobs: IndexMap<Arc<str>, IndexMap<(u16, u32), TaskCrashes>>,
+        jobs: IndexMap<JobName, IndexMap<(u16, u32), TaskCrashes>>,
     }
 }
 
@@ -97,7 +97,7 @@
     }
 
     /// Returns what the crashes say about a job.
-    pub(crate) fn suspicion(&self, job: &str) -> Suspicion {
+    pub(crate) fn suspicion(&self, job: &JobName) -> Suspicion {
         let is_proof = |task: &TaskCrashes| {
             task.sole >= PROVING_CRASHES || (task.sole > 0 && task.crashes >= MAX_CRASHES)
         };
@@ -111,10 +111,11 @@
     fn count(&mut self) {
         self.jobs.clear();
         for seen in &self.seen {
-            let is_sole = seen.suspects.windows(2).all(|two| two[0].task.job == two[1].task.job);
-            for Suspect { task, .. } in &seen.suspects {
-                let tasks = self.jobs.entry(Arc::clone(&task.job)).or_default();
-                let known = tasks.entry((task.step, task.index)).or_default();
+            let is_sole =
+                seen.suspects.windows(2).all(|two| two[0].job_name() == two[1].job_name());
+            for suspect in &seen.suspects {
+                let tasks = self.jobs.entry(suspect.job_name()).or_default();
+                let known = tasks.entry((suspect.task.step, suspect.task.index)).or_default();
                 known.crashes += 1;
                 known.sole += u32::from(is_sole);
             }
--- a/crates/direct/src/dispatcher/crash_response.rs
+++ b/crates/direct/src/dispatcher/crash_response.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    CrashNotice, JobOutcome,
+    CrashNotice, JobName, JobOutcome, Suspect,
     dispatcher::{
         AgentKey, Dispatcher, DispatcherEffect, JobKey, crash_ledger::Suspicion,
         job_state::JobState,
@@ -37,28 +37,28 @@
 
     /// Acts on the latest crash in the ledger.
     fn on_crash(&mut self, agent: AgentKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
-        let mut jobs: Vec<(Arc<str>, Arc<str>)> = Vec::new();
-        for suspect in self.crashes.last_suspects() {
-            if !jobs.iter().any(|(job, _)| *job == suspect.task.job) {
-                jobs.push((Arc::clone(&suspect.task.job), Arc::clone(&suspect.kind)));
+        let mut jobs: Vec<JobName> = Vec::new();
+        for name in self.crashes.last_suspects().iter().map(Suspect::job_name) {
+            if !jobs.contains(&name) {
+                jobs.push(name);
             }
         }
         let before = self.containment.contained(now_ms);
-        let kinds: Vec<Arc<str>> = jobs.iter().map(|(_, kind)| Arc::clone(kind)).collect();
+        let kinds: Vec<Arc<str>> = jobs.iter().map(|name| Arc::clone(&name.queue)).collect();
         if let Some(upstream) = &self.agents[agent.0 as usize].upstream {
             self.containment.record_crash(&upstream.pool, &kinds, now_ms);
         }
-        for (job, kind) in &jobs {
-            if self.crashes.suspicion(job) == Suspicion::Proven {
-                self.containment.record_proof(kind, now_ms);
+        for name in &jobs {
+            if self.crashes.suspicion(name) == Suspicion::Proven {
+                self.containment.record_proof(&name.queue, now_ms);
             }
-            self.choose_members(agent, kind);
+            self.choose_members(agent, &name.queue);
         }
         let contained = self.containment.contained(now_ms);
         let new = contained.into_iter().filter(|kind| !before.contains(kind));
         effects.extend(new.map(|kind| DispatcherEffect::Contained { kind }));
-        for (job, _) in jobs {
-            if let Some(key) = self.by_id.get(&job).copied() {
+        for name in jobs {
+            if let Some(key) = self.by_name.get(&name).copied() {
                 self.give_up_if_proven(key, effects);
             }
         }
@@ -78,7 +78,7 @@
     /// Returns what the crashes say about a job: those that its agents have attributed to it, and
     /// those that its tasks have shared.
     pub(crate) fn suspicion(&self, state: &JobState) -> Suspicion {
-        match self.crashes.suspicion(state.id()) {
+        match self.crashes.suspicion(state.name()) {
             Suspicion::None if state.shared_crashes() > 1 => Suspicion::Suspected,
             suspicion => suspicion,
         }
@@ -92,14 +92,14 @@
     /// Returns whether a job's tasks start only on the upstreams of its kind's containment.
     pub(crate) fn is_confined(&self, state: &JobState, now_ms: u64) -> bool {
         self.containment.is_contained(&state.job.kind, now_ms)
-            || self.crashes.suspicion(state.id()) != Suspicion::None
+            || self.crashes.suspicion(state.name()) != Suspicion::None
     }
 
     /// Answers a job as failed if it is proven to crash upstreams.
     fn give_up_if_proven(&mut self, key: JobKey, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
         if self.suspicion(state) == Suspicion::Proven {
-            let (job, kind) = (Arc::clone(state.id()), Arc::clone(&state.job.kind));
+            let (job, kind) = (Arc::clone(&state.job.id), Arc::clone(&state.job.kind));
             effects.push(DispatcherEffect::GivenUp { job, kind });
             self.answer(key, JobOutcome::Failed, effects);
         }
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -1,7 +1,5 @@
 //! Answers to jobs, and removal of answered jobs.
 
-use std::sync::Arc;
-
 use indexmap::IndexMap;
 
 use crate::{
@@ -46,9 +44,9 @@
     ) -> Vec<JobKey> {
         let Some(state) = self.jobs.swap_remove(&key) else { return Vec::new() };
         self.queue.remove(&state.queue_place(key));
-        self.by_id.swap_remove(state.id());
+        self.by_name.swap_remove(state.name());
         if state.outstanding > 0 {
-            *self.stopping_jobs.entry(Arc::clone(state.id())).or_insert(0) += state.outstanding;
+            *self.stopping_jobs.entry(state.name().clone()).or_insert(0) += state.outstanding;
             let mut stops: IndexMap<AgentKey, Vec<AttemptId>> = IndexMap::new();
             for (id, attempt) in self.attempts.iter().filter(|(_, attempt)| attempt.job == key) {
                 stops.entry(attempt.agent).or_default().push(*id);
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -1,10 +1,8 @@
-use std::sync::Arc;
-
 use indexmap::IndexMap;
 use types::Resources;
 
 use crate::{
-    DirectJob,
+    DirectJob, JobName,
     dispatcher::{AgentKey, JobKey},
 };
 
@@ -34,6 +32,7 @@
 /// A job that has not been answered.
 #[derive(Debug)]
 pub(crate) struct JobState {
+    pub(crate) name: JobName,
     pub(crate) job: DirectJob,
     pub(crate) arrived_ms: u64,
     pub(crate) objective_ms: u64,
@@ -112,7 +111,7 @@
         self.steps.iter().all(|step| step.unfinished == 0)
     }
 
-    pub(crate) fn id(&self) -> &Arc<str> {
-        &self.job.id
+    pub(crate) fn name(&self) -> &JobName {
+        &self.name
     }
 }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -26,8 +26,8 @@
 
 pub use crate::dispatcher::summary::{AgentSummary, PoolCapacity};
 use crate::{
-    AgentHello, AttemptId, AttemptOutcome, DirectJob, JobOutcome, RefusalReason, Report, Timing,
-    ToAgent, UnsettledAttempts,
+    AgentHello, AttemptId, AttemptOutcome, DirectJob, JobName, JobOutcome, RefusalReason, Report,
+    Timing, ToAgent, UnsettledAttempts,
     dispatcher::{
         agent_view::AgentView,
         backlog::Backlog,
@@ -94,8 +94,8 @@
 #[derive(Debug)]
 struct OutstandingAttempt {
     job: JobKey,
-    /// Id of the job, for attempts that outlive the job's entry in `jobs`.
-    job_id: Arc<str>,
+    /// Name of the job, for attempts that outlive the job's entry in `jobs`.
+    job_name: JobName,
     step: u16,
     index: u32,
     agent: AgentKey,
@@ -113,13 +113,13 @@
     agents: Vec<AgentView>,
     links: LinkActivity,
     jobs: IndexMap<JobKey, JobState>,
-    by_id: IndexMap<Arc<str>, JobKey>,
+    by_name: IndexMap<JobName, JobKey>,
     /// Jobs with tasks to start, by [`JobState::queue_place`].
     queue: BTreeSet<(bool, u8, JobKey)>,
     attempts: IndexMap<AttemptId, OutstandingAttempt>,
-    /// Number of outstanding attempts of answered jobs, by job id. A resubmitted job with such an
-    /// id does not start before these have ended, so that no task runs twice at a time.
-    stopping_jobs: IndexMap<Arc<str>, u32>,
+    /// Number of outstanding attempts of answered jobs. A resubmitted job with such a name does not
+    /// start before these have ended, so that no task runs twice at a time.
+    stopping_jobs: IndexMap<JobName, u32>,
     kinds: IndexMap<Arc<str>, KindRatio>,
     returns: ReturnSchedule,
     backlog: Backlog,
@@ -142,7 +142,7 @@
             agents: Vec::new(),
             links: LinkActivity::new(seed),
             jobs: IndexMap::new(),
-            by_id: IndexMap::new(),
+            by_name: IndexMap::new(),
             queue: BTreeSet::new(),
             attempts: IndexMap::new(),
             stopping_jobs: IndexMap::new(),
@@ -164,16 +164,18 @@
         self.admission = admission;
     }
 
-    /// Accepts or refuses a submission. A submission with the id of an unanswered job joins that
+    /// Accepts or refuses a submission. A submission with the name of an unanswered job joins that
     /// job and gets the same outcome.
     pub fn submit(&mut self, job: DirectJob, now_ms: u64) -> (JobKey, Vec<DispatcherEffect>) {
         let key = JobKey(self.next_job);
         self.next_job += 1;
-        if let Some(state) = self.by_id.get(&job.id).and_then(|first| self.jobs.get_mut(first)) {
+        if let Some(state) =
+            self.by_name.get(&job.name()).and_then(|first| self.jobs.get_mut(first))
+        {
             state.waiters.push(key);
             return (key, Vec::new());
         }
-        let is_deadly = self.crashes.suspicion(&job.id) == Suspicion::Proven;
+        let is_deadly = self.crashes.suspicion(&job.name()) == Suspicion::Proven;
         let refusal = match self.admission {
             Admission::Closed(reason) => Some(self.refusal(reason)),
             Admission::Open if is_deadly => Some(JobOutcome::Failed),
@@ -183,7 +185,7 @@
             return (key, vec![DispatcherEffect::Answer(key, outcome)]);
         }
         let state = self.new_state(job, key, now_ms);
-        self.by_id.insert(Arc::clone(state.id()), key);
+        self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
         (key, self.dispatch_queued(now_ms))
@@ -338,7 +340,7 @@
         let is_same = |id: &&AttemptId| {
             self.attempts
                 .get(*id)
-                .is_some_and(|attempt| &attempt.job_id == state.id() && attempt.step == step)
+                .is_some_and(|attempt| &attempt.job_name == state.name() && attempt.step == step)
         };
         u32::try_from(view.attempts.iter().filter(is_same).count()).unwrap_or(u32::MAX)
     }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -35,7 +35,7 @@
             let Some(state) = self.jobs.get(&key) else { continue };
             // A job whose time has run out is answered by the next `tick`; its caller may already
             // have resubmitted it.
-            if self.stopping_jobs.contains_key(state.id())
+            if self.stopping_jobs.contains_key(state.name())
                 || state.is_expired(now_ms)
                 || self.is_withheld(state)
             {
@@ -219,7 +219,7 @@
                 attempts.push(Attempt { id, index, run: history.runs });
                 let attempt = OutstandingAttempt {
                     job: key,
-                    job_id: Arc::clone(&state.job.id),
+                    job_name: state.name().clone(),
                     step,
                     index,
                     agent,
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -21,13 +21,22 @@
         pub max_per_upstream: Option<u32>,
     }
 
+    /// Identity of a job: callers of different queues may choose the same id.
+    #[derive(Eq, Hash)]
+    pub struct JobName {
+        /// Queue of the job, which is also its kind.
+        pub queue: Arc<str>,
+        /// Job id, chosen by the caller.
+        pub id: Arc<str>,
+    }
+
     /// A job whose submission is answered with its outcome.
     pub struct DirectJob {
-        /// Job id, chosen by the caller.
+        /// Job id, chosen by the caller; unique within the queue.
         pub id: Arc<str>,
         /// Pool whose upstreams may run the job.
         pub pool: Arc<str>,
-        /// Kind of job; run times are learned per kind.
+        /// Kind of job, which is the name of its queue; run times are learned per kind.
         pub kind: Arc<str>,
         /// Input of every task, passed to the executor unchanged.
         pub payload: Arc<str>,
@@ -94,6 +103,11 @@
 }
 
 impl DirectJob {
+    /// Returns the identity of the job.
+    pub fn name(&self) -> JobName {
+        JobName { queue: Arc::clone(&self.kind), id: Arc::clone(&self.id) }
+    }
+
     /// Returns the length of the critical path: the largest sum of declared run times over a chain
     /// of dependent steps, milliseconds.
     pub fn longest_chain_ms(&self) -> u64 {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,7 +22,7 @@
         Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, PoolCapacity,
     },
     fencing::FencingToken,
-    job::{DirectJob, JobOutcome, JobStep, RefusalReason},
+    job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
     link_message::{
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
         EntryHello, Load, Report, Suspect, ToAgent, UnsettledAttempts,
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -4,7 +4,7 @@
 
 use types::Resources;
 
-use crate::{TaskId, Upstream};
+use crate::{JobName, TaskId, Upstream};
 
 types::identifier! {
     /// Identifies an attempt of a task; unique within the entry's incarnation.
@@ -176,6 +176,13 @@
     }
 }
 
+impl Suspect {
+    /// Returns the identity of the task's job.
+    pub(crate) fn job_name(&self) -> JobName {
+        JobName { queue: Arc::clone(&self.kind), id: Arc::clone(&self.task.job) }
+    }
+}
+
 impl AttemptOutcome {
     /// Returns the name of the outcome in logs and metrics.
     pub fn name(self) -> &'static str {
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -4,9 +4,9 @@
 
 use common::{cores, job, report, step, upstream};
 use direct::{
-    Admission, AgentHello, AgentKey, AttemptBatch, AttemptId, AttemptOutcome, DirectJob,
-    Dispatcher, DispatcherEffect, JobOutcome, RefusalReason, Timing, ToAgent, UnsettledAttempts,
-    Upstream,
+    Admission, AgentHello, AgentKey, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
+    DirectJob, Dispatcher, DispatcherEffect, JobKey, JobOutcome, RefusalReason, Report, Suspect,
+    Timing, ToAgent, UnsettledAttempts, Upstream,
 };
 
 fn hello(agent: &str, incarnation: u64) -> AgentHello {
@@ -475,3 +475,66 @@
         [JobOutcome::NotRun { reason: RefusalReason::Overloaded, .. }]
     ));
 }
+
+/// Returns the outcomes of two jobs with one id and different queues, and the number of tasks that
+/// were sent for them.
+fn outcomes_of_one_id(queues: [&str; 2], pools: [&str; 2]) -> (Vec<(JobKey, JobOutcome)>, usize) {
+    let (mut dispatcher, keys) = dispatcher(&[("a", 8)]);
+    let other = Upstream { pool: "other".into(), ..upstream("b", 1) };
+    let other = add(&mut dispatcher, other, 8, 0);
+    let (mut answers, mut sent) = (Vec::new(), Vec::new());
+    for (queue, pool) in queues.iter().zip(pools) {
+        let job = DirectJob { kind: (*queue).into(), pool: pool.into(), ..job("j", 2) };
+        sent.extend(attempts(&dispatcher.submit(job, 0).1));
+    }
+    for (agent, id) in &sent {
+        let report = Report { outcomes: vec![(*id, DONE)], ..report(None, cores(8), 1) };
+        let effects = dispatcher.on_report(*agent, report, 100);
+        answers.extend(effects.iter().filter_map(|effect| match effect {
+            DispatcherEffect::Answer(key, outcome) => Some((*key, *outcome)),
+            _ => None,
+        }));
+    }
+    assert!(sent.iter().all(|(agent, _)| *agent == keys[0] || *agent == other));
+    (answers, sent.len())
+}
+
+types::cases! {
+    // Guards against a caller that is answered with the outcome of another queue's job of the same
+    // id, none of its own tasks having run.
+    fn jobs_of_two_queues_with_one_id_are_two_jobs(queues: [&str; 2], pools: [&str; 2]) {
+        let (answers, sent) = outcomes_of_one_id(queues, pools);
+        let succeeded = JobOutcome::Succeeded;
+        assert_eq!(answers, [(JobKey(0), succeeded), (JobKey(1), succeeded)]);
+        assert_eq!(sent, 4);
+    }
+    two_pools: (["scale", "label"], ["kitchen", "other"]),
+    two_pools_in_the_other_order: (["label", "scale"], ["other", "kitchen"]),
+    one_pool: (["scale", "label"], ["kitchen", "kitchen"]),
+}
+
+#[test]
+fn a_resubmission_waits_only_for_runs_of_its_own_queue() {
+    let (mut dispatcher, _) = dispatcher(&[("a", 8)]);
+    let first = DirectJob { caller_timeout_ms: 100, ..job("j", 1) };
+    assert_eq!(attempts(&dispatcher.submit(first.clone(), 0).1).len(), 1);
+    dispatcher.tick(90);
+    assert!(attempts(&dispatcher.submit(first, 95).1).is_empty(), "its run is being stopped");
+    let other = DirectJob { kind: "label".into(), ..job("j", 1) };
+    assert_eq!(attempts(&dispatcher.submit(other, 96).1).len(), 1);
+}
+
+#[test]
+fn a_job_is_not_blamed_for_crashes_under_the_same_id_of_another_queue() {
+    let (mut dispatcher, keys) = dispatcher(&[("a", 8), ("b", 8)]);
+    for incarnation in [1, 2] {
+        let suspect = Suspect { task: common::task("j", 0), kind: "scale".into() };
+        let crash = Crash { incarnation, age_ms: 0, suspects: vec![suspect] };
+        let crashes = vec![CrashNotice::Crashed(crash)];
+        let report = Report { crashes, ..report(None, cores(8), 0) };
+        dispatcher.on_report(keys[0], report, 100 * incarnation);
+    }
+    assert_eq!(job_outcomes(&dispatcher.submit(job("j", 1), 250).1), [JobOutcome::Failed]);
+    let other = DirectJob { kind: "label".into(), ..job("j", 1) };
+    assert!(job_outcomes(&dispatcher.submit(other, 250).1).is_empty());
+}
