Send nothing on a link before its agent knows that it is active

Cause: an entry counted a link as open as soon as it had queued SetActive(true).

Change: reports say how many SetActive messages the agent has read on the connection; an entry sends attempts only when that is all of them. A path that dies after that is noticed within silence_ms, and the bytes in it are lost with the connection.

Tests: nothing_is_sent_on_a_link_before_its_agent_knows_that_it_is_active (red without the condition), a_report_says_how_often_the_link_was_switched.

--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -24,6 +24,8 @@
     pub(crate) upstream: Option<Upstream>,
     load: Load,
     batches_sent: u64,
+    /// Number of times that the link was made active or put on standby on this connection.
+    switches_sent: u64,
     /// Number and resources of each batch that the agent's load does not account for yet.
     unacknowledged: VecDeque<(u64, Resources)>,
     pub(crate) attempts: IndexSet<AttemptId>,
@@ -42,8 +44,14 @@
             awaited_since_ms: now_ms,
             rank,
             upstream: None,
-            load: Load { free: Resources::default(), batches_seen: 0, is_open: false },
+            load: Load {
+                free: Resources::default(),
+                batches_seen: 0,
+                switches_seen: 0,
+                is_open: false,
+            },
             batches_sent: 0,
+            switches_sent: 0,
             unacknowledged: VecDeque::new(),
             attempts: IndexSet::new(),
             speed: Speed::default(),
@@ -59,6 +67,8 @@
         self.last_heard_ms = now_ms;
         self.awaited_since_ms = now_ms;
         self.batches_sent = 0;
+        self.switches_sent = 0;
+        self.load.switches_seen = 0;
         self.unacknowledged.clear();
         self.load.is_open = false;
     }
@@ -92,10 +102,19 @@
         1.0 - f64::from(self.free().milli_cores.min(capacity)) / f64::from(capacity.max(1))
     }
 
-    /// Returns whether tasks may be sent: the link is active, and the agent accepts new tasks and
-    /// sent a message within `silence_ms`.
+    /// Makes the link active or puts it on standby.
+    pub(crate) fn set_active(&mut self, is_active: bool, now_ms: u64) {
+        self.is_active = is_active;
+        self.awaited_since_ms = now_ms;
+        self.switches_sent += 1;
+    }
+
+    /// Returns whether tasks may be sent: the link is active, the agent accepts new tasks, sent a
+    /// message within `silence_ms`, and knows that the link is active. Before that it waits long for
+    /// messages, so it would carry out a start that a dead path has held up for seconds.
     pub(crate) fn is_open(&self, now_ms: u64, silence_ms: u64) -> bool {
         self.is_active
+            && self.load.switches_seen >= self.switches_sent
             && self.accepts_tasks()
             && now_ms.saturating_sub(self.last_heard_ms) < silence_ms
     }
--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -264,8 +264,7 @@
         if view.is_active == is_active {
             return;
         }
-        view.is_active = is_active;
-        view.awaited_since_ms = now_ms;
+        view.set_active(is_active, now_ms);
         if is_active {
             self.links.active.insert(key);
         } else {
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -104,6 +104,8 @@
         pub free: Resources,
         /// Number of batches of attempts that `free` accounts for, counted on this connection.
         pub batches_seen: u64,
+        /// Number of [`ToAgent::SetActive`] messages that the agent has read on this connection.
+        pub switches_seen: u64,
         /// Whether the agent accepts new attempts at all.
         pub is_open: bool,
     }
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -270,6 +270,7 @@
             session.is_connected = true;
             session.is_active = false;
             session.batches_seen = 0;
+            session.switches_seen = 0;
             session.unsent.clear();
             session.unsent_crashes = crashes;
             let unsettled = attempts.wanted.iter().chain(&attempts.stopping);
@@ -293,6 +294,7 @@
     pub fn set_active(&mut self, key: SessionKey, is_active: bool) -> Vec<SupervisorEffect> {
         let Some(session) = self.session_mut(key) else { return Vec::new() };
         session.is_active = is_active;
+        session.switches_seen += 1;
         // The heartbeat period changes, so the task that sends reports is woken in both cases.
         vec![SupervisorEffect::Report(key)]
     }
@@ -409,12 +411,13 @@
     /// a connection and after a change of the upstream.
     pub fn report(&mut self, key: SessionKey, with_upstream: bool) -> Option<Report> {
         let is_open = self.accepts_attempts() && self.isolation.is_none();
-        let load = Load { batches_seen: 0, free: self.free(), is_open };
+        let free = self.free();
         let upstream = self.upstream.clone().filter(|_| with_upstream);
         let session = self.session_mut(key).filter(|session| session.is_connected)?;
         let outcomes = std::mem::take(&mut session.unsent);
         let crashes = std::mem::take(&mut session.unsent_crashes);
-        let load = Load { batches_seen: session.batches_seen, ..load };
+        let (batches_seen, switches_seen) = (session.batches_seen, session.switches_seen);
+        let load = Load { free, batches_seen, switches_seen, is_open };
         Some(Report { upstream, load, outcomes, crashes })
     }
 
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -19,6 +19,8 @@
     pub(crate) is_active: bool,
     /// Number of batches received on the current connection.
     pub(crate) batches_seen: u64,
+    /// Number of times that the link was made active or put on standby on the current connection.
+    pub(crate) switches_seen: u64,
     /// Outcomes that are not sent yet.
     pub(crate) unsent: Vec<(AttemptId, AttemptOutcome)>,
     /// News about crashes that is not sent yet.
@@ -36,6 +38,7 @@
             is_connected: true,
             is_active: false,
             batches_seen: 0,
+            switches_seen: 0,
             unsent: Vec::new(),
             unsent_crashes: Vec::new(),
             recent: VecDeque::new(),
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -89,7 +89,7 @@
 pub fn report(upstream: Option<Upstream>, free: Resources, batches_seen: u64) -> Report {
     Report {
         upstream,
-        load: Load { free, batches_seen, is_open: true },
+        load: Load { free, batches_seen, switches_seen: u64::MAX, is_open: true },
         outcomes: Vec::new(),
         crashes: Vec::new(),
     }
--- a/crates/direct/tests/link_activity.rs
+++ b/crates/direct/tests/link_activity.rs
@@ -276,3 +276,24 @@
     assert!(!one.is_empty());
     assert!(one.intersection(&other).count() * 2 < one.len(), "{one:?} and {other:?}");
 }
+
+/// Guards against a start that waits in a dead path behind the activation of a link on standby: the
+/// agent reads both seconds later and carries out the start, which the entry has sent elsewhere.
+#[test]
+fn nothing_is_sent_on_a_link_before_its_agent_knows_that_it_is_active() {
+    let mut dispatcher = Dispatcher::new(Timing::default(), "mid-a".into(), 1);
+    let hello = AgentHello { agent: "a".into(), incarnation: 1, entries: Vec::new() };
+    let (agent, _, _) = dispatcher.on_agent_hello(&hello, 0);
+    let seen = |switches_seen: u64, up: Option<Upstream>| {
+        let mut report = report(up, cores(8), 0);
+        report.load.switches_seen = switches_seen;
+        report
+    };
+    // The report that follows the handshake activates the link.
+    let effects = dispatcher.on_report(agent, seen(0, Some(upstream("u", 1))), 1);
+    assert_eq!(activated(&effects), [agent]);
+    assert!(attempts(&dispatcher.submit(job("j", 1), 2).1).is_empty());
+    // A report that was under way when the link was activated proves nothing.
+    assert!(attempts(&dispatcher.on_report(agent, seen(0, None), 3)).is_empty());
+    assert_eq!(attempts(&dispatcher.on_report(agent, seen(1, None), 4)).len(), 1);
+}
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -188,6 +188,21 @@
     assert_eq!(agent.supervisor.heartbeat_ms(again), timing.standby_heartbeat_ms, "a new link");
 }
 
+#[test]
+fn a_report_says_how_often_the_link_was_switched() {
+    let mut agent = agent();
+    let seen = |agent: &mut Agent| {
+        agent.supervisor.report(agent.entry, false).map(|report| report.load.switches_seen)
+    };
+    assert_eq!(seen(&mut agent), Some(0));
+    agent.supervisor.set_active(agent.entry, true);
+    agent.supervisor.set_active(agent.entry, false);
+    assert_eq!(seen(&mut agent), Some(2));
+    let none = UnsettledAttempts::default();
+    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, 50);
+    assert_eq!(seen(&mut agent), Some(0), "a new connection");
+}
+
 types::cases! {
     fn a_refusal_of_a_repeated_start_does_not_settle_the_first(result: StartResult) {
         let mut agent = agent();
