Answer every job before a stopping entry ends

Cause: at the end of the grace period the entry let its process end; jobs that had not ended were answered only at their callers' deadlines.

Change: at that moment every job gets its final answer, 504 if a task may have run and a refusal otherwise, and callers have 0.3 s to read it.

--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -3,8 +3,8 @@
 use indexmap::IndexMap;
 
 use crate::{
-    AttemptId, JobOutcome, ToAgent,
-    dispatcher::{AgentKey, Dispatcher, DispatcherEffect, JobKey},
+    AttemptId, JobOutcome, RefusalReason, ToAgent,
+    dispatcher::{Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, job_state::JobState},
 };
 
 impl Dispatcher {
@@ -24,6 +24,24 @@
         self.answer(key, outcome, effects);
     }
 
+    /// Answers every job, because the process ends: those of which a task may have started get no
+    /// outcome, and the others are refused. Further submissions are refused.
+    pub fn answer_all(&mut self) -> Vec<DispatcherEffect> {
+        self.set_admission(Admission::Closed(RefusalReason::Stopping));
+        let mut effects = Vec::new();
+        let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
+        for key in keys {
+            let may_have_run = self.jobs.get(&key).is_some_and(JobState::may_have_run);
+            let outcome = if may_have_run {
+                JobOutcome::TimedOut
+            } else {
+                self.refusal(RefusalReason::Stopping)
+            };
+            self.answer(key, outcome, &mut effects);
+        }
+        effects
+    }
+
     /// Answers all submissions of a job and removes it.
     pub(crate) fn answer(
         &mut self,
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -538,3 +538,24 @@
     let other = DirectJob { kind: "label".into(), ..job("j", 1) };
     assert!(job_outcomes(&dispatcher.submit(other, 250).1).is_empty());
 }
+
+/// Guards against an entry that ends without an answer to the jobs that are left.
+#[test]
+fn an_entry_that_ends_answers_every_job() {
+    let (mut dispatcher, _) = dispatcher(&[("a", 1)]);
+    let started = dispatcher.submit(job("j", 1), 0).1;
+    let (waiting, effects) = dispatcher.submit(job("k", 1), 1);
+    assert!(attempts(&effects).is_empty(), "there is no room");
+    let effects = dispatcher.answer_all();
+    assert_eq!(stops(&effects), [attempts(&started)[0].1]);
+    let outcomes = job_outcomes(&effects);
+    assert_eq!((outcomes.len(), outcomes[0]), (2, JobOutcome::TimedOut));
+    let is_refused = |effect: &DispatcherEffect| {
+        let reason = RefusalReason::Stopping;
+        matches!(effect, DispatcherEffect::Answer(key, JobOutcome::NotRun { reason: r, .. })
+            if *key == waiting && *r == reason)
+    };
+    assert!(effects.iter().any(is_refused), "{effects:?}");
+    let (_, effects) = dispatcher.submit(job("l", 1), 2);
+    assert!(matches!(job_outcomes(&effects)[..], [JobOutcome::NotRun { .. }]));
+}
--- a/crates/ebonycroft/tests/direct_roles/killed_entry.rs
+++ b/crates/ebonycroft/tests/direct_roles/ending_entry.rs
@@ -1,5 +1,6 @@
-//! The runs of a killed entry.
+//! What becomes of the runs and the callers of an entry that ends.
 
+use reqwest::StatusCode;
 use serde_json::json;
 
 use crate::{
@@ -30,3 +31,26 @@
     })
     .await;
 }
+
+/// Guards against an entry that closes the channels of its waiting callers at the end of the grace
+/// period instead of answering them.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_that_stops_get_an_answer() {
+    with_direct_system("stopped-entry", LASTING, async |system| {
+        let job = json!({ "spec": "payload", "bestEffort": true,
+            "steps": [{ "count": 2, "cpu": 1_000, "memMb": 64, "estimateMs": 100 }] });
+        let stop = async {
+            system.until_executor_is_full().await;
+            system.entry.signal(Signal::TERM);
+        };
+        let waiting = async {
+            system.until_executor_is_full().await;
+            system.try_submit("5c0e7a21d94b36f9", &job).await
+        };
+        let running = system.try_submit("5c0e7a21d94b36f8", &job);
+        let (_, running, waiting) = tokio::join!(stop, running, waiting);
+        assert_eq!(running, Some(StatusCode::GATEWAY_TIMEOUT));
+        assert_eq!(waiting, Some(StatusCode::SERVICE_UNAVAILABLE));
+    })
+    .await;
+}
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -3,7 +3,7 @@
 mod blocked_output;
 mod decisions;
 mod direct_system;
-mod killed_entry;
+mod ending_entry;
 mod peers;
 mod reload;
 mod role;
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -5,7 +5,9 @@
 mod callers;
 mod state;
 
-use std::{cell::Cell, future::Future, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, future::Future, net::SocketAddr, path::PathBuf, pin::pin, rc::Rc, time::Duration,
+};
 
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -35,6 +37,9 @@
 /// Time after which the platform sends no more connections to a process that is not ready: two
 /// probes, one a second, and their replies.
 const ROTATION_DELAY: Duration = Duration::from_millis(2_300);
+/// Time for the callers to read the answers that they get at the end of the grace period; it is part
+/// of [`EXIT_MARGIN_MS`].
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(300);
 const PROBE_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000 };
 
 /// An entry whose addresses are bound.
@@ -144,8 +149,16 @@
     server.accept_until(listener, limits, handle, stopping).await;
     let rotation_delay_ms = u64::try_from(ROTATION_DELAY.as_millis()).unwrap_or(u64::MAX);
     let remaining_ms = state.grace_ms().saturating_sub(EXIT_MARGIN_MS + rotation_delay_ms);
-    if timeout(Duration::from_millis(remaining_ms), server.shutdown()).await.is_err() {
-        log::warn!("grace period is over; closing with {} requests unanswered", state.unanswered());
+    let mut shutdown = pin!(server.shutdown());
+    if timeout(Duration::from_millis(remaining_ms), &mut shutdown).await.is_err() {
+        log::warn!(
+            "grace period is over; answering {} requests without outcome",
+            state.unanswered()
+        );
+        state.answer_all();
+        if timeout(FINAL_ANSWERS_TIME, shutdown).await.is_err() {
+            log::warn!("callers did not read their answers within {FINAL_ANSWERS_TIME:?}");
+        }
     }
     stop_result
 }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -60,6 +60,8 @@
     suspensions: SuspensionDetector,
     /// End of the refusal of submissions after a suspension.
     refuse_until_ms: Cell<u64>,
+    /// Whether the process ends and accepts no further submission.
+    is_ending: Cell<bool>,
 }
 
 /// The current connection of an agent.
@@ -106,6 +108,7 @@
             started: Instant::now(),
             suspensions: SuspensionDetector::new(process.timing.suspension_ms),
             refuse_until_ms: Cell::new(0),
+            is_ending: Cell::new(false),
         })
     }
 
@@ -128,6 +131,9 @@
     /// the first event after it is handled, and submissions are refused for a while.
     fn now_ms(&self) -> u64 {
         let (now_ms, suspended_ms) = self.suspensions.check();
+        if self.is_ending.get() {
+            return now_ms;
+        }
         if let Some(gap_ms) = suspended_ms {
             self.events.emit(Level::Notable, "suspended", &[("gap_ms", json!(gap_ms))]);
             self.refuse_until_ms.set(now_ms + SUSPENDED_REFUSAL_MS);
@@ -219,6 +225,13 @@
         self.apply(effects);
     }
 
+    /// Answers all jobs and refuses further ones, because the process ends.
+    pub(crate) fn answer_all(&self) {
+        self.is_ending.set(true);
+        let effects = self.dispatcher.borrow_mut().answer_all();
+        self.apply(effects);
+    }
+
     pub(crate) fn tick(&self) {
         let now_ms = self.now_ms();
         let effects = self.dispatcher.borrow_mut().tick(now_ms);
