Cancel a direct job at the entry that has it

Cause: all requests about a job other than its submission were answered as unknown, as direct jobs are not stored; nothing looked for the job in the process itself.

Change: the entry that has the job removes it, stops its runs, answers its submissions with the state cancelled and the request with 200.

Test: nothing_of_a_cancelled_job_starts_any_more.

--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -209,6 +209,16 @@
         effects
     }
 
+    /// Cancels a job at a caller's request: nothing of it starts any more, what runs is stopped, and
+    /// its submissions are answered. Returns `None` if there is no such unanswered job here.
+    pub fn cancel_job(&mut self, name: &JobName, now_ms: u64) -> Option<Vec<DispatcherEffect>> {
+        let key = *self.by_name.get(name)?;
+        let mut effects = Vec::new();
+        self.answer(key, JobOutcome::Cancelled, &mut effects);
+        effects.extend(self.dispatch_queued(now_ms));
+        Some(effects)
+    }
+
     /// Handles the handshake of an agent; settles the attempts at an earlier incarnation as lost.
     /// Returns the agent's key and its attempts without an outcome.
     pub fn on_agent_hello(
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -80,6 +80,8 @@
         Failed,
         /// The caller's timeout has expired; tasks may have run, and the rest are being stopped.
         TimedOut,
+        /// A caller has cancelled the job; tasks may have run, and the rest are being stopped.
+        Cancelled,
         /// No task of the job has run or will run.
         NotRun {
             /// Why the job was refused.
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -5,8 +5,8 @@
 use common::{cores, job, report, step, upstream};
 use direct::{
     Admission, AgentHello, AgentKey, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
-    DirectJob, Dispatcher, DispatcherEffect, JobKey, JobOutcome, RefusalReason, Report, Suspect,
-    Timing, ToAgent, UnsettledAttempts, Upstream,
+    DirectJob, Dispatcher, DispatcherEffect, JobKey, JobName, JobOutcome, JobStep, RefusalReason,
+    Report, Suspect, Timing, ToAgent, UnsettledAttempts, Upstream,
 };
 
 fn hello(agent: &str, incarnation: u64) -> AgentHello {
@@ -559,3 +559,25 @@
     let (_, effects) = dispatcher.submit(job("l", 1), 2);
     assert!(matches!(job_outcomes(&effects)[..], [JobOutcome::NotRun { .. }]));
 }
+
+/// Guards against a cancelled job that starts its further steps and is answered as succeeded.
+#[test]
+fn nothing_of_a_cancelled_job_starts_any_more() {
+    let (mut dispatcher, keys) = dispatcher(&[("a", 8)]);
+    let steps = vec![step(2), JobStep { after: vec![0], ..step(1) }];
+    let submitted = DirectJob { steps, ..job("j", 1) };
+    let name = submitted.name();
+    let ids: Vec<_> = attempts(&dispatcher.submit(submitted, 0).1);
+    assert_eq!(ids.len(), 2);
+    let other = JobName { queue: "label".into(), ..name.clone() };
+    assert_eq!(dispatcher.cancel_job(&other, 5), None, "another queue's job");
+    let effects = dispatcher.cancel_job(&name, 10).expect("the job is unanswered");
+    assert_eq!(job_outcomes(&effects), [JobOutcome::Cancelled]);
+    assert_eq!(stops(&effects), [ids[0].1, ids[1].1]);
+    // The tasks had succeeded before the stops arrived.
+    let outcomes = ids.iter().map(|(_, id)| (*id, DONE)).collect();
+    let report = Report { outcomes, ..report(None, cores(8), 1) };
+    let effects = dispatcher.on_report(keys[0], report, 20);
+    assert!(attempts(&effects).is_empty() && job_outcomes(&effects).is_empty(), "{effects:?}");
+    assert_eq!(dispatcher.cancel_job(&name, 30), None, "it is answered");
+}
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use direct::{JobKey, JobOutcome};
+use direct::{JobKey, JobName, JobOutcome};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
@@ -12,8 +12,8 @@
 };
 use metrics::{counter, histogram};
 use platform::{
-    CallerRequest, JobError, Reply, decode_caller_request, decode_job, encode_error,
-    encode_outcome, encode_pending, encode_unknown_job,
+    CallerRequest, JobError, Reply, decode_caller_request, decode_job, encode_cancelled,
+    encode_error, encode_outcome, encode_pending, encode_unknown_job,
 };
 use serde_json::json;
 
@@ -79,8 +79,14 @@
     };
     let (queue, id) = match request {
         CallerRequest::Submit(queue, id) => (queue, id),
-        // Direct jobs are not stored, so none can be queried or cancelled, and none is pending.
-        CallerRequest::State(..) | CallerRequest::Cancel(..) => return encode_unknown_job(),
+        CallerRequest::Cancel(queue, id) => {
+            let name =
+                JobName { queue: Arc::clone(&queue.name), id: id.to_ascii_lowercase().into() };
+            let is_cancelled = state.cancel_job(&name);
+            return if is_cancelled { encode_cancelled() } else { encode_unknown_job() };
+        }
+        // Direct jobs are not stored, so none can be queried, and none is pending.
+        CallerRequest::State(..) => return encode_unknown_job(),
         CallerRequest::Pending(_) => return encode_pending(0),
     };
     let caller_timeout_ms = header(CALLER_TIMEOUT_HEADER).and_then(|text| text.parse().ok());
@@ -125,6 +131,7 @@
         JobOutcome::Succeeded => ("succeeded", Level::Routine),
         JobOutcome::Failed => ("failed", Level::Notable),
         JobOutcome::TimedOut => ("timed_out", Level::Notable),
+        JobOutcome::Cancelled => ("cancelled", Level::Notable),
         JobOutcome::NotRun { reason, .. } => (reason.name(), Level::Notable),
     };
     counter!("entry_jobs", "end" => name).increment(1);
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,7 +11,8 @@
 
 use direct::{
     Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello, JobKey,
-    JobOutcome, PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent, choose_peers,
+    JobName, JobOutcome, PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent,
+    choose_peers,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -215,7 +216,16 @@
         (key, rx)
     }
 
-    /// Cancels a job whose caller has closed the connection.
+    /// Cancels a job at a caller's request; returns whether it was unanswered here.
+    pub(crate) fn cancel_job(&self, name: &JobName) -> bool {
+        let now_ms = self.now_ms();
+        let effects = self.dispatcher.borrow_mut().cancel_job(name, now_ms);
+        let is_cancelled = effects.is_some();
+        self.apply(effects.unwrap_or_default());
+        is_cancelled
+    }
+
+    /// Withdraws a submission whose caller has closed the connection.
     pub(crate) fn cancel(&self, key: JobKey) {
         if self.pending_replies.borrow_mut().swap_remove(&key).is_none() {
             return;
