Follow a replaced upstream whose clock was set back

Cause: a heartbeat with an earlier incarnation than the known one counted as late. The incarnation is a time of day, so that of a successor is earlier where the clock was set back between the two, and the agent ignored all it said.

Change: the replies to the agent's own calls tell which incarnation is the present one: one that was requested after the last heartbeat, or after the first reply of another incarnation. Heartbeats of that one are accepted; replies that were requested earlier are ignored.

Tests: a_replaced_upstream_with_an_earlier_clock_is_followed (red before), a_late_heartbeat_of_an_earlier_incarnation_changes_nothing (as before).

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -49,6 +49,9 @@
 pub struct Supervisor {
     timing: Timing,
     upstream: Option<Upstream>,
+    /// Incarnation of the upstream that answers calls, and the time of its first answer,
+    /// milliseconds.
+    answering: Option<(u64, u64)>,
     heartbeat_seq: i64,
     /// Time of the last heartbeat, milliseconds.
     heartbeat_ms: u64,
@@ -83,6 +86,7 @@
         Self {
             timing,
             upstream: None,
+            answering: None,
             heartbeat_seq: -1,
             heartbeat_ms: now_ms,
             is_capacity_outdated: false,
@@ -173,9 +177,9 @@
         self.leases.record_end(sent_ms, may_have_arrived);
     }
 
-    /// Applies the upstream's heartbeat. A heartbeat of an earlier incarnation, or with a `seq`
-    /// that is not higher than the last one of the same incarnation, is late and is ignored. The
-    /// runs of a replaced upstream are settled.
+    /// Applies the upstream's heartbeat. A heartbeat of an earlier incarnation, unless it is that
+    /// which answers calls, or with a `seq` that is not higher than the last one of the same
+    /// incarnation, is late and is ignored. The runs of a replaced upstream are settled.
     pub fn on_heartbeat(
         &mut self,
         mut upstream: Upstream,
@@ -185,7 +189,10 @@
         let mut effects = Vec::new();
         if let Some(known) = &self.upstream {
             let is_same = known.id == upstream.id && known.incarnation == upstream.incarnation;
-            if (is_same && seq <= self.heartbeat_seq) || upstream.incarnation < known.incarnation {
+            let is_answering =
+                self.answering.is_some_and(|(number, _)| number == upstream.incarnation);
+            let is_earlier = upstream.incarnation < known.incarnation && !is_answering;
+            if (is_same && seq <= self.heartbeat_seq) || is_earlier {
                 return effects;
             }
             if is_same {
@@ -194,6 +201,7 @@
             } else {
                 self.on_incarnation_end(now_ms, &mut effects);
                 self.run_numbers.clear();
+                self.answering = None;
             }
         }
         self.heartbeat_seq = seq;
@@ -325,11 +333,14 @@
     /// of these stops is pending.
     pub fn on_run_list(&mut self, list: &RunList) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
+        if self.is_of_earlier_incarnation(list) {
+            return effects;
+        }
         if self.response_monitor.record_answer() {
             effects.extend(self.report_all());
         }
         effects.extend(self.on_outage_end(list.incarnation));
-        self.check_incarnation(list.incarnation, list.received_ms, &mut effects);
+        self.check_incarnation(list, &mut effects);
         for (task, number, run_outcome) in &list.ended {
             self.on_run_end(task, *number, *run_outcome, list.received_ms, &mut effects);
         }
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -75,17 +75,37 @@
         }
     }
 
-    /// Discards the upstream if a later incarnation has replaced it at its address, and settles its
-    /// runs.
+    /// Returns whether a list was requested before the present incarnation of the upstream answered,
+    /// and another one sent it: answers overtake each other. Records which incarnation answers.
+    pub(crate) fn is_of_earlier_incarnation(&mut self, list: &RunList) -> bool {
+        let Some(incarnation) = list.incarnation else { return false };
+        let announced = self.upstream.as_ref().map(|up| up.incarnation);
+        let is_outdated = match self.answering {
+            Some((known, _)) if known == incarnation => return false,
+            Some((_, since_ms)) => list.sent_ms < since_ms,
+            None => announced > Some(incarnation) && list.sent_ms < self.heartbeat_ms,
+        };
+        if !is_outdated {
+            self.answering = Some((incarnation, list.received_ms));
+        }
+        is_outdated
+    }
+
+    /// Discards the upstream if another incarnation has replaced it at its address, and settles its
+    /// runs. The number of the new incarnation may be lower, because the time of day may be set back
+    /// between the two.
     pub(crate) fn check_incarnation(
         &mut self,
-        incarnation: Option<u64>,
-        now_ms: u64,
+        list: &RunList,
         effects: &mut Vec<SupervisorEffect>,
     ) {
-        let Some(incarnation) = incarnation else { return };
-        if self.upstream.as_ref().is_some_and(|known| known.incarnation < incarnation) {
-            self.on_incarnation_end(now_ms, effects);
+        let Some(incarnation) = list.incarnation else { return };
+        let is_replaced = self.upstream.as_ref().is_some_and(|known| {
+            known.incarnation < incarnation
+                || (known.incarnation > incarnation && list.sent_ms >= self.heartbeat_ms)
+        });
+        if is_replaced {
+            self.on_incarnation_end(list.received_ms, effects);
             self.upstream = None;
             self.run_numbers.clear();
             effects.extend(self.report_all());
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -7,7 +7,7 @@
 use common::{batch, cores, run_list, task, upstream};
 use direct::{
     AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, StartResult, StartRun, Supervisor,
-    SupervisorEffect, TaskId, Timing, UnsettledAttempts, UpstreamState,
+    SupervisorEffect, TaskId, Timing, UnsettledAttempts, Upstream, UpstreamState,
 };
 
 struct Agent {
@@ -436,6 +436,24 @@
     assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Crashed)]);
 }
 
+/// Guards against a replaced upstream whose time of day was set back: its heartbeats were ignored, so
+/// it went on to get tasks while it drained.
+#[test]
+fn a_replaced_upstream_with_an_earlier_clock_is_followed() {
+    let mut supervisor = Supervisor::new(Timing::default(), 0);
+    supervisor.on_heartbeat(upstream("u", 5), 9, 10);
+    supervisor.on_run_list(&RunList { incarnation: Some(5), ..run_list(20, &[]) });
+    // Its successor answers before it has sent a heartbeat.
+    supervisor.on_run_list(&RunList { incarnation: Some(3), ..run_list(100, &[]) });
+    assert!(supervisor.upstream().is_none());
+    let draining = Upstream { state: UpstreamState::Draining, ..upstream("u", 3) };
+    supervisor.on_heartbeat(draining.clone(), 1, 110);
+    assert_eq!(supervisor.upstream(), Some(&draining));
+    // A reply that was requested before belongs to the predecessor.
+    supervisor.on_run_list(&RunList { incarnation: Some(5), ..run_list(90, &[]) });
+    assert_eq!(supervisor.upstream(), Some(&draining));
+}
+
 #[test]
 fn a_late_heartbeat_of_an_earlier_incarnation_changes_nothing() {
     let mut agent = agent();
