--- a/crates/ebonycroft/tests/direct_roles/direct_system.rs
+++ b/crates/ebonycroft/tests/direct_roles/direct_system.rs
@@ -85,6 +85,13 @@
         Some(reply.status())
     }
 
+    /// Requests to cancel a job and returns the status of the reply.
+    pub(crate) async fn cancel(&self, id: &str) -> StatusCode {
+        let url = format!("http://{}/j/{id}", self.entry.addr("callers"));
+        let call = self.client.delete(url).header("Host", "jobs.example");
+        call.send().await.expect("an answer comes").status()
+    }
+
     /// Waits until the executor runs two tasks, which is all that it can run at the same time.
     pub(crate) async fn until_executor_is_full(&self) {
         while self.executor.running() < 2 {
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -1,6 +1,7 @@
 //! The roles for direct jobs as processes of their own, and the lines that they write.
 
 mod blocked_output;
+mod cancels;
 mod decisions;
 mod direct_system;
 mod ending_entry;
