Acknowledge no ended runs after a failed call

Cause: the first call to a restarted executor acknowledged the ends of its earlier life. An executor that remembers the acknowledged number, as the project's fake does, lists none of its new ends up to that.

Change: ListPosition acknowledges nothing after a failed call until the next reply.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod fencing;
 mod job;
 mod link_message;
+mod list_position;
 mod peer_choice;
 mod routing;
 mod supervisor;
@@ -27,6 +28,7 @@
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
         EntryHello, Load, Report, Suspect, ToAgent, UnsettledAttempts,
     },
+    list_position::ListPosition,
     peer_choice::choose_peers,
     routing::{Queue, RequestLimits, Routing},
     supervisor::{
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -2,6 +2,7 @@
 
 mod blocked_output;
 mod cancels;
+mod crashed_executor;
 mod decisions;
 mod direct_system;
 mod ending_entry;
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! Invariants of real processes under load and random faults: no task runs twice at the same time,
 //! no executor is over its capacity, no refused job runs, and each task of a succeeded job has run.
 //! `SOAK_SEED` and `SOAK_SECONDS` choose another sequence of faults and another length,
-//! `SOAK_PROCESSES` another number of processes, `SOAK_FAULTS` how many faults may overlap.
+//! `SOAK_PROCESSES` another number of processes, `SOAK_FAULTS` how many faults may overlap, and
+//! `SOAK_LOGS` an existing folder for the decision lines of the processes.
 
 mod caller;
 mod faults;
--- a/crates/ebonycroft/tests/soak/process.rs
+++ b/crates/ebonycroft/tests/soak/process.rs
@@ -1,5 +1,7 @@
 use std::{
-    io::{BufRead, BufReader},
+    env,
+    fs::File,
+    io::{BufRead, BufReader, Write},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -64,8 +66,8 @@
     }
 }
 
-/// Starts a role and returns it with its `start` line. A thread reads and discards the
-/// lines after it.
+/// Starts a role and returns it with its `start` line. A thread reads the lines after it, and writes
+/// them to a file in the folder `SOAK_LOGS`, if that is set.
 fn spawn(role: &'static str, settings: &Path) -> (Child, Value) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_ebonycroft"))
         .args([role, "--config"])
@@ -77,6 +79,20 @@
     let mut first = String::new();
     lines.read_line(&mut first).expect("the first line can be read");
     let start = serde_json::from_str(&first).expect("the first line is an object");
-    std::thread::spawn(move || for _ in lines.lines() {});
+    let mut log = env::var("SOAK_LOGS").ok().map(|dir| open_log(&dir, settings));
+    std::thread::spawn(move || {
+        for line in lines.lines().map_while(Result::ok) {
+            if let Some(log) = &mut log {
+                writeln!(log, "{line}").expect("the log can be written");
+            }
+        }
+    });
     (child, start)
 }
+
+/// Opens the file for the lines of the process with these settings, which goes on over restarts.
+fn open_log(dir: &str, settings: &Path) -> File {
+    let name = settings.with_extension("log").file_name().map(PathBuf::from).unwrap_or_default();
+    let path = Path::new(dir).join(name);
+    File::options().create(true).append(true).open(path).expect("the log can be opened")
+}
--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -346,6 +346,17 @@
         number * 37 % 100 < lock(&self.faults).late_percent
     }
 
+    /// Carries out an order after [`LATE_AFTER`], unless the executor has crashed by then.
+    fn carry_out_late(self: &Arc<Self>, order: impl FnOnce(&Self) -> Response + Send + 'static) {
+        let (late, crashes) = (Arc::clone(self), self.lifetime().crashes);
+        tokio::spawn(async move {
+            sleep(LATE_AFTER).await;
+            if late.lifetime().crashes == crashes {
+                order(&late);
+            }
+        });
+    }
+
     async fn hang_if_unresponsive(&self) {
         if lock(&self.faults).is_unresponsive {
             std::future::pending::<()>().await;
@@ -378,11 +389,7 @@
         is_late
     } || shared.is_next_order_late();
     if is_late {
-        let late = Arc::clone(&shared);
-        tokio::spawn(async move {
-            sleep(LATE_AFTER).await;
-            late.start_run(&body);
-        });
+        shared.carry_out_late(move |late| late.start_run(&body));
         std::future::pending::<()>().await;
         unreachable!("a pending future does not complete");
     }
@@ -392,11 +399,7 @@
 async fn run_stop(State(shared): State<Arc<Shared>>, Json(body): Json<Value>) -> Response {
     shared.hang_if_unresponsive().await;
     if shared.is_next_order_late() {
-        let late = Arc::clone(&shared);
-        tokio::spawn(async move {
-            sleep(LATE_AFTER).await;
-            stop_run(&late, &body);
-        });
+        shared.carry_out_late(move |late| stop_run(late, &body));
         return std::future::pending().await;
     }
     stop_run(&shared, &body)
--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -63,7 +63,8 @@
         runs.iter().map(|run| running_at(run.from, &run.executor)).max().unwrap_or(0)
     }
 
-    /// Returns every pair of overlapping runs of one task, as the task and the two executors.
+    /// Returns every pair of overlapping runs of one task, as the task, the two executors, and the
+    /// time since the start of the second run, milliseconds, and of the overlap, if it has ended.
     pub fn overlaps(&self) -> Vec<String> {
         let runs = self.lock();
         let mut found = Vec::new();
@@ -71,7 +72,12 @@
             for second in &runs[i + 1..] {
                 let is_over = first.to.is_some_and(|to| to <= second.from);
                 if first.task == second.task && !is_over {
-                    found.push(format!("{}: {}, {}", first.task, first.executor, second.executor));
+                    let overlap_ms = first.to.map(|to| (to - second.from).as_millis());
+                    let since_ms = second.from.elapsed().as_millis();
+                    found.push(format!(
+                        "{}: {}, {}; {since_ms} ms ago, {overlap_ms:?} ms long",
+                        first.task, first.executor, second.executor
+                    ));
                 }
             }
         }
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -43,7 +43,7 @@
         let lease_end = state.next_lease_end(sent_ms);
         let mut call = pin!(state.executor.poll_runs(
             state.token(),
-            state.last_ended_seq.get(),
+            state.list_position.get().seq(),
             lease_end,
             wait_ms
         ));
@@ -83,8 +83,10 @@
     let Ok(_permit) = state.calls.acquire().await else { return };
     let sent_ms = clock::now_ms();
     let lease_end = state.next_lease_end(sent_ms);
-    let reply =
-        state.executor.poll_runs(state.token(), state.last_ended_seq.get(), lease_end, 0).await;
+    let reply = state
+        .executor
+        .poll_runs(state.token(), state.list_position.get().seq(), lease_end, 0)
+        .await;
     state.record_lease_call_end(sent_ms, &reply);
     match reply {
         Ok(reply) if !reply.is_fenced => on_reply(&state, reply, sent_ms, clock::now_ms()),
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -10,8 +10,8 @@
 };
 
 use direct::{
-    AgentHello, AttemptOutcome, EntryHello, FencingToken, Report, SessionKey, Supervisor,
-    SupervisorEffect, Timing, ToAgent, Upstream,
+    AgentHello, AttemptOutcome, EntryHello, FencingToken, ListPosition, Report, SessionKey,
+    Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
 };
 use indexmap::IndexMap;
 use metrics::counter;
@@ -65,9 +65,8 @@
     is_resumed: Cell<bool>,
     /// Whether the runs of an earlier agent have ended, so that entries may be dialled.
     is_open: Cell<bool>,
-    /// Sequence number of the last ended run that the upstream has listed.
-    pub(crate) last_ended_seq: Cell<u64>,
-    upstream_incarnation: Cell<Option<u64>>,
+    /// Position in the upstream's list of ended runs.
+    pub(crate) list_position: Cell<ListPosition>,
 }
 
 impl AgentState {
@@ -95,8 +94,7 @@
             suspension_count: Cell::new(0),
             is_resumed: Cell::new(false),
             is_open: Cell::new(false),
-            last_ended_seq: Cell::new(0),
-            upstream_incarnation: Cell::new(None),
+            list_position: Cell::default(),
         }))
     }
 
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -63,18 +63,19 @@
         self.apply(effects);
     }
 
-    /// Records up to which sequence number ended runs were listed. Each incarnation of the upstream
-    /// starts numbering anew.
+    /// Records up to which sequence number ended runs were listed.
     pub(crate) fn record_last_ended(&self, incarnation: Option<u64>, last_ended_seq: Option<u64>) {
-        if self.upstream_incarnation.replace(incarnation) != incarnation {
-            self.last_ended_seq.set(0);
-        }
-        self.last_ended_seq.set(self.last_ended_seq.get().max(last_ended_seq.unwrap_or(0)));
+        let mut position = self.list_position.get();
+        position.on_reply(incarnation, last_ended_seq);
+        self.list_position.set(position);
     }
 
     /// Handles a call that failed or was not answered in time.
     pub(crate) fn on_call_error(self: &Rc<Self>, error: &CallError) {
         let now_ms = self.now_ms();
+        let mut position = self.list_position.get();
+        position.on_failure();
+        self.list_position.set(position);
         let was_answering = self.supervisor.borrow().is_responsive();
         let runs = self.supervisor.borrow().runs_by_age(now_ms);
         let effects = match error.failure {
