Judge the age of an entry's messages by the agent's own reports

Cause: arrival proves nothing about age. While a path delays more and more, or an agent reads slowly, the messages of an active link keep arriving with short gaps and are seconds old; each one renewed the session that the check before a start asks for. The entry hears nothing meanwhile, settles the attempt as lost 2,120 ms after the agent's last message, and starts the task elsewhere. The wrong run is the late one.

Change: each message of an entry carries the number of the agent's reports that it had read when it decided on the message, 1 to 3 bytes beside a heartbeat of about 70. The agent knows when it sent that report, so the message is younger than that by the agent's own clock, whatever delayed it. A session lives session_ms from there, a start is refused as not started silence_ms after it, and leases and stops count from there. An agent replaces a connection on which such a start arrives. The 20 ms for messages under way are gone from run_limit_ms. Entries answer a report with a heartbeat when three quarters of the period have passed, so that the proof is about one report old.

A start that may not be sent any more is now settled; before, it waited for the end of its session.

Two expectations changed: a start is refused after max_start_age_ms, which is less than session_ms; and a stop counts from the report that the stop itself names, since an entry sends it as soon as it no longer wants the run.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -26,7 +26,7 @@
     job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
     link_message::{
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
-        EntryHello, Load, Report, Suspect, ToAgent, UnsettledAttempts,
+        EntryHello, EntryMessage, Load, Report, Suspect, ToAgent, UnsettledAttempts,
     },
     list_position::ListPosition,
     peer_choice::choose_peers,
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -79,7 +79,17 @@
         pub attempts: Vec<Attempt>,
     }
 
-    /// Message from an entry to an agent.
+    /// Message from an entry to an agent, with the proof of its age.
+    #[derive(Eq)]
+    pub struct EntryMessage {
+        /// Number of the agent's reports on the connection that the entry had read when it decided
+        /// on the message; 0 if it had read only the handshake.
+        pub reports_read: u64,
+        /// The message.
+        pub message: ToAgent,
+    }
+
+    /// Content of a message from an entry to an agent.
     #[derive(Eq)]
     pub enum ToAgent {
         /// Completes the handshake.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -8,6 +8,7 @@
 mod response_monitor;
 mod run;
 mod run_outcomes;
+mod sent_reports;
 mod session;
 mod start_timer;
 mod starts;
@@ -30,6 +31,7 @@
         lease_record::LeaseRecord,
         response_monitor::ResponseMonitor,
         run::{Phase, Run},
+        sent_reports::SentReports,
         session::Session,
         start_timer::StartTimer,
     },
@@ -163,7 +165,7 @@
     fn wanted_until_ms(&self, run: &Run) -> Option<u64> {
         let (owner, _) = run.attempt?;
         let session = || self.sessions.values().find(|(key, _)| *key == owner);
-        run.wanted_until_ms.or_else(|| session().map(|(_, session)| session.last_heard_ms))
+        run.wanted_until_ms.or_else(|| session().map(|(_, session)| session.proven_ms))
     }
 
     /// Records that a call that grants a lease is being sent.
@@ -242,12 +244,14 @@
     /// Opens a session with an entry, or resumes that of the same incarnation; the runs of an
     /// earlier incarnation are stopped, and so are those that the entry does not want any more: the
     /// stop may have been lost with an earlier connection. Of the unsettled `attempts`, those
-    /// without a run here are reported with their recorded outcome, or as not started.
+    /// without a run here are reported with their recorded outcome, or as not started. The entry
+    /// replies to a handshake that this agent sent at `hello_ms`.
     pub fn on_entry_hello(
         &mut self,
         entry: &Arc<str>,
         incarnation: u64,
         attempts: &UnsettledAttempts,
+        hello_ms: u64,
         now_ms: u64,
     ) -> (SessionKey, Vec<SupervisorEffect>) {
         let mut effects = Vec::new();
@@ -261,20 +265,22 @@
                 }
                 let key = SessionKey(self.next_session);
                 self.next_session += 1;
-                self.sessions.insert(Arc::clone(entry), (key, Session::new(incarnation, now_ms)));
+                let session = Session::new(incarnation, hello_ms, now_ms);
+                self.sessions.insert(Arc::clone(entry), (key, session));
                 key
             }
         };
-        let heard_ms = self.session_mut(key).map_or(now_ms, |session| session.last_heard_ms);
+        let proven_ms = self.session_mut(key).map_or(hello_ms, |session| session.proven_ms);
         let is_unwanted = |id| !attempts.wanted.contains(&id);
-        self.stop_attempts(key, heard_ms, is_unwanted, &mut effects);
+        self.stop_attempts(key, proven_ms, is_unwanted, &mut effects);
         let live: Vec<AttemptId> = self
             .runs
             .values()
             .filter_map(|run| run.attempt.filter(|(owner, _)| *owner == key).map(|(_, id)| id))
             .collect();
         if let Some((_, session)) = self.sessions.get_mut(entry) {
-            session.on_message(now_ms);
+            session.sent_reports = SentReports::new(hello_ms);
+            session.on_message(0, now_ms);
             session.is_connected = true;
             session.is_active = false;
             session.batches_seen = 0;
@@ -291,13 +297,35 @@
         (key, effects)
     }
 
-    /// Records the time of a message from an entry, which keeps its session alive.
-    pub fn on_entry_message(&mut self, key: SessionKey, now_ms: u64) {
+    /// Records a message from an entry that had read `reports_read` reports on the connection. Its
+    /// session stays alive from the time at which the last of these was sent.
+    pub fn on_entry_message(&mut self, key: SessionKey, reports_read: u64, now_ms: u64) {
         if let Some(session) = self.session_mut(key) {
-            session.on_message(now_ms);
+            session.on_message(reports_read, now_ms);
         }
     }
 
+    /// Returns the time since an entry is known to have been alive, milliseconds; `None` if the
+    /// session is unknown.
+    pub fn session_age_ms(&self, key: SessionKey, now_ms: u64) -> Option<u64> {
+        let mut sessions = self.sessions.values();
+        let (_, session) = sessions.find(|(known, _)| *known == key)?;
+        Some(now_ms.saturating_sub(session.proven_ms))
+    }
+
+    /// Returns whether a start from an entry is recent enough to be carried out.
+    pub fn may_start_for(&self, key: SessionKey, now_ms: u64) -> bool {
+        let age_ms = self.session_age_ms(key, now_ms);
+        age_ms.is_some_and(|age_ms| age_ms < self.timing.max_start_age_ms())
+    }
+
+    /// Records that a report is being sent on the current connection of a session. Returns its
+    /// number.
+    pub fn record_report_sent(&mut self, key: SessionKey, now_ms: u64) -> u64 {
+        let session_ms = self.timing.session_ms;
+        self.session_mut(key).map_or(0, |session| session.sent_reports.record(now_ms, session_ms))
+    }
+
     /// Makes a session's link active or puts it on standby. An active link gets a report at once.
     pub fn set_active(&mut self, key: SessionKey, is_active: bool) -> Vec<SupervisorEffect> {
         let Some(session) = self.session_mut(key) else { return Vec::new() };
@@ -387,7 +415,7 @@
         let expired: Vec<SessionKey> = self
             .sessions
             .values()
-            .filter(|(_, session)| now_ms.saturating_sub(session.last_heard_ms) >= session_ms)
+            .filter(|(_, session)| !session.is_proven_within(session_ms, now_ms))
             .map(|(key, _)| *key)
             .collect();
         for key in expired {
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use crate::{AttemptId, AttemptOutcome, CrashNotice};
+use crate::{AttemptId, AttemptOutcome, CrashNotice, supervisor::sent_reports::SentReports};
 
 /// Maximum number of outcomes kept for an entry that reconnects: twice the number of tasks that an
 /// upstream of 64 cores completes in the duration of a session.
@@ -10,9 +10,14 @@
 #[derive(Debug)]
 pub(crate) struct Session {
     pub(crate) incarnation: u64,
+    /// Time at which the last message was read.
     pub(crate) last_heard_ms: u64,
-    /// Time of the message before the last one.
-    pub(crate) heard_before_ms: u64,
+    /// Latest time at which the entry is known to have been alive and to have wanted the runs that
+    /// it has not stopped. A message that arrives now may have been sent long ago, so this is the
+    /// time of the agent's own last message that the entry had read.
+    pub(crate) proven_ms: u64,
+    /// Messages sent on the current connection.
+    pub(crate) sent_reports: SentReports,
     /// Whether the session has a connection; it outlives the connection for a limited time.
     pub(crate) is_connected: bool,
     /// Whether the link is active, that is, its entry needs each change of the load.
@@ -30,11 +35,12 @@
 }
 
 impl Session {
-    pub(crate) fn new(incarnation: u64, now_ms: u64) -> Self {
+    pub(crate) fn new(incarnation: u64, hello_ms: u64, now_ms: u64) -> Self {
         Self {
             incarnation,
             last_heard_ms: now_ms,
-            heard_before_ms: now_ms,
+            proven_ms: hello_ms,
+            sent_reports: SentReports::new(hello_ms),
             is_connected: true,
             is_active: false,
             batches_seen: 0,
@@ -45,10 +51,17 @@
         }
     }
 
-    /// Records the time of a message.
-    pub(crate) fn on_message(&mut self, now_ms: u64) {
-        self.heard_before_ms = self.last_heard_ms;
+    /// Records a message from the entry, which had read the report with this number.
+    pub(crate) fn on_message(&mut self, reports_read: u64, now_ms: u64) {
         self.last_heard_ms = now_ms;
+        if let Some(sent_ms) = self.sent_reports.sent_ms(reports_read) {
+            self.proven_ms = self.proven_ms.max(sent_ms);
+        }
+    }
+
+    /// Returns whether the entry was alive less than `age_ms` ago.
+    pub(crate) fn is_proven_within(&self, age_ms: u64, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.proven_ms) < age_ms
     }
 
     /// Records the outcome of an attempt, to be sent with the next report.
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -16,7 +16,8 @@
 
 impl Supervisor {
     /// Starts the attempts of a batch that fit the free capacity and whose tasks have no run yet.
-    /// The others are settled as not started; all of them are if the agent accepts no attempts.
+    /// The others are settled as not started; all of them are if the agent accepts no attempts or
+    /// the batch may have been under way for too long.
     pub fn on_attempts(
         &mut self,
         key: SessionKey,
@@ -29,9 +30,11 @@
         }
         let was_isolated = self.isolation.is_some();
         let mut is_refused = false;
+        let is_recent = self.may_start_for(key, now_ms);
         for attempt in &batch.attempts {
             let task = batch.task(attempt);
-            if self.accepts_attempts()
+            if is_recent
+                && self.accepts_attempts()
                 && !self.is_isolated_from(&batch.job)
                 && self.has_capacity(batch.need)
                 && !self.runs.contains_key(&task)
@@ -73,19 +76,13 @@
         effects
     }
 
-    /// Returns whether a start may still be sent: its run waits for it, and its entry's session has
-    /// not expired. To be asked immediately before sending, because a start may wait for its turn.
+    /// Returns whether a start may still be sent: its run waits for it, and its entry wanted it
+    /// recently. To be asked immediately before sending, because a start may wait for its turn.
     pub fn may_send_start(&self, task: &TaskId, number: u32, now_ms: u64) -> bool {
-        let is_live = |key: SessionKey| {
-            self.sessions.values().any(|(known, session)| {
-                *known == key
-                    && now_ms.saturating_sub(session.last_heard_ms) < self.timing.session_ms
-            })
-        };
         self.runs.get(task).is_some_and(|run| {
             run.number == number
                 && matches!(run.phase, Phase::Starting { .. })
-                && run.attempt.is_some_and(|(key, _)| is_live(key))
+                && run.attempt.is_some_and(|(key, _)| self.may_start_for(key, now_ms))
         })
     }
 
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -16,8 +16,8 @@
     /// Stops the runs of the given attempts at the request of their entry.
     pub fn on_stop(&mut self, key: SessionKey, ids: &[AttemptId]) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
-        // The entry still wanted the attempts when it sent the message before this one.
-        let wanted_ms = self.session_mut(key).map_or(0, |session| session.heard_before_ms);
+        // The entry sends a stop as soon as it no longer wants the attempts.
+        let wanted_ms = self.session_mut(key).map_or(0, |session| session.proven_ms);
         self.stop_attempts(key, wanted_ms, |id| ids.contains(&id), &mut effects);
         effects
     }
@@ -87,8 +87,8 @@
 
     /// Stops all runs of a session.
     pub(crate) fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
-        let heard_ms = self.session_mut(key).map_or(0, |session| session.last_heard_ms);
-        self.stop_attempts(key, heard_ms, |_| true, effects);
+        let proven_ms = self.session_mut(key).map_or(0, |session| session.proven_ms);
+        self.stop_attempts(key, proven_ms, |_| true, effects);
     }
 
     /// Stops the runs of a session whose attempts are selected by id; their entry wanted them until
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -2,9 +2,6 @@
 
 /// Maximum error of an executor's lease clock: it may run this many percent slow.
 const LEASE_CLOCK_ERROR_PERCENT: u64 = 2;
-/// Time between the end of an entry's process and the moment at which its agents could last have
-/// received a message from it, milliseconds.
-const MESSAGE_DELAY_MS: u64 = 20;
 
 types::settings! {
     /// Timeouts and periods that bound when runs end, milliseconds.
@@ -13,7 +10,8 @@
     pub struct Timing {
         /// Duration of a lease, which an upstream gets for all its runs together.
         pub lease_ms: u64,
-        /// Time without a message from an entry after which an agent stops the entry's runs.
+        /// Time after which an agent stops the runs of an entry, counted from the sending of the
+        /// agent's last report that the entry had read when it sent its last message.
         pub session_ms: u64,
         /// Time that an upstream needs to stop a run, as the platform specifies it.
         pub stop_ms: u64,
@@ -96,15 +94,23 @@
         self.lease_ms + self.lease_ms * LEASE_CLOCK_ERROR_PERCENT / 100 + self.stop_ms
     }
 
-    /// Returns the time from an entry's last message until all its runs have ended, milliseconds.
+    /// Returns the time from the last proof that an entry lives until all its runs have ended, if
+    /// their stops are answered, milliseconds.
     pub fn session_end_ms(&self) -> u64 {
         self.session_ms + self.call_ms + self.stop_ms
     }
 
-    /// Returns the time from an entry's last message after which no lease may protect its runs any
-    /// more, milliseconds: whatever happens to their stops, they end before the callers resubmit.
+    /// Returns the age at which an agent no longer carries out a start, milliseconds: the time since
+    /// the sending of its last report that the entry had read when it sent the start.
+    pub fn max_start_age_ms(&self) -> u64 {
+        self.silence_ms
+    }
+
+    /// Returns the time from the last proof that an entry lives after which no lease may protect its
+    /// runs any more, milliseconds: whatever happens to their stops, they end before the callers
+    /// resubmit.
     pub fn run_limit_ms(&self) -> u64 {
-        let limit_ms = self.resend_ms.saturating_sub(self.stop_ms + MESSAGE_DELAY_MS);
+        let limit_ms = self.resend_ms.saturating_sub(self.stop_ms);
         limit_ms * 100 / (100 + LEASE_CLOCK_ERROR_PERCENT)
     }
 
--- a/crates/direct/tests/capacity.rs
+++ b/crates/direct/tests/capacity.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{attempts, batch, cores, job, report, run_list, step, task, upstream};
+use common::{attempts, batch, cores, hear, job, report, run_list, step, task, upstream};
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, DirectJob, Dispatcher, DispatcherEffect,
     JobOutcome, RefusalReason, SessionKey, StartResult, Supervisor, SupervisorEffect, Timing,
@@ -16,7 +16,7 @@
     supervisor.on_heartbeat(upstream("u", 1), 1, 0);
     supervisor.on_run_list(&run_list(1, &[]));
     let (entry, _) =
-        supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2);
+        supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2, 2);
     supervisor.report(entry, true);
     (supervisor, entry)
 }
@@ -65,8 +65,10 @@
 fn an_agent_that_was_suspended_for_long_waits_for_the_capacity_of_now() {
     let (mut agent, entry) = agent();
     agent.on_resumed(2_400);
+    hear(&mut agent, entry, 2_400);
     assert_eq!(starts(&agent.on_attempts(entry, &batch("j", &[1], cores(1)), 2_400)), 1);
     agent.on_resumed(6_000);
+    hear(&mut agent, entry, 6_000);
     assert_eq!(starts(&agent.on_attempts(entry, &batch("k", &[2], cores(1)), 6_000)), 0);
     assert!(agent.report(entry, false).is_some_and(|report| !report.load.is_open));
     agent.on_heartbeat(of_capacity(4), 2, 6_100);
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use direct::{
     AgentKey, Attempt, AttemptBatch, AttemptId, DirectJob, DispatcherEffect, JobStep, Load, Report,
-    RunList, RunRow, TaskId, ToAgent, Upstream, UpstreamState,
+    RunList, RunRow, SessionKey, Supervisor, TaskId, ToAgent, Upstream, UpstreamState,
 };
 use types::Resources;
 
@@ -95,6 +95,12 @@
     }
 }
 
+/// Delivers a message of an entry that has just read a report.
+pub fn hear(supervisor: &mut Supervisor, entry: SessionKey, now_ms: u64) {
+    let number = supervisor.record_report_sent(entry, now_ms);
+    supervisor.on_entry_message(entry, number, now_ms);
+}
+
 /// Returns the agents whose links become active.
 pub fn activated(effects: &[DispatcherEffect]) -> Vec<AgentKey> {
     changed_links(effects, true)
--- a/crates/direct/tests/crashes.rs
+++ b/crates/direct/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{attempts, batch, cores, job, report, run_list, task, upstream};
+use common::{attempts, batch, cores, hear, job, report, run_list, task, upstream};
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, Crash, CrashNotice, Dispatcher,
     DispatcherEffect, JobOutcome, SessionKey, StartResult, Supervisor, SupervisorEffect, Suspect,
@@ -22,7 +22,7 @@
         supervisor.on_heartbeat(upstream("u", 1), 1, 0);
         supervisor.on_run_list(&run_list(1, &[]));
         let (entry, _) =
-            supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2);
+            supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2, 2);
         supervisor.report(entry, true);
         Self { supervisor, entry }
     }
@@ -56,7 +56,7 @@
     agent.supervisor.on_attempts(agent.entry, &batch("late", &[4], cores(1)), 501);
     agent.supervisor.on_call_refused(502);
     agent.supervisor.on_start_result(&task("late", 0), 1, StartResult::Undelivered, 502);
-    agent.supervisor.on_entry_message(agent.entry, 510);
+    hear(&mut agent.supervisor, agent.entry, 510);
     agent.supervisor.tick(510);
     assert_eq!(agent.notices(), [crash(1, &["last", "first"])]);
 }
@@ -67,10 +67,10 @@
     agent.start("j", 1, 490);
     for at_ms in [500, 650, 800] {
         agent.supervisor.on_call_timeout(at_ms);
-        agent.supervisor.on_entry_message(agent.entry, at_ms);
+        hear(&mut agent.supervisor, agent.entry, at_ms);
     }
     let end_ms = 500 + Timing::default().lease_end_ms();
-    agent.supervisor.on_entry_message(agent.entry, end_ms);
+    hear(&mut agent.supervisor, agent.entry, end_ms);
     agent.supervisor.tick(end_ms);
     let report = agent.supervisor.report(agent.entry, false).expect("the session is connected");
     assert_eq!(report.outcomes, [(AttemptId(1), AttemptOutcome::Lost)]);
@@ -97,7 +97,7 @@
     agent.supervisor.tick(510);
     agent.supervisor.on_run_list(&run_list(700, &[(&task("j", 0), 1)]));
     assert_eq!(agent.notices(), [crash(1, &["j"]), CrashNotice::Refuted(1)]);
-    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 800);
+    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 800, 800);
     assert_eq!(agent.notices(), []);
 }
 
@@ -121,8 +121,13 @@
     agent.supervisor.on_call_refused(500);
     agent.supervisor.tick(510);
     agent.supervisor.on_heartbeat(upstream("u", 2), 1, 2_000);
-    let (entry, _) =
-        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 3_000);
+    let (entry, _) = agent.supervisor.on_entry_hello(
+        &Arc::from("e2"),
+        1,
+        &UnsettledAttempts::default(),
+        3_000,
+        3_000,
+    );
     let report = agent.supervisor.report(entry, false).expect("the session is connected");
     let known = Crash { incarnation: 1, age_ms: 2_500, suspects: suspects(&["j"]) };
     assert_eq!(report.crashes, [CrashNotice::Crashed(known)]);
--- a/crates/direct/tests/stops.rs
+++ b/crates/direct/tests/stops.rs
@@ -55,7 +55,7 @@
         supervisor.on_heartbeat(up, 1, 0);
         supervisor.on_run_list(&run_list(0, &[]));
         let entry = Arc::from("e1");
-        let (key, _) = supervisor.on_entry_hello(&entry, 1, &UnsettledAttempts::default(), 0);
+        let (key, _) = supervisor.on_entry_hello(&entry, 1, &UnsettledAttempts::default(), 0, 0);
         let ids: Vec<u64> = (0..u64::from(RUNS)).collect();
         supervisor.on_attempts(key, &batch("j", &ids, cores(1)), 0);
         for i in 0..RUNS {
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{batch, cores, run_list, task, upstream};
+use common::{batch, cores, hear, run_list, task, upstream};
 use direct::{
     AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, StartResult, StartRun, Supervisor,
     SupervisorEffect, TaskId, Timing, UnsettledAttempts, Upstream, UpstreamState,
@@ -21,7 +21,7 @@
     supervisor.on_heartbeat(upstream("u", 1), 1, 30);
     supervisor.on_run_list(&run_list(1, &[]));
     let (entry, _) =
-        supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 10);
+        supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 10, 10);
     supervisor.report(entry, true);
     Agent { supervisor, entry }
 }
@@ -148,14 +148,17 @@
 }
 
 #[test]
-fn a_start_that_waited_until_its_session_expired_is_not_sent() {
+fn a_start_that_waited_for_too_long_is_not_sent() {
     let mut agent = agent();
     agent.starts("j", &[1], 1);
     let t = task("j", 0);
     // The session was opened at 10 ms.
-    let end_ms = 10 + Timing::default().session_ms;
+    let timing = Timing::default();
+    assert!(timing.max_start_age_ms() < timing.session_ms);
+    let end_ms = 10 + timing.max_start_age_ms();
     assert!(agent.supervisor.may_send_start(&t, 1, end_ms - 1));
     assert!(!agent.supervisor.may_send_start(&t, 1, end_ms), "the permission has run out");
+    let end_ms = 10 + timing.session_ms;
     assert_eq!(stops(&agent.supervisor.tick(end_ms)), [(t, 1)]);
 }
 
@@ -174,7 +177,7 @@
     let mut agent = agent();
     agent.supervisor.tick(15);
     let (other, _) =
-        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 16);
+        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 16, 16);
     let timing = Timing::default();
     assert_eq!(agent.supervisor.heartbeat_ms(other), timing.standby_heartbeat_ms);
     let effects = agent.supervisor.set_active(other, true);
@@ -184,7 +187,7 @@
     assert_eq!(agent.supervisor.tick(20), [SupervisorEffect::Report(other)]);
     assert!(agent.supervisor.tick(40).is_empty(), "nothing has changed");
     let (again, _) =
-        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 50);
+        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 50, 50);
     assert_eq!(agent.supervisor.heartbeat_ms(again), timing.standby_heartbeat_ms, "a new link");
 }
 
@@ -199,7 +202,7 @@
     agent.supervisor.set_active(agent.entry, false);
     assert_eq!(seen(&mut agent), Some(2));
     let none = UnsettledAttempts::default();
-    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, 50);
+    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, 50, 50);
     assert_eq!(seen(&mut agent), Some(0), "a new connection");
 }
 
@@ -237,13 +240,13 @@
     let mut agent = agent();
     agent.starts("j", &[1], 1);
     let (other, _) =
-        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 20);
+        agent.supervisor.on_entry_hello(&Arc::from("e2"), 1, &UnsettledAttempts::default(), 20, 20);
     agent.supervisor.on_attempts(other, &batch("k", &[1], cores(1)), 20);
     // The entry of the first run was last heard at 10 ms.
     let limit_ms = 10 + timing.run_limit_ms();
     assert!(limit_ms * 102 / 100 + timing.stop_ms <= 10 + timing.resend_ms);
     for now_ms in (100..limit_ms).step_by(100) {
-        agent.supervisor.on_entry_message(other, now_ms);
+        hear(&mut agent.supervisor, other, now_ms);
         agent.supervisor.tick(now_ms);
         let end_ms = limit_ms.min(now_ms + timing.lease_ms);
         assert_eq!(agent.supervisor.lease_end_ms(now_ms), Some(end_ms), "at {now_ms} ms");
@@ -263,14 +266,14 @@
     let timing = Timing::default();
     let mut agent = agent();
     agent.starts("j", &[1], 1);
-    agent.supervisor.on_entry_message(agent.entry, 200);
-    agent.supervisor.on_entry_message(agent.entry, 400);
+    hear(&mut agent.supervisor, agent.entry, 200);
+    hear(&mut agent.supervisor, agent.entry, 400);
     agent.supervisor.on_stop(agent.entry, &[AttemptId(1)]);
     for now_ms in [600, 800, 1_000] {
-        agent.supervisor.on_entry_message(agent.entry, now_ms);
+        hear(&mut agent.supervisor, agent.entry, now_ms);
     }
-    // The entry wanted the run when it sent the message before the stop.
-    assert_eq!(agent.supervisor.lease_end_ms(1_000), Some(200 + timing.run_limit_ms()));
+    // When the entry sent the stop, it had read the report of 400 ms.
+    assert_eq!(agent.supervisor.lease_end_ms(1_000), Some(400 + timing.run_limit_ms()));
 }
 
 /// Guards against a new agent whose polls extend the leases of the runs that it stops: after the loss
@@ -304,7 +307,7 @@
     let mut agent = agent();
     agent.starts("j", &[1], 1);
     let (_, effects) =
-        agent.supervisor.on_entry_hello(&Arc::from("e1"), 2, &UnsettledAttempts::default(), 30);
+        agent.supervisor.on_entry_hello(&Arc::from("e1"), 2, &UnsettledAttempts::default(), 30, 30);
     assert_eq!(stops(&effects), [(task("j", 0), 1)]);
 }
 
@@ -320,7 +323,7 @@
     list.ended.push((task("j", 0), 1, RunOutcome::Done));
     agent.supervisor.on_run_list(&list);
     let ids = [AttemptId(1), AttemptId(2), AttemptId(3)];
-    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &wanted(&ids), 40);
+    agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &wanted(&ids), 40, 40);
     let expected = [
         (AttemptId(1), AttemptOutcome::Done { run_ms: 11 }),
         (AttemptId(3), AttemptOutcome::NotStarted),
@@ -340,7 +343,7 @@
     agent.supervisor.on_disconnected(agent.entry);
     // The third attempt counts as lost at the entry, which lists it no longer.
     let attempts = UnsettledAttempts { wanted: vec![AttemptId(1)], stopping: vec![AttemptId(2)] };
-    let (_, effects) = agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &attempts, 40);
+    let (_, effects) = agent.supervisor.on_entry_hello(&Arc::from("e1"), 1, &attempts, 40, 40);
     assert_eq!(stops(&effects), [(task("j", 1), 1), (task("j", 2), 1)]);
     assert!(agent.outcomes().is_empty(), "a stop without an acknowledgement is no outcome");
 }
@@ -358,7 +361,7 @@
     assert!(agent.starts("k", &[2], 1).is_empty());
     agent.outcomes();
     let end_ms = 100 + Timing::default().lease_end_ms();
-    agent.supervisor.on_entry_message(agent.entry, end_ms - 1);
+    hear(&mut agent.supervisor, agent.entry, end_ms - 1);
     agent.supervisor.tick(end_ms - 1);
     assert!(agent.outcomes().is_empty());
     agent.supervisor.tick(end_ms);
@@ -383,7 +386,7 @@
     assert_eq!(agent.outcomes(), [not_started(2), not_started(3)]);
     // The refused call granted no lease.
     let end_ms = 20 + Timing::default().lease_end_ms();
-    agent.supervisor.on_entry_message(agent.entry, end_ms - 1);
+    hear(&mut agent.supervisor, agent.entry, end_ms - 1);
     agent.supervisor.tick(end_ms - 1);
     assert!(agent.outcomes().is_empty());
     agent.supervisor.tick(end_ms);
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use direct::{Report, SessionKey, ToAgent};
+use direct::{EntryMessage, Report, SessionKey, ToAgent};
 use rand::RngExt;
 use tokio::{
     net::TcpStream,
@@ -14,6 +14,7 @@
 
 use crate::{
     agent::state::AgentState,
+    clock,
     entry::FirstMessage,
     frames::{self, FrameRx, FrameTx},
 };
@@ -80,24 +81,26 @@
 }
 
 /// Exchanges messages over one connection until it ends, and sets `session` after the handshake.
-/// Returns `Ok` when the entry was silent for too long or the process was suspended.
+/// Returns `Ok` when the entry was silent for too long, a start was held up for too long or the
+/// process was suspended.
 async fn serve(
     stream: TcpStream,
     addr: SocketAddr,
     state: &Rc<AgentState>,
     session: &mut Option<SessionKey>,
 ) -> Result<(), StepError> {
-    let (mut tx, rx) = frames::split::<FirstMessage, ToAgent>(stream, addr)?;
+    let (mut tx, rx) = frames::split::<FirstMessage, EntryMessage>(stream, addr)?;
+    let hello_ms = clock::now_ms();
     tx.feed(&FirstMessage::Agent(state.hello())).await?;
     tx.flush().await?;
-    let mut rx: FrameRx<ToAgent> = rx;
+    let mut rx: FrameRx<EntryMessage> = rx;
     let silence_timeout = Duration::from_millis(state.timing.silence_ms);
     let Ok(first) = timeout(silence_timeout, rx.next()).await else { return Ok(()) };
-    let ToAgent::Hello(hello) = first? else { return Ok(()) };
+    let ToAgent::Hello(hello) = first?.message else { return Ok(()) };
     state.known_entries.set_connected(addr, true);
     state.known_entries.add_all(&hello.entries);
     let suspensions = state.suspension_count();
-    let (key, wake) = state.on_entry_connected(&hello);
+    let (key, wake) = state.on_entry_connected(&hello, hello_ms);
     *session = Some(key);
     let writer = spawn_local(write(tx.retype(), key, Rc::clone(&wake), Rc::clone(state)));
     let standby_silence = Duration::from_millis(state.timing.standby_silence_ms);
@@ -107,11 +110,14 @@
         match timeout(silence_timeout, rx.next()).await {
             // A message that arrived during a suspension may be as old as the suspension was long.
             _ if state.suspension_count() != suspensions => break Ok(()),
-            Ok(Ok(message)) => {
+            Ok(Ok(EntryMessage { reports_read, message })) => {
                 if let ToAgent::SetActive(value) = message {
                     is_active = value;
                 }
-                state.on_entry_message(key, message);
+                // A new connection does without what else is held up on this one.
+                if !state.on_entry_message(key, reports_read, message) {
+                    break Ok(());
+                }
             }
             Ok(Err(e)) => break Err(e),
             Err(_) => break Ok(()),
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -113,6 +113,7 @@
     let sent_ms = clock::now_ms();
     // The start may have waited for its permit, or the process may have been suspended.
     if !state.may_send_start(&start.task, start.run) {
+        state.on_start_result(&start.task, start.run, StartResult::Refused);
         return;
     }
     let Some(lease_end) = state.next_lease_end(sent_ms) else {
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -10,8 +10,8 @@
 };
 
 use direct::{
-    AgentHello, AttemptOutcome, EntryHello, FencingToken, ListPosition, Report, SessionKey,
-    Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
+    AgentHello, AttemptBatch, AttemptOutcome, EntryHello, FencingToken, ListPosition, Report,
+    SessionKey, Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
 };
 use indexmap::IndexMap;
 use metrics::counter;
@@ -200,16 +200,19 @@
         }
     }
 
-    /// Starts or resumes the session of an entry. Returns its key, and the waker for its reports.
+    /// Starts or resumes the session of an entry that replies to the handshake sent at `hello_ms`.
+    /// Returns its key, and the waker for its reports.
     pub(crate) fn on_entry_connected(
         self: &Rc<Self>,
         hello: &EntryHello,
+        hello_ms: u64,
     ) -> (SessionKey, Rc<Notify>) {
         let now_ms = self.now_ms();
         let (key, effects) = self.supervisor.borrow_mut().on_entry_hello(
             &hello.entry,
             hello.incarnation,
             &hello.attempts,
+            hello_ms,
             now_ms,
         );
         let wake = Rc::new(Notify::new());
@@ -220,13 +223,28 @@
         (key, wake)
     }
 
-    pub(crate) fn on_entry_message(self: &Rc<Self>, key: SessionKey, message: ToAgent) {
+    /// Handles a message from an entry that had read `reports_read` reports on the connection.
+    /// Returns whether it was recent enough, if it was a start.
+    pub(crate) fn on_entry_message(
+        self: &Rc<Self>,
+        key: SessionKey,
+        reports_read: u64,
+        message: ToAgent,
+    ) -> bool {
         let now_ms = self.now_ms();
         let resumed = self.resume(now_ms);
         let mut supervisor = self.supervisor.borrow_mut();
-        supervisor.on_entry_message(key, now_ms);
+        supervisor.on_entry_message(key, reports_read, now_ms);
+        let mut is_recent = true;
         let effects = match message {
-            ToAgent::Start(batch) => supervisor.on_attempts(key, &batch, now_ms),
+            ToAgent::Start(batch) => {
+                is_recent = supervisor.may_start_for(key, now_ms);
+                if !is_recent {
+                    let age_ms = supervisor.session_age_ms(key, now_ms);
+                    self.emit_outdated_start(&batch, age_ms);
+                }
+                supervisor.on_attempts(key, &batch, now_ms)
+            }
             ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
             ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
             ToAgent::Heartbeat(entries) => {
@@ -238,6 +256,18 @@
         drop(supervisor);
         self.apply(resumed);
         self.apply(effects);
+        is_recent
+    }
+
+    /// Reports a start that was held up for too long to be carried out.
+    fn emit_outdated_start(&self, batch: &AttemptBatch, age_ms: Option<u64>) {
+        counter!("agent_outdated_starts").increment(batch.attempts.len() as u64);
+        let fields = [
+            ("job", json!(&*batch.job)),
+            ("orders", json!(batch.attempts.len())),
+            ("age_ms", json!(age_ms)),
+        ];
+        self.events.emit(Level::Notable, "outdated_start", &fields);
     }
 
     /// Handles the end of the connection that `wake` belongs to, unless the session has a newer
@@ -282,9 +312,11 @@
         key: SessionKey,
         sent_upstream: &mut Option<Upstream>,
     ) -> Option<Report> {
+        let now_ms = self.now_ms();
         let mut supervisor = self.supervisor.borrow_mut();
         let has_changed = supervisor.upstream() != sent_upstream.as_ref();
         let report = supervisor.report(key, has_changed)?;
+        supervisor.record_report_sent(key, now_ms);
         if has_changed {
             *sent_upstream = supervisor.upstream().cloned();
         }
--- a/crates/node/src/entry/agent_links.rs
+++ b/crates/node/src/entry/agent_links.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use direct::{AgentHello, Report, ToAgent};
+use direct::{AgentHello, EntryMessage, Report, ToAgent};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -12,7 +12,7 @@
 use types::StepError;
 
 use crate::{
-    entry::state::EntryState,
+    entry::{link_progress::LinkProgress, state::EntryState},
     frames::{self, FrameRx, FrameTx},
     peer_links::{self, PeerHandler, PeerMessage},
 };
@@ -59,7 +59,7 @@
     peer: SocketAddr,
     state: &Rc<EntryState>,
 ) -> Result<(), StepError> {
-    let (tx, mut rx) = frames::split::<ToAgent, FirstMessage>(stream, peer)?;
+    let (tx, mut rx) = frames::split::<EntryMessage, FirstMessage>(stream, peer)?;
     let Ok(first) = timeout(HELLO_TIMEOUT, rx.next()).await else { return Ok(()) };
     match first? {
         FirstMessage::Agent(hello) => serve_agent(&hello, tx, rx.retype(), state).await,
@@ -72,57 +72,58 @@
 
 async fn serve_agent(
     hello: &AgentHello,
-    tx: FrameTx<ToAgent>,
+    tx: FrameTx<EntryMessage>,
     mut rx: FrameRx<Report>,
     state: &Rc<EntryState>,
 ) -> Result<(), StepError> {
     let (outbox, inbox) = mpsc::channel(OUTBOX_CAPACITY);
-    let (agent, connection_id) = state.on_agent_connected(hello, outbox);
+    let progress = Rc::new(LinkProgress::new(&state.timing));
+    let (agent, connection_id) = state.on_agent_connected(hello, outbox, Rc::clone(&progress));
     let read = async {
         loop {
             let report = rx.next().await?;
+            progress.record_report();
             state.on_agent_report(agent, connection_id, report);
         }
     };
     // The writer ends when the state drops the outbox: the agent was silent or has a new connection.
     let result = tokio::select! {
         result = read => result,
-        result = write(tx, inbox, state) => result,
+        result = write(tx, inbox, &progress, state) => result,
     };
     state.on_agent_disconnected(agent, connection_id, result.as_ref().err());
     result
 }
 
 async fn write(
-    mut tx: FrameTx<ToAgent>,
-    mut inbox: mpsc::Receiver<ToAgent>,
+    mut tx: FrameTx<EntryMessage>,
+    mut inbox: mpsc::Receiver<EntryMessage>,
+    progress: &LinkProgress,
     state: &EntryState,
 ) -> Result<(), StepError> {
-    let standby_heartbeat = Duration::from_millis(state.timing.standby_heartbeat_ms);
-    let mut heartbeat = standby_heartbeat;
     let mut sent_entries = Vec::new();
     loop {
-        match timeout(heartbeat, inbox.recv()).await {
-            Ok(Some(message)) => {
-                if let ToAgent::SetActive(is_active) = message {
-                    let active = Duration::from_millis(state.timing.heartbeat_ms);
-                    heartbeat = if is_active { active } else { standby_heartbeat };
+        let queued = tokio::select! {
+            biased;
+            queued = inbox.recv() => Some(queued),
+            () = progress.heartbeat_due() => None,
+        };
+        match queued {
+            Some(Some(message)) => {
+                if let ToAgent::SetActive(is_active) = message.message {
+                    progress.set_active(is_active);
                 }
                 tx.feed(&message).await?;
             }
-            Ok(None) => return Ok(()),
-            Err(_) => {
+            Some(None) => return Ok(()),
+            None => {
                 let entries = state.connected_entries();
-                let has_changed = entries != sent_entries;
-                tx.feed(&ToAgent::Heartbeat(if has_changed {
-                    entries.clone()
-                } else {
-                    Vec::new()
-                }))
-                .await?;
+                let news = if entries == sent_entries { Vec::new() } else { entries.clone() };
+                tx.feed(&progress.message(ToAgent::Heartbeat(news))).await?;
                 sent_entries = entries;
             }
         }
+        progress.record_sent();
         if inbox.is_empty() {
             tx.flush().await?;
         }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod agent_links;
 mod callers;
+mod link_progress;
 mod state;
 
 use std::{
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -10,9 +10,9 @@
 };
 
 use direct::{
-    Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello, JobKey,
-    JobName, JobOutcome, PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent,
-    choose_peers,
+    Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello,
+    EntryMessage, JobKey, JobName, JobOutcome, PoolCapacity, RefusalReason, Report, Routing,
+    Timing, ToAgent, choose_peers,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -26,6 +26,7 @@
 use crate::{
     DirectEntrySettings, ProcessSettings,
     clock::{self, SuspensionDetector},
+    entry::link_progress::LinkProgress,
     events::{Events, Level},
     http_server::ConnectionLimits,
     known_entries::KnownEntries,
@@ -68,7 +69,8 @@
 /// The current connection of an agent.
 struct Connection {
     id: u64,
-    outbox: mpsc::Sender<ToAgent>,
+    outbox: mpsc::Sender<EntryMessage>,
+    progress: Rc<LinkProgress>,
 }
 
 /// The configuration in force, decoded and as in the store.
@@ -254,7 +256,8 @@
     pub(crate) fn on_agent_connected(
         &self,
         hello: &AgentHello,
-        outbox: mpsc::Sender<ToAgent>,
+        outbox: mpsc::Sender<EntryMessage>,
+        progress: Rc<LinkProgress>,
     ) -> (AgentKey, u64) {
         let now_ms = self.now_ms();
         self.known_entries.add_all(&hello.entries);
@@ -268,8 +271,8 @@
             entries: self.connected_entries(),
         };
         // The outbox is new, so it has capacity.
-        let _ = outbox.try_send(ToAgent::Hello(reply));
-        self.agents.borrow_mut().insert(key, Connection { id, outbox });
+        let _ = outbox.try_send(progress.message(ToAgent::Hello(reply)));
+        self.agents.borrow_mut().insert(key, Connection { id, outbox, progress });
         self.emit_for_agent("agent_connected", key, &[("incarnation", json!(hello.incarnation))]);
         self.apply(effects);
         (key, id)
@@ -381,7 +384,7 @@
             self.events.emit(Level::Routine, "placed", &fields);
         }
         let result = match self.agents.borrow().get(&agent) {
-            Some(connection) => connection.outbox.try_send(message),
+            Some(connection) => connection.outbox.try_send(connection.progress.message(message)),
             None => return,
         };
         if result.is_err() {
