Settle the attempts at a replaced agent when the new one reports

Class: TWICE.

Cause: an entry that read a handshake with another incarnation settled all attempts at the agent as lost. A handshake that a path held up may be of an agent that has ended since; read after that of its successor, it made the entry start again what the successor runs.

Change: the entry replaces the incarnation with the first report on the connection, which the agent sends after it has read the entry's reply. The start elsewhere comes one round trip later.

--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -13,6 +13,9 @@
 pub(crate) struct AgentView {
     pub(crate) name: Arc<str>,
     pub(crate) incarnation: u64,
+    /// Incarnation named by the last handshake, if it is another one and has not reported yet: a
+    /// handshake that was held up may be of an agent that has ended since.
+    pub(crate) announced: Option<u64>,
     pub(crate) is_connected: bool,
     /// Whether the link is active, that is, the agent reports each change of its load.
     pub(crate) is_active: bool,
@@ -38,6 +41,7 @@
         Self {
             name,
             incarnation,
+            announced: None,
             is_connected: true,
             is_active: false,
             last_heard_ms: now_ms,
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -219,8 +219,8 @@
         Some(effects)
     }
 
-    /// Handles the handshake of an agent; settles the attempts at an earlier incarnation as lost.
-    /// Returns the agent's key and its attempts without an outcome.
+    /// Handles the handshake of an agent. Returns the agent's key and its attempts without an
+    /// outcome; those at another incarnation are settled as lost when this one reports.
     pub fn on_agent_hello(
         &mut self,
         hello: &AgentHello,
@@ -242,16 +242,29 @@
         self.links.active.remove(&key);
         let view = &mut self.agents[index];
         view.on_connected(now_ms);
-        if view.incarnation != hello.incarnation {
-            view.incarnation = hello.incarnation;
-            view.upstream = None;
-            // A restarted agent stops all runs that it finds before it connects.
-            effects.extend(self.settle_all(key, AttemptOutcome::Lost, now_ms));
+        view.announced = Some(hello.incarnation).filter(|number| *number != view.incarnation);
+        if view.announced.is_some() {
+            return (key, UnsettledAttempts::default(), effects);
         }
         self.activate_at_rest(key, now_ms, &mut effects);
         (key, self.unsettled_at(key), effects)
     }
 
+    /// Replaces the incarnation of an agent by the announced one, if there is one.
+    fn replace_incarnation(
+        &mut self,
+        key: AgentKey,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
+        let view = &mut self.agents[key.0 as usize];
+        let Some(incarnation) = view.announced.take() else { return };
+        view.incarnation = incarnation;
+        view.upstream = None;
+        // A restarted agent stops all runs that it finds before it connects.
+        effects.extend(self.settle_all(key, AttemptOutcome::Lost, now_ms));
+    }
+
     /// Returns the attempts at an agent without an outcome, by whether their jobs are answered.
     fn unsettled_at(&self, key: AgentKey) -> UnsettledAttempts {
         let ids = self.agents[key.0 as usize].attempts.iter().copied();
@@ -281,7 +294,11 @@
         now_ms: u64,
     ) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
-        let Some(view) = self.agents.get_mut(key.0 as usize) else { return effects };
+        if self.agents.get(key.0 as usize).is_none() {
+            return effects;
+        }
+        self.replace_incarnation(key, now_ms, &mut effects);
+        let view = &mut self.agents[key.0 as usize];
         view.on_report(report.load, now_ms);
         if let Some(upstream) = report.upstream {
             let is_new = view
