--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -98,6 +98,7 @@
         let fields = [
             ("callers", json!(settings.callers.to_string())),
             ("links", json!(settings.links.to_string())),
+            ("advertised_links", json!(state.links.to_string())),
             ("readiness", json!(settings.readiness.to_string())),
         ];
         state.events.emit(Level::Notable, "start", &fields);
@@ -111,8 +112,8 @@
         tasks.spawn_local(dial_peers(Rc::clone(&state)));
         tasks.spawn_local(config_watch::follow(store.clone(), apply));
         let name = settings.process.name.as_ref().into();
-        tasks.spawn_local(directory::announce(store.clone(), name, settings.links));
-        tasks.spawn_local(directory::follow(store.clone(), known_entries, Some(settings.links)));
+        tasks.spawn_local(directory::announce(store.clone(), name, state.links));
+        tasks.spawn_local(directory::follow(store.clone(), known_entries, Some(state.links)));
         tasks.spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
         if let Some(watch) = watch {
             let (events, settings_state) = (Rc::clone(&state.events), Rc::clone(&state));
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -44,7 +44,7 @@
     pub(crate) timing: Timing,
     /// Start of the process, Unix milliseconds.
     pub(crate) incarnation: u64,
-    /// Address at which agents and other entries connect.
+    /// Address under which agents and other entries connect.
     pub(crate) links: SocketAddr,
     pub(crate) known_entries: Rc<KnownEntries>,
     pub(crate) events: Rc<Events>,
@@ -89,11 +89,12 @@
 impl EntryState {
     pub(crate) fn new(settings: &DirectEntrySettings) -> Rc<Self> {
         let process = &settings.process;
-        let known_entries = Rc::new(KnownEntries::from_seeds(process, Some(settings.links)));
+        let links = settings.advertised_links.unwrap_or(settings.links);
+        let known_entries = Rc::new(KnownEntries::from_seeds(process, Some(links)));
         Rc::new(Self {
             timing: process.timing,
             incarnation: clock::unix_ms(),
-            links: settings.links,
+            links,
             known_entries,
             events: Events::start(&process.name, process.log_decisions),
             name: Arc::clone(&process.name),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,10 @@
         pub readiness: SocketAddr,
         /// Address at which agents and other entries connect.
         pub links: SocketAddr,
+        /// Address under which they reach `links`, if it is another one, for example behind an
+        /// address translation or a proxy.
+        #[serde(default)]
+        pub advertised_links: Option<SocketAddr>,
     }
 
     /// Settings of an agent for direct jobs.
--- a/crates/node/tests/system/support.rs
+++ b/crates/node/tests/system/support.rs
@@ -198,6 +198,7 @@
         callers: ANY_PORT,
         readiness: ANY_PORT,
         links: ANY_PORT,
+        advertised_links: None,
     };
     start_process(move |ready, stop| async move {
         let entry = DirectEntry::bind(settings).await?;
