Dial an entry for an hour after its connections failed, instead of 40 s

Class: an outage leaves a lasting loss.

Cause: after 120 failed attempts, about 40 to 50 s, an agent removes the address of an entry. Nothing tells it again: the store lists new records only, and entries send their lists when these change. A partition of a minute leaves agent and entry apart until one of them restarts.

Change: 2,000 attempts, the later ones every 1 to 2 s. Entries forget each other as before: an address that cannot be reached would take the place of a reachable peer at every attempt, and agents tell them the addresses again when they connect.

Test: an_entry_is_dialled_until_long_after_a_partition, red before (attempts end after 17 to 37 s of pauses). The real partition is left to the soak."

--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -34,8 +34,13 @@
 /// milliseconds.
 const SOON_ATTEMPTS: u32 = 40;
 const LONG_PAUSE_MS: u64 = 400;
-/// Consecutive failed attempts after which an address is removed.
-const MAX_FAILED_ATTEMPTS: u32 = 120;
+/// Failed attempts after which an entry is probably cut off or gone for good, and the pause then,
+/// milliseconds.
+const RARE_ATTEMPTS: u32 = 120;
+const RARE_PAUSE_MS: u64 = 2_000;
+/// Consecutive failed attempts after which an address is removed, after half an hour at least:
+/// nothing tells an agent that was cut off the addresses of before again.
+const MAX_FAILED_ATTEMPTS: u32 = 2_000;
 
 /// Keeps a connection to an entry open and reconnects when it is lost; returns after
 /// [`MAX_FAILED_ATTEMPTS`], when the address is removed from the known entries.
@@ -73,6 +78,9 @@
 
 /// Returns the pause after a failed attempt to connect to one of `unconnected` entries.
 fn pause_ms(failures: u32, unconnected: usize) -> u64 {
+    if failures >= RARE_ATTEMPTS {
+        return RARE_PAUSE_MS;
+    }
     if failures >= SOON_ATTEMPTS {
         return LONG_PAUSE_MS;
     }
@@ -144,3 +152,6 @@
         let _ = timeout(state.heartbeat(key), wake.notified()).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
