Plan a step up to its first task without an agent, and limit the tasks of a job

Cause: each event chose an agent for each waiting task of the job, although the tasks of a step differ only in the agents that they avoid: what one without a failure does not find, none finds.

Change: the plan of a step ends at the first such task; its result is the same. Jobs of more than max_job_tasks (default 10,000, today's largest have 370) are rejected with 413 before any work.

Tests: a_task_that_avoids_the_only_free_agent_does_not_hold_up_the_others_of_its_step, a case of invalid_requests.

--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -102,6 +102,11 @@
         self.has_run || self.outstanding > 0
     }
 
+    /// Returns whether a task may be sent to every agent, because it has failed on none.
+    pub(crate) fn avoids_no_agent(&self, step: u16, task: u32) -> bool {
+        self.histories.get(&(step, task)).is_none_or(|history| history.avoided.is_empty())
+    }
+
     /// Returns the maximum number of crashes that one of its tasks has shared.
     pub(crate) fn shared_crashes(&self) -> u32 {
         self.histories.values().map(|history| history.crashes).max().unwrap_or(0)
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -171,8 +171,16 @@
     fn plan_step(&self, state: &JobState, step: u16, requirements: &TaskRequirements) -> StepPlan {
         let mut planned: Vec<(AgentKey, u32)> = Vec::new();
         let mut plan = StepPlan { tasks_by_agent: IndexMap::new(), unplaced: Vec::new() };
+        let mut is_exhausted = false;
         for &task in state.steps[usize::from(step)].pending.iter().rev() {
-            let Some(agent) = self.choose_agent(state, step, task, requirements, &planned) else {
+            let agent = if is_exhausted {
+                None
+            } else {
+                self.choose_agent(state, step, task, requirements, &planned)
+            };
+            let Some(agent) = agent else {
+                // Tasks of a step differ only in the agents that they avoid.
+                is_exhausted |= state.avoids_no_agent(step, task);
                 plan.unplaced.push(task);
                 continue;
             };
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -230,6 +230,18 @@
     assert_eq!(job_outcomes(&effects), [JobOutcome::Failed]);
 }
 
+#[test]
+fn a_task_that_avoids_the_only_free_agent_does_not_hold_up_the_others_of_its_step() {
+    let (mut dispatcher, keys) = dispatcher(&[("a", 1), ("b", 1)]);
+    let submitted = DirectJob { caller_timeout_ms: 10_000, allowance_ms: 5_000, ..job("j", 3) };
+    let (_, effects) = dispatcher.submit(submitted, 0);
+    let placed = attempts(&effects);
+    let (_, id) = placed.into_iter().find(|(agent, _)| *agent == keys[0]).expect("one is at a");
+    let effects = settle(&mut dispatcher, keys[0], 1, &[(id, AttemptOutcome::Failed)], 10);
+    assert_eq!(batches(&effects).len(), 1, "the task that has not started goes to a");
+    assert_eq!(batches(&effects)[0].1.attempts[0].run, 1);
+}
+
 #[test]
 fn a_failed_task_is_retried_where_it_failed_if_no_other_agent_accepts_tasks() {
     let (mut dispatcher, _) = dispatcher(&[("a", 4)]);
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -95,6 +95,11 @@
         Err((status, cause)) => return reject(state, head.uri.path(), status, &cause),
     };
     match decode_job(id, queue, &body, caller_timeout_ms) {
+        Ok(job) if job.task_count() > state.max_job_tasks => {
+            let (tasks, most) = (job.task_count(), state.max_job_tasks);
+            let cause = format!("the job has {tasks} tasks; at most {most} are accepted");
+            reject(state, head.uri.path(), 413, &cause)
+        }
         Ok(job) => run(state, job, routing.version).await,
         Err(e @ JobError::Malformed(_)) => reject(state, head.uri.path(), 400, &e.to_string()),
         Err(e @ JobError::Unsupported(_)) => reject(state, head.uri.path(), 503, &e.to_string()),
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -46,6 +46,8 @@
     pub(crate) incarnation: u64,
     /// Address under which agents and other entries connect.
     pub(crate) links: SocketAddr,
+    /// Most tasks of a job.
+    pub(crate) max_job_tasks: u64,
     pub(crate) known_entries: Rc<KnownEntries>,
     pub(crate) events: Rc<Events>,
     name: Arc<str>,
@@ -95,6 +97,7 @@
             timing: process.timing,
             incarnation: clock::unix_ms(),
             links,
+            max_job_tasks: settings.max_job_tasks,
             known_entries,
             events: Events::start(&process.name, process.log_decisions),
             name: Arc::clone(&process.name),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -21,6 +21,9 @@
         /// address translation or a proxy.
         #[serde(default)]
         pub advertised_links: Option<SocketAddr>,
+        /// Most tasks of a job, over all its steps; larger jobs are rejected.
+        #[serde(default = "default_max_job_tasks")]
+        pub max_job_tasks: u64,
     }
 
     /// Settings of an agent for direct jobs.
@@ -77,6 +80,11 @@
     }
 }
 
+/// Far above the largest jobs of today, which have 370 tasks.
+fn default_max_job_tasks() -> u64 {
+    10_000
+}
+
 fn default_log_decisions() -> bool {
     true
 }
@@ -124,6 +132,7 @@
 impl Validate for DirectEntrySettings {
     fn validate(&self, errors: &mut InvalidFields) {
         self.process.validate(errors);
+        errors.require(self.max_job_tasks > 0, "max_job_tasks", "must be positive");
     }
 }
 
--- a/crates/node/tests/system/invalid_requests.rs
+++ b/crates/node/tests/system/invalid_requests.rs
@@ -1,5 +1,5 @@
 use reqwest::StatusCode;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::support::{Fleet, job, run, send};
 
@@ -9,6 +9,9 @@
 fn invalid_requests_get_a_status_and_an_error_and_start_no_tasks() {
     let valid = job(1).to_string();
     let too_large = "x".repeat(10_001);
+    let too_many_tasks = json!({ "bestEffort": true,
+        "steps": [{ "count": 50, "cpu": 1_000 }, { "count": 51, "cpu": 1_000 }] });
+    let too_many_tasks = too_many_tasks.to_string();
     let cases = [
         ("POST", ID, "{", StatusCode::BAD_REQUEST),
         ("POST", ID, "[]", StatusCode::BAD_REQUEST),
@@ -20,6 +23,7 @@
         ("POST", "/k/5c0e7a21d94b36f8", &valid, StatusCode::NOT_FOUND),
         ("PUT", ID, &valid, StatusCode::METHOD_NOT_ALLOWED),
         ("POST", ID, &too_large, StatusCode::PAYLOAD_TOO_LARGE),
+        ("POST", ID, &too_many_tasks, StatusCode::PAYLOAD_TOO_LARGE),
         ("POST", ID, r#"{"steps":[{"count":1}]}"#, StatusCode::SERVICE_UNAVAILABLE),
     ];
     run(async {
--- a/crates/node/tests/system/support.rs
+++ b/crates/node/tests/system/support.rs
@@ -199,6 +199,7 @@
         readiness: ANY_PORT,
         links: ANY_PORT,
         advertised_links: None,
+        max_job_tasks: 100,
     };
     start_process(move |ready, stop| async move {
         let entry = DirectEntry::bind(settings).await?;
