Add a relay that delays, holds up, throttles or resets connections

For tests and the soak: a stand-in for the path between two processes, with faults for each direction that apply to all, to new or to selected connections. The relay of the system tests stays for now.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,5 +1,5 @@
-//! Emulated back ends for tests and load runs: the platform's append-only log, its workers
-//! and its executors.
+//! Emulated back ends for tests and load runs: the platform's append-only log, its workers and
+//! its executors, and a relay that disturbs the connections between processes.
 //!
 //! Each is an HTTP server that keeps its state in memory and into which faults can be injected
 //! while it runs. [`LogServer`] and [`FakeExecutor`] speak the published protocol of the platform;
@@ -24,6 +24,7 @@
 mod log_store;
 mod platform_fake;
 mod processor;
+mod relay;
 mod reply;
 mod run_headers;
 mod run_options;
@@ -48,6 +49,7 @@
     log_settings::LogSettings,
     platform_fake::{FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, LogServer, RunLedger},
     processor::{Capacity, Processor},
+    relay::{PathFault, Relay, RelayFaults},
     start_counts::{StartCount, StartsBody},
     task_control::TaskControl,
     worker_faults::WorkerFaults,
