Start no run that an earlier lease would protect beyond its limit

Callers saw: nothing yet; found while proving the bound on late starts. Class: TWICE.

Cause: all runs of an upstream share a lease, and a lease never gets shorter. A start whose entry was last known to live 230 ms ago or more joined a lease granted just before, which ends 1,000 ms from then; if the entry was killed and its stops got no answer, the run went on for up to 320 ms after the 1,300 ms after which callers resubmit.

Change: a run starts only if the leases granted so far end by its limit; otherwise it is settled as not started, and the entry, which has a fresh report by then, sends it again. Without runs no lease is granted, so the first start on an idle upstream finds none. All runs now end resend_ms (1,300 ms) after the last report that their entry has read, and entries settle attempts at a silent agent then (1,620 ms before).

Three tests assumed leases without runs or a silent agent whose attempts are still outstanding after 1,490 ms; they start a run, or let the agent report, and check the same.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -152,8 +152,9 @@
     ///
     /// All runs share the lease, so it ends in time for each of them: a run that no stop reaches
     /// must not outlive the limit that follows from the last time at which its entry wanted it.
+    /// Without runs none is granted, because it would protect the next run beyond its limit.
     pub fn lease_end_ms(&self, now_ms: u64) -> Option<u64> {
-        if !self.is_open || !self.is_responsive() {
+        if !self.is_open || !self.is_responsive() || self.runs.is_empty() {
             return None;
         }
         let wanted_ms = self.runs.values().filter_map(|run| self.wanted_until_ms(run));
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -30,10 +30,10 @@
         }
         let was_isolated = self.isolation.is_some();
         let mut is_refused = false;
-        let is_recent = self.may_start_for(key, now_ms);
+        let may_start = self.may_start_for(key, now_ms) && self.keeps_run_limit(key);
         for attempt in &batch.attempts {
             let task = batch.task(attempt);
-            if is_recent
+            if may_start
                 && self.accepts_attempts()
                 && !self.is_isolated_from(&batch.job)
                 && self.has_capacity(batch.need)
@@ -76,13 +76,24 @@
         effects
     }
 
+    /// Returns whether a run of an entry that starts now would end by its limit although the leases
+    /// that were granted before protect it too.
+    fn keeps_run_limit(&self, key: SessionKey) -> bool {
+        let mut sessions = self.sessions.values();
+        let proven_ms = sessions.find(|(known, _)| *known == key).map(|(_, s)| s.proven_ms);
+        let granted_end_ms = self.leases.last_ms() + self.timing.lease_ms;
+        proven_ms.is_some_and(|ms| granted_end_ms <= ms + self.timing.run_limit_ms())
+    }
+
     /// Returns whether a start may still be sent: its run waits for it, and its entry wanted it
     /// recently. To be asked immediately before sending, because a start may wait for its turn.
     pub fn may_send_start(&self, task: &TaskId, number: u32, now_ms: u64) -> bool {
         self.runs.get(task).is_some_and(|run| {
             run.number == number
                 && matches!(run.phase, Phase::Starting { .. })
-                && run.attempt.is_some_and(|(key, _)| self.may_start_for(key, now_ms))
+                && run.attempt.is_some_and(|(key, _)| {
+                    self.may_start_for(key, now_ms) && self.keeps_run_limit(key)
+                })
         })
     }
 
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -115,10 +115,9 @@
     }
 
     /// Returns the time from an agent's last report until all runs of the entry that read it have
-    /// ended, milliseconds: a start within its maximum age finds a lease that was granted then at
-    /// the latest, and every later lease keeps to the limit of the run.
+    /// ended, milliseconds: no lease protects a run beyond its limit.
     pub fn lost_after_ms(&self) -> u64 {
-        self.resend_ms.max(self.max_start_age_ms() + self.lease_end_ms())
+        self.resend_ms
     }
 
     /// Checks that the runs of a failed entry end before its callers resubmit their jobs.
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -167,9 +167,11 @@
 
 #[test]
 fn a_job_with_an_outstanding_attempt_is_never_reported_as_not_run() {
-    let (mut dispatcher, _) = dispatcher(&[("a", 1)]);
+    let (mut dispatcher, keys) = dispatcher(&[("a", 1)]);
     let (_, effects) = dispatcher.submit(job("j", 2), 0);
     assert_eq!(attempts(&effects).len(), 1);
+    // The agent lives, so the attempt stays outstanding.
+    dispatcher.on_report(keys[0], report(None, cores(0), 1), 1_200);
     let effects = dispatcher.tick(1_490);
     assert_eq!(job_outcomes(&effects), [JobOutcome::TimedOut]);
     assert_eq!(stops(&effects).len(), 1);
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -288,9 +288,34 @@
     assert_eq!(supervisor.lease_end_ms(3), None);
     supervisor.on_stop_result(&task("j", 0), 1, true, 4);
     supervisor.on_run_list(&run_list(5, &[]));
+    let none = UnsettledAttempts::default();
+    let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, 6, 6);
+    supervisor.on_attempts(entry, &batch("k", &[1], cores(1)), 6);
     assert_eq!(supervisor.lease_end_ms(6), Some(6 + Timing::default().lease_ms));
 }
 
+/// Guards against a run that a lease from before its start protects beyond its limit: its entry is
+/// killed, its stops get no answer, and its job has been resubmitted.
+#[test]
+fn no_earlier_lease_protects_a_run_beyond_its_limit() {
+    let timing = Timing::default();
+    let mut agent = agent();
+    assert_eq!(agent.supervisor.lease_end_ms(12), None, "nothing runs that needs a lease");
+    // The entry has read the handshake of 10 ms and nothing since.
+    let latest_ms = 10 + timing.run_limit_ms() - timing.lease_ms;
+    for (n, granted_ms) in [(1, latest_ms), (2, latest_ms + 1)] {
+        agent.supervisor.record_lease_sent(granted_ms);
+        agent.supervisor.record_lease_call_end(granted_ms, true);
+        assert!(granted_ms + 1 < 10 + timing.max_start_age_ms());
+        let batch = batch(&format!("j{n}"), &[n], cores(1));
+        let effects = agent.supervisor.on_attempts(agent.entry, &batch, granted_ms + 1);
+        let is_started = effects.into_iter().filter_map(as_start).count() == 1;
+        assert_eq!(is_started, granted_ms == latest_ms, "after a lease at {granted_ms} ms");
+    }
+    assert_eq!(agent.outcomes(), [(AttemptId(2), AttemptOutcome::NotStarted)]);
+    assert!(!agent.supervisor.may_send_start(&task("j1", 0), 1, latest_ms + 2));
+}
+
 /// Guards against a stop that waits for the session of a killed entry to time out, although its
 /// process is known to be gone.
 #[test]
@@ -409,6 +434,7 @@
 #[test]
 fn single_unanswered_calls_do_not_make_the_upstream_unresponsive() {
     let mut agent = agent();
+    agent.starts("k", &[2], 1);
     agent.supervisor.on_call_timeout(100);
     agent.supervisor.on_call_timeout(400);
     assert!(agent.supervisor.lease_end_ms(410).is_some());
