Give the soak a network

Relays stand between agents and entries, callers and entries, agents and executors, and all processes and the store: resets, cuts of one direction or both whose bytes arrive later, delays, throttled bandwidth, and a delay that grows before the other direction is cut. They last for a random part of the connections, or for all and for new ones.

--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -6,10 +6,14 @@
 
 mod caller;
 mod faults;
+mod network;
 mod process;
 mod system;
 
-use std::{env, time::Duration};
+use std::{
+    env,
+    time::{Duration, Instant},
+};
 
 use crate::{
     faults::Fault,
@@ -39,8 +43,10 @@
         let sequences = env_number("SOAK_FAULTS", DEFAULT_FAULTS);
         let injected =
             faults::inject_all(&system, seed, sequences, Duration::from_secs(seconds)).await;
+        let last_fault = Instant::now();
         let jobs = callers.finish().await;
         system.until_serving().await;
+        println!("seed {seed}: all entries serve {:?} after the last fault", last_fault.elapsed());
         let ledger = &system.ledger;
         println!(
             "seed {seed}: {} faults {injected:?}; {} jobs, {} succeeded, {} refused, {} unknown; {} runs",
