Let the processes of the soak bind other ports at each start

The soak pinned the ports that a process had bound first; while the process was down, an outgoing connection of another one took its port. Not a fault of the product.

Change: the relays keep the addresses, and each start directs them to the new ports.

--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -44,9 +44,12 @@
         let injected =
             faults::inject_all(&system, seed, sequences, Duration::from_secs(seconds)).await;
         let last_fault = Instant::now();
-        let jobs = callers.finish().await;
-        system.until_serving().await;
-        println!("seed {seed}: all entries serve {:?} after the last fault", last_fault.elapsed());
+        let serving = async {
+            system.until_serving().await;
+            last_fault.elapsed()
+        };
+        let (jobs, recovery) = tokio::join!(callers.finish(), serving);
+        println!("seed {seed}: all entries served again {recovery:?} after the last fault");
         let ledger = &system.ledger;
         println!(
             "seed {seed}: {} faults {injected:?}; {} jobs, {} succeeded, {} refused, {} unknown; {} runs",
--- a/crates/ebonycroft/tests/soak/process.rs
+++ b/crates/ebonycroft/tests/soak/process.rs
@@ -2,34 +2,35 @@
     env,
     fs::File,
     io::{BufRead, BufReader, Write},
-    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::Arc,
 };
 
+use emulator::Relay;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
-/// A role of the program as a child process, started from a settings file.
+/// A role of the program as a child process, started from a settings file. It binds other ports at
+/// each start, because another process may have taken the earlier ones; relays lead to them.
 pub(crate) struct Process {
     role: &'static str,
     settings: PathBuf,
+    /// Relays to the addresses that the process binds, by the field of the `start` line.
+    relays: Vec<(&'static str, Arc<Relay>)>,
     child: Child,
-    /// Fields of the `start` line, the first that the process prints.
-    start: Value,
 }
 
 impl Process {
-    /// Starts a role and waits for its `start` line, which names the addresses that it has bound.
-    pub(crate) fn start(role: &'static str, settings: &Path) -> Self {
-        let (child, start) = spawn(role, settings);
-        Self { role, settings: settings.to_owned(), child, start }
-    }
-
-    /// Returns an address that the process has bound, by its field in the `start` line.
-    pub(crate) fn addr(&self, name: &str) -> SocketAddr {
-        let text = self.start.get(name).and_then(Value::as_str);
-        text.and_then(|text| text.parse().ok()).expect("the line start has the address")
+    /// Starts a role, waits for its `start` line, which names the addresses that it has bound, and
+    /// lets the relays lead there.
+    pub(crate) fn start(
+        role: &'static str,
+        settings: &Path,
+        relays: Vec<(&'static str, Arc<Relay>)>,
+    ) -> Self {
+        let child = spawn(role, settings, &relays);
+        Self { role, settings: settings.to_owned(), relays, child }
     }
 
     /// Returns the process id.
@@ -54,7 +55,7 @@
 
     /// Starts the process again after its exit.
     pub(crate) fn restart(&mut self) {
-        (self.child, self.start) = spawn(self.role, &self.settings);
+        self.child = spawn(self.role, &self.settings, &self.relays);
     }
 }
 
@@ -66,9 +67,9 @@
     }
 }
 
-/// Starts a role and returns it with its `start` line. A thread reads the lines after it, and writes
-/// them to a file in the folder `SOAK_LOGS`, if that is set.
-fn spawn(role: &'static str, settings: &Path) -> (Child, Value) {
+/// Starts a role and directs the relays to the addresses in its `start` line. A thread reads the
+/// lines after it, and writes them to a file in the folder `SOAK_LOGS`, if that is set.
+fn spawn(role: &'static str, settings: &Path, relays: &[(&'static str, Arc<Relay>)]) -> Child {
     let mut child = Command::new(env!("CARGO_BIN_EXE_ebonycroft"))
         .args([role, "--config"])
         .arg(settings)
@@ -78,7 +79,11 @@
     let mut lines = BufReader::new(child.stdout.take().expect("its output is piped"));
     let mut first = String::new();
     lines.read_line(&mut first).expect("the first line can be read");
-    let start = serde_json::from_str(&first).expect("the first line is an object");
+    let start: Value = serde_json::from_str(&first).expect("the first line is an object");
+    for (field, relay) in relays {
+        let addr = start.get(field).and_then(Value::as_str).and_then(|text| text.parse().ok());
+        relay.set_target(addr.expect("the line start has the address"));
+    }
     let mut log = env::var("SOAK_LOGS").ok().map(|dir| open_log(&dir, settings));
     std::thread::spawn(move || {
         for line in lines.lines().map_while(Result::ok) {
@@ -87,7 +92,7 @@
             }
         }
     });
-    (child, start)
+    child
 }
 
 /// Opens the file for the lines of the process with these settings, which goes on over restarts.
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -18,6 +18,8 @@
     process::Process,
 };
 
+/// Loopback address with port 0, so that a listener gets a free port.
+const ANY_PORT: &str = "127.0.0.1:0";
 /// One process in so many is an entry.
 const PROCESSES_PER_ENTRY: usize = 6;
 const MIN_ENTRIES: usize = 2;
@@ -36,14 +38,14 @@
     pub(crate) entries: Vec<Mutex<Process>>,
     pub(crate) agents: Vec<Mutex<Process>>,
     /// Relays between agents and each entry.
-    pub(crate) link_relays: Vec<Relay>,
+    pub(crate) link_relays: Vec<Arc<Relay>>,
     /// Relays between callers and each entry.
-    pub(crate) caller_relays: Vec<Relay>,
+    pub(crate) caller_relays: Vec<Arc<Relay>>,
     /// Relays between each agent and its executor.
-    pub(crate) executor_relays: Vec<Relay>,
+    pub(crate) executor_relays: Vec<Arc<Relay>>,
     /// Relay between all processes and the store.
-    pub(crate) store_relay: Relay,
-    /// Addresses of the entries for callers; they stay the same over restarts.
+    pub(crate) store_relay: Arc<Relay>,
+    /// Addresses of the entries for callers: those of their relays.
     pub(crate) callers: Arc<Mutex<Vec<SocketAddr>>>,
     _heartbeats: Vec<JoinHandle<()>>,
     dir: PathBuf,
@@ -55,7 +57,7 @@
         let entry_count = (processes / PROCESSES_PER_ENTRY).max(MIN_ENTRIES);
         let dir = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a folder can be made");
-        let any_port = "127.0.0.1:0".parse().expect("it is an address");
+        let any_port = ANY_PORT.parse().expect("it is an address");
         let store =
             LogServer::start(LogSettings::default(), any_port).await.expect("a store starts");
         store.put_config(&config(1));
@@ -66,12 +68,10 @@
             (Vec::new(), Vec::new(), Vec::new());
         let mut executor_relays = Vec::new();
         for i in 0..entry_count {
-            let links = start_relay(None).await;
-            let entry = start_entry(&dir, i, store_relay.addr(), links.addr());
-            links.set_target(entry.addr("links"));
-            caller_relays.push(start_relay(Some(entry.addr("callers"))).await);
+            let (links, callers) = (start_relay(None).await, start_relay(None).await);
+            entries.push(start_entry(&dir, i, store_relay.addr(), &links, &callers));
+            caller_relays.push(callers);
             link_relays.push(links);
-            entries.push(entry);
         }
         for i in 0..processes - entry_count {
             let settings = FakeExecutorSettings {
@@ -84,13 +84,13 @@
             let executor = FakeExecutor::start(settings, ledger.clone()).await;
             let executor = executor.expect("an executor starts");
             let relay = start_relay(Some(executor.addr())).await;
-            let agent = start_agent(&dir, i, store_relay.addr(), relay.addr());
+            let control = start_relay(None).await;
+            heartbeats.push(executor.announce(control.addr()));
+            agents.push(start_agent(&dir, i, store_relay.addr(), relay.addr(), control));
             executor_relays.push(relay);
-            heartbeats.push(executor.announce(agent.addr("control")));
             executors.push(executor);
-            agents.push(agent);
         }
-        let callers = caller_relays.iter().map(Relay::addr).collect();
+        let callers = caller_relays.iter().map(|relay| relay.addr()).collect();
         let callers = Arc::new(Mutex::new(callers));
         let system = Self {
             store,
@@ -114,8 +114,8 @@
     pub(crate) async fn until_serving(&self) {
         let client = Client::builder().no_proxy().build().expect("a client can be built");
         let start = std::time::Instant::now();
-        for (i, entry) in self.entries.iter().enumerate() {
-            let addr = entry.lock().expect("no holder of the lock panics").addr("callers");
+        for (i, relay) in self.caller_relays.iter().enumerate() {
+            let addr = relay.addr();
             let mut n = 0_u64;
             loop {
                 n += 1;
@@ -145,48 +145,54 @@
         "priority": 1, "maxAttempts": 4, "stretchFactor": 4.0, "targetCompletionMs": 800 }] })
 }
 
-/// Starts a role, then writes the addresses in the fields `bound` that it has bound to its
-/// settings, so that later starts use them again.
-fn start_pinned(
+/// Starts a role with settings that are written to the folder.
+fn start(
     dir: &Path,
     role: &'static str,
     name: &str,
-    mut settings: serde_json::Value,
-    bound: &[&str],
+    settings: &serde_json::Value,
+    relays: Vec<(&'static str, Arc<Relay>)>,
 ) -> Process {
     let path = dir.join(format!("{name}.yaml"));
     fs::write(&path, settings.to_string()).expect("settings can be written");
-    let process = Process::start(role, &path);
-    for field in bound {
-        settings[*field] = process.addr(field).to_string().into();
-    }
-    fs::write(&path, settings.to_string()).expect("settings can be written");
-    process
+    Process::start(role, &path, relays)
 }
 
 fn process(name: &str, store: SocketAddr) -> serde_json::Value {
     json!({ "name": name, "store": { "address": store.to_string() }, "grace_ms": 6_000 })
 }
 
-async fn start_relay(target: Option<SocketAddr>) -> Relay {
+async fn start_relay(target: Option<SocketAddr>) -> Arc<Relay> {
     let relay = Relay::start().await.expect("a relay starts");
     if let Some(addr) = target {
         relay.set_target(addr);
     }
-    relay
+    Arc::new(relay)
 }
 
-fn start_entry(dir: &Path, i: usize, store: SocketAddr, relay: SocketAddr) -> Process {
+fn start_entry(
+    dir: &Path,
+    i: usize,
+    store: SocketAddr,
+    links: &Arc<Relay>,
+    callers: &Arc<Relay>,
+) -> Process {
     let name = format!("entry-{i}");
-    let any_port = "127.0.0.1:0";
-    let settings = json!({ "process": process(&name, store), "zone": "mid-a", "callers": any_port,
-        "readiness": any_port, "links": any_port, "advertised_links": relay.to_string() });
-    start_pinned(dir, "direct-entry", &name, settings, &["callers", "links", "readiness"])
+    let settings = json!({ "process": process(&name, store), "zone": "mid-a", "callers": ANY_PORT,
+        "readiness": ANY_PORT, "links": ANY_PORT, "advertised_links": links.addr().to_string() });
+    let relays = vec![("links", Arc::clone(links)), ("callers", Arc::clone(callers))];
+    start(dir, "direct-entry", &name, &settings, relays)
 }
 
-fn start_agent(dir: &Path, i: usize, store: SocketAddr, upstream: SocketAddr) -> Process {
+fn start_agent(
+    dir: &Path,
+    i: usize,
+    store: SocketAddr,
+    upstream: SocketAddr,
+    control: Arc<Relay>,
+) -> Process {
     let name = format!("agent-{i}");
-    let settings = json!({ "process": process(&name, store), "control": "127.0.0.1:0",
+    let settings = json!({ "process": process(&name, store), "control": ANY_PORT,
         "upstream": upstream.to_string() });
-    start_pinned(dir, "direct-agent", &name, settings, &["control"])
+    start(dir, "direct-agent", &name, &settings, vec![("control", control)])
 }
