Serve queues and callers without a timeout

Callers saw: on a queue without timeoutMs, a job of a caller that states no Deadline-Ms is never started.

Cause: a missing timeout is the largest number, and times were added without a check. In a debug build the entry panics ("attempt to add with overflow"); in a release build the sum wraps, and the job's time counts as over. Besides, the usual timeout of such a queue's callers counted as infinite, so that every caller with a timeout passed for one that had waited for ages.

Change: the sums saturate, and without a timeout of the queue no age is derived. For other queues nothing changes.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -30,7 +30,7 @@
             clippy::cast_sign_loss
         )]
         let chain_ms = (job.longest_chain_ms() as f64 * job.stretch) as u64;
-        let objective_ms = chain_ms + job.allowance_ms;
+        let objective_ms = chain_ms.saturating_add(job.allowance_ms);
         let share_ms = |share: f64| {
             #[allow(
                 clippy::cast_precision_loss,
@@ -52,11 +52,11 @@
             name: job.name(),
             arrived_ms: now_ms,
             objective_ms,
-            objective_at_ms: (now_ms + objective_ms).saturating_sub(age_ms),
-            is_late: age_ms + job.longest_chain_ms() > objective_ms,
-            deadline_ms: now_ms + job.caller_timeout_ms,
-            refuse_at_ms: now_ms + share_ms(MAX_WAIT_SHARE),
-            refuse_at_brief_ms: now_ms + share_ms(MAX_BRIEF_WAIT_SHARE),
+            objective_at_ms: now_ms.saturating_add(objective_ms).saturating_sub(age_ms),
+            is_late: age_ms.saturating_add(job.longest_chain_ms()) > objective_ms,
+            deadline_ms: now_ms.saturating_add(job.caller_timeout_ms),
+            refuse_at_ms: now_ms.saturating_add(share_ms(MAX_WAIT_SHARE)),
+            refuse_at_brief_ms: now_ms.saturating_add(share_ms(MAX_BRIEF_WAIT_SHARE)),
             steps,
             histories: IndexMap::new(),
             outstanding: 0,
--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -68,7 +68,8 @@
         step: &JobStep,
         now_ms: u64,
     ) -> TaskRequirements {
-        let worthless_at_ms = state.objective_at_ms + 2 * state.objective_ms;
+        let worthless_at_ms =
+            state.objective_at_ms.saturating_add(state.objective_ms.saturating_mul(2));
         let end_ms =
             if state.is_late { state.deadline_ms } else { worthless_at_ms.min(state.deadline_ms) };
         #[allow(clippy::cast_precision_loss)]
--- a/crates/direct/src/dispatcher/caller_age.rs
+++ b/crates/direct/src/dispatcher/caller_age.rs
@@ -32,6 +32,10 @@
     /// Returns how long the caller of a job has probably waited before this submission,
     /// milliseconds.
     pub(crate) fn observe(&mut self, job: &DirectJob) -> u64 {
+        // Without a timeout of the queue, nothing tells how long its callers usually wait.
+        if job.queue_timeout_ms == u64::MAX {
+            return 0;
+        }
         let (stated_ms, queue_ms) = (ms(job.caller_timeout_ms), ms(job.queue_timeout_ms));
         let usual_ms = self.usual_ms.entry(Arc::clone(&job.kind)).or_insert(queue_ms);
         *usual_ms = usual_ms.min(queue_ms);
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -619,3 +619,17 @@
     assert!(attempts(&effects).is_empty() && job_outcomes(&effects).is_empty(), "{effects:?}");
     assert_eq!(dispatcher.cancel_job(&name, 30), None, "it is answered");
 }
+
+types::cases! {
+    // Guards against times that wrap around: a job without a limit counted as over at once.
+    fn a_queue_without_a_timeout_is_served(caller_timeout_ms: u64) {
+        let (mut dispatcher, _) = dispatcher(&[("a", 4)]);
+        let unlimited =
+            DirectJob { caller_timeout_ms, queue_timeout_ms: u64::MAX, ..job("j", 1) };
+        let (_, effects) = dispatcher.submit(unlimited, 100);
+        assert_eq!(attempts(&effects).len(), 1);
+        assert!(job_outcomes(&dispatcher.tick(120)).is_empty());
+    }
+    caller_without_a_timeout: (u64::MAX),
+    caller_with_a_timeout: (1_500),
+}
