Cap leases so that the next run can start within its limit

Callers saw: nothing yet; found while reading the change for other deployments.

Cause: a run starts only if the leases granted before end by its limit (1,225 ms after the last proof that its entry lives). Where the platform allows leases of more than that, a busy upstream would refuse nearly every start.

Change: a granted lease lasts at most the limit less one heartbeat, 1,025 ms with the present times, so nothing changes where the platform allows 1,000 ms.

Test: a_run_starts_beside_others_however_long_the_leases_may_be; with the uncapped lease the sums forbid the start at 3,000 and 60,000 ms (by arithmetic; the red run was not made).

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -159,7 +159,8 @@
         }
         let wanted_ms = self.runs.values().filter_map(|run| self.wanted_until_ms(run));
         let limit_ms = wanted_ms.min().map_or(u64::MAX, |ms| ms + self.timing.run_limit_ms());
-        Some(limit_ms.min(now_ms + self.timing.lease_ms)).filter(|end_ms| *end_ms > now_ms)
+        Some(limit_ms.min(now_ms + self.timing.granted_lease_ms()))
+            .filter(|end_ms| *end_ms > now_ms)
     }
 
     /// Returns the last time at which the entry of a run is known to have wanted it, milliseconds.
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -81,7 +81,7 @@
     fn keeps_run_limit(&self, key: SessionKey) -> bool {
         let mut sessions = self.sessions.values();
         let proven_ms = sessions.find(|(known, _)| *known == key).map(|(_, s)| s.proven_ms);
-        let granted_end_ms = self.leases.last_ms() + self.timing.lease_ms;
+        let granted_end_ms = self.leases.last_ms() + self.timing.granted_lease_ms();
         proven_ms.is_some_and(|ms| granted_end_ms <= ms + self.timing.run_limit_ms())
     }
 
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -8,7 +8,7 @@
     #[derive(Copy, Eq)]
     #[serde(default)]
     pub struct Timing {
-        /// Duration of a lease, which an upstream gets for all its runs together.
+        /// Maximum duration of a lease, which an upstream gets for all its runs together.
         pub lease_ms: u64,
         /// Time after which an agent stops the runs of an entry, counted from the sending of the
         /// agent's last report that the entry had read when it sent its last message.
@@ -88,10 +88,17 @@
 }
 
 impl Timing {
+    /// Returns the duration of the leases that are granted, milliseconds. A longer one would keep a
+    /// run whose entry was alive one heartbeat ago from starting within its limit.
+    pub fn granted_lease_ms(&self) -> u64 {
+        self.lease_ms.min(self.run_limit_ms().saturating_sub(self.heartbeat_ms))
+    }
+
     /// Returns the time from granting an upstream's last lease until all its runs have ended,
     /// milliseconds.
     pub fn lease_end_ms(&self) -> u64 {
-        self.lease_ms + self.lease_ms * LEASE_CLOCK_ERROR_PERCENT / 100 + self.stop_ms
+        let lease_ms = self.granted_lease_ms();
+        lease_ms + lease_ms * LEASE_CLOCK_ERROR_PERCENT / 100 + self.stop_ms
     }
 
     /// Returns the time from the last proof that an entry lives until all its runs have ended, if
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -316,6 +316,27 @@
     assert!(!agent.supervisor.may_send_start(&task("j1", 0), 1, latest_ms + 2));
 }
 
+/// Guards against an upstream that allows long leases and then starts nothing while it is busy, since
+/// each lease would protect the next run beyond its limit.
+#[test]
+fn a_run_starts_beside_others_however_long_the_leases_may_be() {
+    for lease_ms in [800, 1_000, 3_000, 60_000] {
+        let timing = Timing { lease_ms, ..Timing::default() };
+        assert_eq!(timing.check(), Ok(()));
+        let mut supervisor = Supervisor::new(timing, 0);
+        supervisor.on_heartbeat(upstream("u", 1), 1, 1);
+        supervisor.on_run_list(&run_list(1, &[]));
+        let none = UnsettledAttempts::default();
+        let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, 2, 2);
+        supervisor.on_attempts(entry, &batch("j", &[1], cores(1)), 2);
+        let now_ms = 2 + timing.heartbeat_ms;
+        assert!(supervisor.lease_end_ms(now_ms).is_some());
+        supervisor.record_lease_sent(now_ms);
+        let effects = supervisor.on_attempts(entry, &batch("k", &[2], cores(1)), now_ms);
+        assert_eq!(effects.into_iter().filter_map(as_start).count(), 1, "{lease_ms} ms");
+    }
+}
+
 /// Guards against a stop that waits for the session of a killed entry to time out, although its
 /// process is known to be gone.
 #[test]
