Log how old a request may be when an entry reads it

An entry's lines did not tell a request that was just sent from one that its path had held up: neither the connection of a request nor the time since the last response on it was in any line. The line accepted now names the connection, the time since its accept and the time since the last response on it, by the entry's own clock. A caller sends a request only after it has read the response before, so the request cannot be older than that; before the first response nothing is known.

--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -17,7 +17,12 @@
 };
 use serde_json::json;
 
-use crate::{clock, entry::state::EntryState, events::Level, http_server::HttpResponse};
+use crate::{
+    clock,
+    entry::state::EntryState,
+    events::Level,
+    http_server::{ConnectionActivity, HttpResponse},
+};
 
 /// Request header with the time that the caller waits for its answer, milliseconds.
 const CALLER_TIMEOUT_HEADER: &str = platform::CALLER_TIMEOUT_HEADER;
@@ -100,15 +105,25 @@
             let cause = format!("the job has {tasks} tasks; at most {most} are accepted");
             reject(state, head.uri.path(), 413, &cause)
         }
-        Ok(job) => run(state, job, routing.version).await,
+        Ok(job) => {
+            let activity = head.extensions.get::<ConnectionActivity>().copied();
+            run(state, job, routing.version, activity).await
+        }
         Err(e @ JobError::Malformed(_)) => reject(state, head.uri.path(), 400, &e.to_string()),
         Err(e @ JobError::Unsupported(_)) => reject(state, head.uri.path(), 503, &e.to_string()),
     }
 }
 
-async fn run(state: &Rc<EntryState>, job: direct::DirectJob, version: u64) -> Reply {
+async fn run(
+    state: &Rc<EntryState>,
+    job: direct::DirectJob,
+    version: u64,
+    activity: Option<ConnectionActivity>,
+) -> Reply {
     let (id, pool) = (job.id.to_string(), Arc::clone(&job.pool));
     let arrived_ms = clock::now_ms();
+    let age_ms = |ms: u64| arrived_ms.saturating_sub(ms);
+    let silent_ms = activity.and_then(|activity| activity.responded_ms).map(age_ms);
     let fields = [
         ("job", json!(id)),
         ("queue", json!(&*job.kind)),
@@ -116,6 +131,9 @@
         ("tasks", json!(job.task_count())),
         ("chain_ms", json!(job.longest_chain_ms())),
         ("patience_ms", json!(job.caller_timeout_ms)),
+        ("connection", json!(activity.map(|activity| activity.connection))),
+        ("connected_ms", json!(activity.map(|activity| age_ms(activity.accepted_ms)))),
+        ("silent_ms", json!(silent_ms)),
     ];
     state.events.emit(Level::Routine, "accepted", &fields);
     let (key, outcome_rx) = state.submit(job);
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -1,6 +1,8 @@
 //! HTTP/1.1 server on one thread, with a shutdown that completes the requests in progress.
 
-use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,6 +17,8 @@
 use tokio::{net::TcpListener, net::TcpStream, task::spawn_local};
 use types::{Peer, StepError};
 
+use crate::clock;
+
 /// A response with a body in memory.
 pub(crate) type HttpResponse = Response<Full<Bytes>>;
 
@@ -27,6 +31,20 @@
     pub(crate) idle_ms: u64,
 }
 
+types::plain! {
+    /// What has happened on a connection before a request, as an extension of the request. All times
+    /// are milliseconds on the process's clock.
+    #[derive(Copy, Eq)]
+    pub(crate) struct ConnectionActivity {
+        /// Number of the connection in the lifetime of the server.
+        pub(crate) connection: u64,
+        /// Time at which it was accepted.
+        pub(crate) accepted_ms: u64,
+        /// Time of the last response; `None` before the first one.
+        pub(crate) responded_ms: Option<u64>,
+    }
+}
+
 /// Smallest buffer size that the HTTP library accepts, bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Pause after a failed accept, milliseconds. The usual cause is a lack of file descriptors, which
@@ -47,17 +65,18 @@
 pub(crate) struct HttpServer {
     graceful: GracefulShutdown,
     is_closing: Rc<Cell<bool>>,
+    next_connection: Cell<u64>,
 }
 
 impl HttpServer {
     /// Creates a server without a listener. While `is_closing` is set, responses carry
     /// `Connection: close`, so that clients open a new connection for their next request.
     pub(crate) fn new(is_closing: Rc<Cell<bool>>) -> Self {
-        Self { graceful: GracefulShutdown::new(), is_closing }
+        Self { graceful: GracefulShutdown::new(), is_closing, next_connection: Cell::new(0) }
     }
 
     /// Accepts and serves connections until `stop` is ready. `limits` is evaluated for each
-    /// connection.
+    /// connection. Each request carries the [`ConnectionActivity`] as an extension.
     pub(crate) async fn accept_until<H, F>(
         &self,
         listener: &TcpListener,
@@ -101,15 +120,26 @@
             return;
         }
         let is_closing = Rc::clone(&self.is_closing);
-        let service = service_fn(move |req| {
+        let connection = self.next_connection.get();
+        self.next_connection.set(connection + 1);
+        let activity = Rc::new(Cell::new(ConnectionActivity {
+            connection,
+            accepted_ms: clock::now_ms(),
+            responded_ms: None,
+        }));
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(activity.get());
             let response = handle(req);
             let is_closing = Rc::clone(&is_closing);
+            let activity = Rc::clone(&activity);
             async move {
                 let mut response = response.await;
                 if is_closing.get() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                Ok::<_, std::convert::Infallible>(response)
+                let responded_ms = Some(clock::now_ms());
+                activity.set(ConnectionActivity { responded_ms, ..activity.get() });
+                Ok::<_, Infallible>(response)
             }
         });
         let conn = http1::Builder::new()
