Add failing tests of held-up requests that run beside their resubmission

Real processes; a relay holds up a request and the end of its connection while the caller gives up and sends the job to another entry 1.3 s later, then releases both, the end some 5 ms after the request.

--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -6,6 +6,7 @@
 mod decisions;
 mod direct_system;
 mod ending_entry;
+mod held_up_request;
 mod held_up_start;
 mod peers;
 mod reload;
