Hold jobs whose requests may have been held up until their end can arrive

Callers saw a task run twice: a request that its path had held up arrived with, or some ms before, the end of its connection, after its caller had sent the job to another entry. The entry started it, read the end, and stopped it.

The cause: an entry took a request for fresh because it had just arrived. A caller sends a request only after it has read the response before, so the entry knows by its own clock how old a request can be at most. If that is less than the resend time, less the time of a stop, the caller cannot have sent it again yet. Otherwise, and for the first request of a connection, of which nothing is known, nothing of the job starts for 10 ms. The event loop reads connections before it runs due timers, so an end that arrives in this time cancels the job first. One more turn of the loop was tried before and did not help: the end arrives some microseconds after the request, or a round trip.

An end that arrives later than 10 ms after its request still finds a run: a path that delays bytes for seconds instead of holding them up.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -61,6 +61,7 @@
             histories: IndexMap::new(),
             outstanding: 0,
             has_run: false,
+            is_held: false,
             waiters: vec![key],
             job,
         }
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -53,6 +53,8 @@
     /// Whether a task may have started: an attempt had an outcome other than `NotStarted` and
     /// `Unhealthy`.
     pub(crate) has_run: bool,
+    /// Whether nothing starts yet, because the caller may have gone.
+    pub(crate) is_held: bool,
     /// Submissions that wait for the outcome; the first one created the job.
     pub(crate) waiters: Vec<JobKey>,
 }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -167,6 +167,28 @@
     /// Accepts or refuses a submission. A submission with the name of an unanswered job joins that
     /// job and gets the same outcome.
     pub fn submit(&mut self, job: DirectJob, now_ms: u64) -> (JobKey, Vec<DispatcherEffect>) {
+        self.admit(job, false, now_ms)
+    }
+
+    /// Accepts or refuses a submission like [`Dispatcher::submit`]; nothing of an accepted job starts
+    /// before [`Dispatcher::release`].
+    pub fn submit_held(&mut self, job: DirectJob, now_ms: u64) -> (JobKey, Vec<DispatcherEffect>) {
+        self.admit(job, true, now_ms)
+    }
+
+    /// Lets the tasks of a held job start.
+    pub fn release(&mut self, key: JobKey, now_ms: u64) -> Vec<DispatcherEffect> {
+        let Some(state) = self.jobs.get_mut(&key) else { return Vec::new() };
+        state.is_held = false;
+        self.dispatch_queued(now_ms)
+    }
+
+    fn admit(
+        &mut self,
+        job: DirectJob,
+        is_held: bool,
+        now_ms: u64,
+    ) -> (JobKey, Vec<DispatcherEffect>) {
         let key = JobKey(self.next_job);
         self.next_job += 1;
         if let Some(state) =
@@ -184,7 +206,8 @@
         if let Some(outcome) = refusal {
             return (key, vec![DispatcherEffect::Answer(key, outcome)]);
         }
-        let state = self.new_state(job, key, now_ms);
+        let mut state = self.new_state(job, key, now_ms);
+        state.is_held = is_held;
         self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -113,6 +113,12 @@
         self.silence_ms
     }
 
+    /// Returns the age below which a request cannot have been sent again by the time at which a run
+    /// that it starts has been stopped, milliseconds.
+    pub fn max_request_age_ms(&self) -> u64 {
+        self.resend_ms.saturating_sub(self.call_ms + self.stop_ms)
+    }
+
     /// Returns the time from the last proof that an entry lives after which no lease may protect its
     /// runs any more, milliseconds: whatever happens to their stops, they end before the callers
     /// resubmit.
--- /dev/null
+++ b/crates/direct/tests/held_jobs.rs
@@ -0,0 +1,51 @@
+//! Jobs that start only when it is certain enough that their callers still wait.
+
+mod common;
+
+use common::{cores, job, report, upstream};
+use direct::{AgentHello, AgentKey, Dispatcher, DispatcherEffect, Timing, ToAgent};
+
+fn dispatcher() -> (Dispatcher, AgentKey) {
+    let mut dispatcher = Dispatcher::new(Timing::default(), "mid-a".into(), 1);
+    let hello = AgentHello { agent: "a".into(), incarnation: 1, entries: Vec::new() };
+    let (agent, _, _) = dispatcher.on_agent_hello(&hello, 0);
+    dispatcher.on_report(agent, report(Some(upstream("a", 1)), cores(8), 0), 0);
+    (dispatcher, agent)
+}
+
+fn starts(effects: &[DispatcherEffect]) -> usize {
+    let is_start =
+        |effect: &&DispatcherEffect| matches!(effect, DispatcherEffect::Send(_, ToAgent::Start(_)));
+    effects.iter().filter(is_start).count()
+}
+
+/// Guards against a start of a request that its path has held up, before the end of its connection
+/// could be read.
+#[test]
+fn nothing_of_a_held_job_starts_before_its_release() {
+    let (mut dispatcher, agent) = dispatcher();
+    let (key, effects) = dispatcher.submit_held(job("j", 1), 0);
+    assert_eq!(starts(&effects), 0);
+    assert_eq!(starts(&dispatcher.on_report(agent, report(None, cores(8), 0), 5)), 0);
+    assert_eq!(starts(&dispatcher.tick(6)), 0);
+    assert_eq!(starts(&dispatcher.release(key, 10)), 1);
+}
+
+/// Guards against a start for a caller who has gone while its job was held.
+#[test]
+fn a_held_job_whose_caller_has_gone_never_starts() {
+    let (mut dispatcher, _) = dispatcher();
+    let (key, _) = dispatcher.submit_held(job("j", 1), 0);
+    assert_eq!(starts(&dispatcher.cancel(key, 5)), 0);
+    assert_eq!(starts(&dispatcher.release(key, 10)), 0);
+    assert_eq!(starts(&dispatcher.tick(20)), 0);
+}
+
+/// Guards against a delay of other jobs beside a held one.
+#[test]
+fn a_held_job_does_not_delay_another_one() {
+    let (mut dispatcher, _) = dispatcher();
+    dispatcher.submit_held(job("held", 1), 0);
+    let (_, effects) = dispatcher.submit(job("other", 1), 1);
+    assert_eq!(starts(&effects), 1);
+}
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -1,6 +1,6 @@
 //! Handlers of callers' HTTP requests.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use direct::{JobKey, JobName, JobOutcome};
@@ -16,6 +16,7 @@
     encode_error, encode_outcome, encode_pending, encode_unknown_job,
 };
 use serde_json::json;
+use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
     clock,
@@ -27,6 +28,10 @@
 /// Request header with the time that the caller waits for its answer, milliseconds.
 const CALLER_TIMEOUT_HEADER: &str = platform::CALLER_TIMEOUT_HEADER;
 
+/// Time for which a job whose request may have been held up is held: the end of its connection, if
+/// the caller has gone, follows the request within a round trip.
+const END_OF_CONNECTION_WAIT: Duration = Duration::from_millis(10);
+
 /// Cancels a job whose caller closes the connection before the answer is sent; the HTTP server
 /// drops the request's future then.
 struct CancelOnDrop {
@@ -124,6 +129,8 @@
     let arrived_ms = clock::now_ms();
     let age_ms = |ms: u64| arrived_ms.saturating_sub(ms);
     let silent_ms = activity.and_then(|activity| activity.responded_ms).map(age_ms);
+    // The caller may have sent the job to another entry meanwhile.
+    let is_held = silent_ms.is_none_or(|ms| ms >= state.timing.max_request_age_ms());
     let fields = [
         ("job", json!(id)),
         ("queue", json!(&*job.kind)),
@@ -134,9 +141,13 @@
         ("connection", json!(activity.map(|activity| activity.connection))),
         ("connected_ms", json!(activity.map(|activity| age_ms(activity.accepted_ms)))),
         ("silent_ms", json!(silent_ms)),
+        ("is_held", json!(is_held)),
     ];
     state.events.emit(Level::Routine, "accepted", &fields);
-    let (key, outcome_rx) = state.submit(job);
+    let (key, outcome_rx) = state.submit(job, is_held);
+    if is_held {
+        spawn_local(release(Rc::clone(state), key));
+    }
     let mut guard = CancelOnDrop {
         state: Rc::clone(state),
         key,
@@ -172,6 +183,13 @@
     encode_outcome(outcome)
 }
 
+/// Lets a held job start after [`END_OF_CONNECTION_WAIT`]. The event loop reads connections before it
+/// runs timers that are due, so an end that has arrived by then cancels the job first.
+async fn release(state: Rc<EntryState>, key: JobKey) {
+    sleep(END_OF_CONNECTION_WAIT).await;
+    state.release(key);
+}
+
 /// Reads a request body; the error is the HTTP status of the reply and the cause.
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, (u16, String)> {
     let too_large = || (413, format!("the body is larger than {limit} bytes"));
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -212,16 +212,32 @@
         self.config_applied.notify_waiters();
     }
 
-    /// Submits a job; the receiver gets its outcome.
-    pub(crate) fn submit(&self, job: DirectJob) -> (JobKey, oneshot::Receiver<JobOutcome>) {
+    /// Submits a job; the receiver gets its outcome. Nothing of a held job starts before
+    /// [`EntryState::release`].
+    pub(crate) fn submit(
+        &self,
+        job: DirectJob,
+        is_held: bool,
+    ) -> (JobKey, oneshot::Receiver<JobOutcome>) {
         let now_ms = self.now_ms();
         let (tx, rx) = oneshot::channel();
-        let (key, effects) = self.dispatcher.borrow_mut().submit(job, now_ms);
+        let (key, effects) = if is_held {
+            self.dispatcher.borrow_mut().submit_held(job, now_ms)
+        } else {
+            self.dispatcher.borrow_mut().submit(job, now_ms)
+        };
         self.pending_replies.borrow_mut().insert(key, tx);
         self.apply(effects);
         (key, rx)
     }
 
+    /// Lets the tasks of a held job start.
+    pub(crate) fn release(&self, key: JobKey) {
+        let now_ms = self.now_ms();
+        let effects = self.dispatcher.borrow_mut().release(key, now_ms);
+        self.apply(effects);
+    }
+
     /// Cancels a job at a caller's request; returns whether it was unanswered here.
     pub(crate) fn cancel_job(&self, name: &JobName) -> bool {
         let now_ms = self.now_ms();
