--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -4,21 +4,29 @@
 
 use crate::{
     AttemptId, AttemptOutcome, JobOutcome,
-    dispatcher::{AgentKey, Dispatcher, DispatcherEffect, OutstandingAttempt},
+    dispatcher::{AgentKey, Dispatcher, DispatcherEffect, LossCause, OutstandingAttempt},
 };
 
 impl Dispatcher {
-    /// Settles all attempts at an agent with the same outcome.
-    pub(crate) fn settle_all(
+    /// Settles all attempts at an agent as lost.
+    pub(crate) fn presume_lost(
         &mut self,
         key: AgentKey,
-        outcome: AttemptOutcome,
+        cause: LossCause,
         now_ms: u64,
     ) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
         let ids: Vec<AttemptId> = self.agents[key.0 as usize].attempts.iter().copied().collect();
         for id in ids {
-            self.settle(id, outcome, now_ms, &mut effects);
+            if let Some(attempt) = self.attempts.get(&id) {
+                effects.push(DispatcherEffect::PresumedLost {
+                    task: attempt.task(),
+                    agent: key,
+                    attempt: id,
+                    cause,
+                });
+            }
+            self.settle(id, AttemptOutcome::Lost, now_ms, &mut effects);
         }
         effects.extend(self.dispatch_queued(now_ms));
         effects
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -1,10 +1,15 @@
 //! Answers to jobs, and removal of answered jobs.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
 use crate::{
     AttemptId, JobOutcome, RefusalReason, ToAgent,
-    dispatcher::{Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, job_state::JobState},
+    dispatcher::{
+        Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, WithdrawalCause,
+        job_state::JobState,
+    },
 };
 
 impl Dispatcher {
@@ -49,7 +54,11 @@
         outcome: JobOutcome,
         effects: &mut Vec<DispatcherEffect>,
     ) {
-        for waiter in self.remove_job(key, effects) {
+        let cause = match outcome {
+            JobOutcome::Cancelled => WithdrawalCause::Cancelled,
+            _ => WithdrawalCause::Answered,
+        };
+        for waiter in self.remove_job(key, cause, effects) {
             effects.push(DispatcherEffect::Answer(waiter, outcome));
         }
     }
@@ -58,6 +67,7 @@
     pub(crate) fn remove_job(
         &mut self,
         key: JobKey,
+        cause: WithdrawalCause,
         effects: &mut Vec<DispatcherEffect>,
     ) -> Vec<JobKey> {
         let Some(state) = self.jobs.swap_remove(&key) else { return Vec::new() };
@@ -69,8 +79,12 @@
             for (id, attempt) in self.attempts.iter().filter(|(_, attempt)| attempt.job == key) {
                 stops.entry(attempt.agent).or_default().push(*id);
             }
-            let send = |(agent, ids)| DispatcherEffect::Send(agent, ToAgent::Stop(ids));
-            effects.extend(stops.into_iter().map(send));
+            for (agent, attempts) in stops {
+                let job = Arc::clone(&state.job.id);
+                let stop = ToAgent::Stop(attempts.clone());
+                effects.push(DispatcherEffect::Withdrawn { job, agent, attempts, cause });
+                effects.push(DispatcherEffect::Send(agent, stop));
+            }
         }
         state.waiters
     }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -26,8 +26,8 @@
 
 pub use crate::dispatcher::summary::{AgentSummary, PoolCapacity};
 use crate::{
-    AgentHello, AttemptId, AttemptOutcome, DirectJob, JobName, JobOutcome, RefusalReason, Report,
-    Timing, ToAgent, UnsettledAttempts,
+    AgentHello, AttemptId, DirectJob, JobName, JobOutcome, RefusalReason, Report, TaskId, Timing,
+    ToAgent, UnsettledAttempts,
     dispatcher::{
         agent_view::AgentView,
         backlog::Backlog,
@@ -78,6 +78,52 @@
             /// Whether the upstream is ejected, that is, gets no tasks.
             is_ejected: bool,
         },
+        /// Reports for the log that attempts are no longer wanted; a message that stops them
+        /// follows.
+        Withdrawn {
+            /// Id of the job.
+            job: Arc<str>,
+            /// The agent to which they were sent.
+            agent: AgentKey,
+            /// The attempts.
+            attempts: Vec<AttemptId>,
+            /// Why they are not wanted.
+            cause: WithdrawalCause,
+        },
+        /// Reports for the log that an attempt was settled as lost without a word of its agent.
+        PresumedLost {
+            /// The task.
+            task: TaskId,
+            /// The agent to which the attempt was sent.
+            agent: AgentKey,
+            /// The attempt.
+            attempt: AttemptId,
+            /// Why it counts as lost.
+            cause: LossCause,
+        },
+    }
+
+    /// Why an entry no longer wants the attempts of a job.
+    #[derive(Copy, Eq)]
+    pub enum WithdrawalCause {
+        /// The job has been answered, with another outcome than `Cancelled`.
+        Answered,
+        /// The caller has closed the connection.
+        ClientGone,
+        /// A caller has cancelled the job.
+        Cancelled,
+    }
+
+    /// Why an entry settles an attempt as lost without a word of its agent.
+    #[derive(Copy, Eq)]
+    pub enum LossCause {
+        /// The agent has been silent for so long that the run has ended.
+        Silent {
+            /// Time since its last message, milliseconds.
+            silent_ms: u64,
+        },
+        /// Another incarnation of the agent reports; it has opened after all earlier runs had ended.
+        AgentReplaced,
     }
 
     /// Whether submissions are accepted.
@@ -105,6 +151,33 @@
     is_suspect: bool,
 }
 
+impl OutstandingAttempt {
+    fn task(&self) -> TaskId {
+        TaskId { job: Arc::clone(&self.job_name.id), step: self.step, index: self.index }
+    }
+}
+
+impl WithdrawalCause {
+    /// Returns the name of the cause in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::ClientGone => "client_gone",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+impl LossCause {
+    /// Returns the name of the cause in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Silent { .. } => "silent",
+            Self::AgentReplaced => "agent_replaced",
+        }
+    }
+}
+
 /// State of an entry: its jobs, its agents and the attempts at these.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -204,7 +277,7 @@
             return Vec::new();
         }
         let mut effects = Vec::new();
-        self.remove_job(first, &mut effects);
+        self.remove_job(first, WithdrawalCause::ClientGone, &mut effects);
         effects.extend(self.dispatch_queued(now_ms));
         effects
     }
@@ -262,7 +335,7 @@
         view.incarnation = incarnation;
         view.upstream = None;
         // A restarted agent stops all runs that it finds before it connects.
-        effects.extend(self.settle_all(key, AttemptOutcome::Lost, now_ms));
+        effects.extend(self.presume_lost(key, LossCause::AgentReplaced, now_ms));
     }
 
     /// Returns the attempts at an agent without an outcome, by whether their jobs are answered.
@@ -328,11 +401,10 @@
         let lost_after_ms = self.timing.lost_after_ms();
         for index in 0..self.agents.len() {
             let view = &self.agents[index];
-            if now_ms.saturating_sub(view.last_heard_ms) >= lost_after_ms
-                && !view.attempts.is_empty()
-            {
+            let silent_ms = now_ms.saturating_sub(view.last_heard_ms);
+            if silent_ms >= lost_after_ms && !view.attempts.is_empty() {
                 let key = AgentKey(u32::try_from(index).unwrap_or(u32::MAX));
-                effects.extend(self.settle_all(key, AttemptOutcome::Lost, now_ms));
+                effects.extend(self.presume_lost(key, LossCause::Silent { silent_ms }, now_ms));
             }
         }
         let expired: Vec<JobKey> = self
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,7 +20,8 @@
 
 pub use crate::{
     dispatcher::{
-        Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, PoolCapacity,
+        Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, LossCause,
+        PoolCapacity, WithdrawalCause,
     },
     fencing::FencingToken,
     job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
@@ -32,8 +33,8 @@
     peer_choice::choose_peers,
     routing::{Queue, RequestLimits, Routing},
     supervisor::{
-        RunList, RunOutcome, RunRow, SessionKey, StartResult, StartRun, Supervisor,
-        SupervisorEffect,
+        RunList, RunOutcome, RunRow, SessionKey, SettledBy, StartResult, StartRun, StopCause,
+        Supervisor, SupervisorEffect,
     },
     task_id::TaskId,
     timing::{BoundsError, Timing},
--- a/crates/direct/src/supervisor/crashes.rs
+++ b/crates/direct/src/supervisor/crashes.rs
@@ -7,7 +7,7 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use crate::{
-    AttemptOutcome, Crash, CrashNotice, Suspect, TaskId, UpstreamState,
+    AttemptOutcome, Crash, CrashNotice, SettledBy, Suspect, TaskId, UpstreamState,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run},
@@ -92,7 +92,7 @@
         {
             self.announce_crash(since_ms, effects);
         }
-        self.settle_all(self.loss(), effects);
+        self.settle_all(self.loss(), SettledBy::UpstreamReplaced, effects);
         self.crashes.outage = None;
     }
 
--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -84,8 +84,8 @@
     pub enum SupervisorEffect {
         /// Sends a start to the upstream.
         Start(StartRun),
-        /// Sends a stop to the upstream: task and number of the run.
-        Stop(TaskId, u32),
+        /// Sends a stop to the upstream: task, number of the run and cause.
+        Stop(TaskId, u32, StopCause),
         /// Requests the upstream's run list immediately.
         PollRuns,
         /// Sends a report to the session's entry immediately.
@@ -94,7 +94,84 @@
         Open,
         /// Reports a crash of the upstream for the log.
         Crashed(Crash),
-        /// Reports a settled attempt for the log: task, attempt and outcome.
-        Settled(TaskId, Option<AttemptId>, AttemptOutcome),
+        /// Reports a settled attempt for the log.
+        Settled {
+            /// The task.
+            task: TaskId,
+            /// The attempt; `None` for a run that was found at the upstream.
+            attempt: Option<AttemptId>,
+            /// The outcome.
+            outcome: AttemptOutcome,
+            /// What shows the outcome.
+            by: SettledBy,
+        },
+    }
+
+    /// Why a run is stopped.
+    #[derive(Copy, Eq)]
+    pub enum StopCause {
+        /// Its entry requested it.
+        Requested,
+        /// Its entry has not been heard of for the duration of a session.
+        SessionExpired,
+        /// The process of its entry has ended.
+        EntryGone,
+        /// Another incarnation of its entry has connected.
+        EntryReplaced,
+        /// Its entry has connected again and does not want it any more.
+        Unwanted,
+        /// Its start was not confirmed.
+        StartUnconfirmed,
+        /// This agent did not start it, for example a run of an earlier agent.
+        Found,
+        /// An earlier stop of the run was not answered in time.
+        Repeated,
+    }
+
+    /// What shows the outcome of an attempt.
+    #[derive(Copy, Eq)]
+    pub enum SettledBy {
+        /// The upstream lists its end.
+        ListedEnd,
+        /// A list of the upstream does not contain it.
+        Absence,
+        /// The last lease of the unresponsive upstream has ended.
+        LeaseEnd,
+        /// Another incarnation of the upstream has replaced the one at which it ran.
+        UpstreamReplaced,
+        /// The answer to its start, or the lack of one.
+        StartResult,
+        /// The agent has refused the attempt.
+        Refusal,
+    }
+}
+
+impl StopCause {
+    /// Returns the name of the cause in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Requested => "requested",
+            Self::SessionExpired => "session_expired",
+            Self::EntryGone => "entry_gone",
+            Self::EntryReplaced => "entry_replaced",
+            Self::Unwanted => "unwanted",
+            Self::StartUnconfirmed => "start_unconfirmed",
+            Self::Found => "found",
+            Self::Repeated => "repeated",
+        }
+    }
+}
+
+impl SettledBy {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ListedEnd => "listed_end",
+            Self::Absence => "absence",
+            Self::LeaseEnd => "lease_end",
+            Self::UpstreamReplaced => "upstream_replaced",
+            Self::StartResult => "start_result",
+            Self::Refusal => "refusal",
+        }
     }
 }
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -20,7 +20,8 @@
 use types::Resources;
 
 pub use crate::supervisor::messages::{
-    RunList, RunOutcome, RunRow, SessionKey, StartResult, StartRun, SupervisorEffect,
+    RunList, RunOutcome, RunRow, SessionKey, SettledBy, StartResult, StartRun, StopCause,
+    SupervisorEffect,
 };
 use crate::{
     AttemptId, AttemptOutcome, Load, Report, TaskId, Timing, UnsettledAttempts, Upstream,
@@ -263,7 +264,7 @@
             Some((key, number)) if number == incarnation => key,
             other => {
                 if let Some((old, _)) = other {
-                    self.stop_session(old, &mut effects);
+                    self.stop_session(old, StopCause::EntryReplaced, &mut effects);
                 }
                 let key = SessionKey(self.next_session);
                 self.next_session += 1;
@@ -274,7 +275,7 @@
         };
         let proven_ms = self.session_mut(key).map_or(hello_ms, |session| session.proven_ms);
         let is_unwanted = |id| !attempts.wanted.contains(&id);
-        self.stop_attempts(key, proven_ms, is_unwanted, &mut effects);
+        self.stop_attempts(key, proven_ms, StopCause::Unwanted, is_unwanted, &mut effects);
         let live: Vec<AttemptId> = self
             .runs
             .values()
@@ -354,7 +355,7 @@
     /// its runs without waiting for the session to time out.
     pub fn on_entry_gone(&mut self, key: SessionKey) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
-        self.stop_session(key, &mut effects);
+        self.stop_session(key, StopCause::EntryGone, &mut effects);
         effects
     }
 
@@ -379,7 +380,7 @@
             let is_known = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
             let orphaned = (row.task.clone(), row.run);
             if !is_known && self.orphaned_runs.insert(orphaned) {
-                effects.extend(self.send_stop(&row.task, row.run));
+                effects.extend(self.send_stop(&row.task, row.run, StopCause::Found));
             }
         }
         if !self.is_open && list.running.is_empty() && self.orphaned_runs.is_empty() {
@@ -421,7 +422,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in expired {
-            self.stop_session(key, &mut effects);
+            self.stop_session(key, StopCause::SessionExpired, &mut effects);
         }
         self.sessions.retain(|_, (_, session)| {
             session.is_connected
@@ -431,7 +432,7 @@
         self.advance_isolation(now_ms, &mut effects);
         let is_past_lease = now_ms >= self.leases.last_ms() + self.timing.lease_end_ms();
         if self.response_monitor.is_unresponsive() && is_past_lease {
-            self.settle_all(self.loss(), &mut effects);
+            self.settle_all(self.loss(), SettledBy::LeaseEnd, &mut effects);
             self.orphaned_runs.clear();
             if !self.is_open {
                 self.is_open = true;
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -1,7 +1,7 @@
 //! Ends of runs, and the outcomes that are reported to their entries.
 
 use crate::{
-    AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, TaskId,
+    AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, SettledBy, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -38,7 +38,7 @@
             }
             (RunOutcome::Terminated, _) => AttemptOutcome::Lost,
         };
-        self.finish(task, outcome, effects);
+        self.finish(task, outcome, SettledBy::ListedEnd, effects);
     }
 
     /// Settles the runs that are missing from a list and whose start, or whose stop, was
@@ -71,7 +71,7 @@
             }
         }
         for (task, outcome) in absent {
-            self.finish(&task, outcome, effects);
+            self.finish(&task, outcome, SettledBy::Absence, effects);
         }
     }
 
@@ -116,6 +116,7 @@
     pub(crate) fn settle_all(
         &mut self,
         outcome: AttemptOutcome,
+        by: SettledBy,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let is_held = |run: &Run| run.phase == Phase::Held;
@@ -123,7 +124,7 @@
             self.runs.iter().map(|(task, run)| (task.clone(), is_held(run))).collect();
         for (task, is_held) in tasks {
             let outcome = if is_held { AttemptOutcome::NotStarted } else { outcome };
-            self.finish(&task, outcome, effects);
+            self.finish(&task, outcome, by, effects);
         }
     }
 
@@ -132,6 +133,7 @@
         &mut self,
         task: &TaskId,
         outcome: AttemptOutcome,
+        by: SettledBy,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(run) = self.runs.shift_remove(task) else { return };
@@ -140,7 +142,7 @@
         if self.run_numbers.len() > MAX_RUN_NUMBERS {
             self.run_numbers.shift_remove_index(0);
         }
-        self.settle(task, run.attempt, outcome, effects);
+        self.settle(task, run.attempt, outcome, by, effects);
         if let Some((key, _)) = run.attempt {
             effects.push(SupervisorEffect::Report(key));
         }
@@ -152,6 +154,7 @@
         task: &TaskId,
         attempt: Option<(SessionKey, AttemptId)>,
         outcome: AttemptOutcome,
+        by: SettledBy,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         if let Some((key, id)) = attempt
@@ -159,6 +162,7 @@
         {
             session.record_outcome(id, outcome);
         }
-        effects.push(SupervisorEffect::Settled(task.clone(), attempt.map(|(_, id)| id), outcome));
+        let attempt = attempt.map(|(_, id)| id);
+        effects.push(SupervisorEffect::Settled { task: task.clone(), attempt, outcome, by });
     }
 }
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    AttemptBatch, AttemptOutcome, SessionKey, StartResult, StartRun, TaskId,
+    AttemptBatch, AttemptOutcome, SessionKey, SettledBy, StartResult, StartRun, StopCause, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -63,6 +63,7 @@
                     &task,
                     Some((key, attempt.id)),
                     AttemptOutcome::NotStarted,
+                    SettledBy::Refusal,
                     &mut effects,
                 );
             }
@@ -153,25 +154,38 @@
             *open_calls -= 1;
         }
         let (sends, open_calls) = (*sends, *open_calls);
+        let by = SettledBy::StartResult;
         match result {
             StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
             StartResult::Unknown => match self.repeat_start(task, number, 1) {
                 Some(repeated) => effects.push(repeated),
                 None if open_calls > 1 => {}
-                None => self.stop_run(task, StopReport::NotStarted, &mut effects),
+                None => self.stop_run(
+                    task,
+                    StopReport::NotStarted,
+                    StopCause::StartUnconfirmed,
+                    &mut effects,
+                ),
             },
             // The other calls may have arrived.
             StartResult::Undelivered if open_calls > 0 => {}
             // An earlier send may have started the run, whatever the answer to this one.
-            _ if sends > 1 => self.stop_run(task, StopReport::NotStarted, &mut effects),
+            _ if sends > 1 => self.stop_run(
+                task,
+                StopReport::NotStarted,
+                StopCause::StartUnconfirmed,
+                &mut effects,
+            ),
             StartResult::OldRun => {
                 self.run_numbers.insert(task.clone(), number + 1);
-                self.finish(task, AttemptOutcome::NotStarted, &mut effects);
+                self.finish(task, AttemptOutcome::NotStarted, by, &mut effects);
             }
             StartResult::Refused | StartResult::Undelivered => {
-                self.finish(task, AttemptOutcome::NotStarted, &mut effects)
+                self.finish(task, AttemptOutcome::NotStarted, by, &mut effects)
+            }
+            StartResult::Unhealthy => {
+                self.finish(task, AttemptOutcome::Unhealthy, by, &mut effects)
             }
-            StartResult::Unhealthy => self.finish(task, AttemptOutcome::Unhealthy, &mut effects),
         }
         effects
     }
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -1,7 +1,7 @@
 //! Stops of runs.
 
 use crate::{
-    AttemptId, SessionKey, TaskId,
+    AttemptId, SessionKey, StopCause, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -18,14 +18,15 @@
         let mut effects = Vec::new();
         // The entry sends a stop as soon as it no longer wants the attempts.
         let wanted_ms = self.session_mut(key).map_or(0, |session| session.proven_ms);
-        self.stop_attempts(key, wanted_ms, |id| ids.contains(&id), &mut effects);
+        let is_selected = |id| ids.contains(&id);
+        self.stop_attempts(key, wanted_ms, StopCause::Requested, is_selected, &mut effects);
         effects
     }
 
     /// Sends a stop again whose answer is overdue; the earlier call may still be answered.
     pub fn on_stop_overdue(&mut self, task: &TaskId, number: u32) -> Vec<SupervisorEffect> {
         if self.is_stop_pending(task, number) {
-            self.send_stop(task, number).into_iter().collect()
+            self.send_stop(task, number, StopCause::Repeated).into_iter().collect()
         } else {
             Vec::new()
         }
@@ -76,19 +77,29 @@
     }
 
     /// Sends a stop of a run unless enough calls of it are unanswered.
-    pub(crate) fn send_stop(&mut self, task: &TaskId, number: u32) -> Option<SupervisorEffect> {
+    pub(crate) fn send_stop(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        cause: StopCause,
+    ) -> Option<SupervisorEffect> {
         let open = self.open_stops.entry((task.clone(), number)).or_insert(0);
         if *open >= MAX_OPEN_STOPS {
             return None;
         }
         *open += 1;
-        Some(SupervisorEffect::Stop(task.clone(), number))
+        Some(SupervisorEffect::Stop(task.clone(), number, cause))
     }
 
     /// Stops all runs of a session.
-    pub(crate) fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
+    pub(crate) fn stop_session(
+        &mut self,
+        key: SessionKey,
+        cause: StopCause,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
         let proven_ms = self.session_mut(key).map_or(0, |session| session.proven_ms);
-        self.stop_attempts(key, proven_ms, |_| true, effects);
+        self.stop_attempts(key, proven_ms, cause, |_| true, effects);
     }
 
     /// Stops the runs of a session whose attempts are selected by id; their entry wanted them until
@@ -97,6 +108,7 @@
         &mut self,
         key: SessionKey,
         wanted_ms: u64,
+        cause: StopCause,
         is_selected: impl Fn(AttemptId) -> bool,
         effects: &mut Vec<SupervisorEffect>,
     ) {
@@ -107,7 +119,7 @@
             tasks.push(task.clone());
         }
         for task in tasks {
-            self.stop_run(&task, StopReport::Stopped, effects);
+            self.stop_run(&task, StopReport::Stopped, cause, effects);
         }
     }
 
@@ -116,6 +128,7 @@
         &mut self,
         task: &TaskId,
         report: StopReport,
+        cause: StopCause,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(run) = self.runs.get_mut(task) else { return };
@@ -124,6 +137,6 @@
         }
         run.phase = Phase::Stopping { acked_ms: None, report };
         let number = run.number;
-        effects.extend(self.send_stop(task, number));
+        effects.extend(self.send_stop(task, number, cause));
     }
 }
--- a/crates/direct/tests/held_up_links.rs
+++ b/crates/direct/tests/held_up_links.rs
@@ -285,10 +285,10 @@
                         self.supervisor.on_start_result(&start.task, start.run, result, now_ms);
                     self.apply(effects, now_ms);
                 }
-                SupervisorEffect::Stop(task, run) if self.stops_are_lost => {
+                SupervisorEffect::Stop(task, run, _) if self.stops_are_lost => {
                     self.failed_stops.push((now_ms + Timing::default().call_ms, task, run));
                 }
-                SupervisorEffect::Stop(task, run) => {
+                SupervisorEffect::Stop(task, run, _) => {
                     if self.runs.get(&task).is_some_and(|(number, _)| *number == run) {
                         self.runs.remove(&task);
                         self.ended.push((task.clone(), run, RunOutcome::Terminated));
--- a/crates/direct/tests/message_age.rs
+++ b/crates/direct/tests/message_age.rs
@@ -7,8 +7,8 @@
 
 use common::{batch, cores, run_list, task, upstream};
 use direct::{
-    AttemptId, AttemptOutcome, SessionKey, StartResult, Supervisor, SupervisorEffect, Timing,
-    UnsettledAttempts,
+    AttemptId, AttemptOutcome, SessionKey, StartResult, StopCause, Supervisor, SupervisorEffect,
+    Timing, UnsettledAttempts,
 };
 
 const HELLO_MS: u64 = 10;
@@ -80,7 +80,7 @@
         let lease_end_ms = agent.lease_end_ms(now_ms);
         assert!(lease_end_ms <= Some(50 + timing.run_limit_ms()), "{lease_end_ms:?}");
     }
-    let stop = SupervisorEffect::Stop(task("j", 0), 1);
+    let stop = SupervisorEffect::Stop(task("j", 0), 1, StopCause::SessionExpired);
     assert!(agent.tick(end_ms).contains(&stop));
 }
 
--- a/crates/direct/tests/stops.rs
+++ b/crates/direct/tests/stops.rs
@@ -75,7 +75,7 @@
 
     fn apply(&mut self, effects: Vec<SupervisorEffect>, now_ms: u64) {
         let stop = |effect: SupervisorEffect| match effect {
-            SupervisorEffect::Stop(task, _) => Some(task.index),
+            SupervisorEffect::Stop(task, _, _) => Some(task.index),
             _ => None,
         };
         self.waiting.extend(effects.into_iter().filter_map(stop));
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -50,7 +50,7 @@
 
 fn stops(effects: &[SupervisorEffect]) -> Vec<(TaskId, u32)> {
     let stop = |effect: &SupervisorEffect| match effect {
-        SupervisorEffect::Stop(task, run) => Some((task.clone(), *run)),
+        SupervisorEffect::Stop(task, run, _) => Some((task.clone(), *run)),
         _ => None,
     };
     effects.iter().filter_map(stop).collect()
--- a/crates/ebonycroft/src/commands/explain.rs
+++ b/crates/ebonycroft/src/commands/explain.rs
@@ -10,14 +10,17 @@
 
 /// Events about the state of a process or its peers; shown when they are close in time to the
 /// request.
-const CONTEXT_EVENTS: [&str; 17] = [
+const CONTEXT_EVENTS: [&str; 22] = [
     "agent_connected",
     "agent_lost",
     "config_in_force",
     "entry_connected",
     "entry_gone",
     "entry_lost",
+    "fencing_token",
+    "late_loop",
     "lines_dropped",
+    "open",
     "start",
     "stop",
     "stopping",
@@ -26,7 +29,9 @@
     "suspended",
     "upstream",
     "upstream_back",
+    "upstream_crashed",
     "upstream_judged",
+    "upstream_leaves",
     "upstream_mute",
 ];
 /// Time before the first and after the last line of the request in which such events are shown,
--- a/crates/ebonycroft/tests/direct_roles/decisions.rs
+++ b/crates/ebonycroft/tests/direct_roles/decisions.rs
@@ -1,16 +1,23 @@
 //! Each decision about a request writes exactly one line, with the inputs of the decision and their
 //! age.
 
+use std::collections::HashSet;
+
 use emulator::FakeExecutorFaults;
 use reqwest::StatusCode;
 use serde_json::{Value, json};
 
-use crate::direct_system::{Timing, with_direct_system};
+use crate::{
+    direct_system::{DirectSystem, Timing, with_direct_system},
+    role::Signal,
+};
 
 /// Id of the job whose lines are checked.
 const ID: &str = "5c0e7a21d94b36f8";
 /// The first job occupies the executor for longer than the next one may wait.
 const FULL_EXECUTOR: Timing = Timing { executor_ms: 5_000, allowance_ms: 2_000 };
+/// Run time of the tasks, much longer than the test: only a stop ends them.
+const LASTING: Timing = Timing { executor_ms: 120_000, allowance_ms: 200_000 };
 
 fn job(tasks: u32) -> Value {
     json!({ "spec": "payload", "bestEffort": true,
@@ -100,3 +107,144 @@
     no_json: ("/j/5c0e7a21d94b36f8", "{", 400),
     stored_job: ("/j/5c0e7a21d94b36f8", r#"{"steps":[{"count":1}]}"#, 503),
 }
+
+/// Returns the lines with an event.
+fn lines_of<'a>(lines: &'a [Value], event: &str) -> Vec<&'a Value> {
+    lines.iter().filter(|line| line["event"] == event).collect()
+}
+
+/// Checks that the stops of both tasks were sent for this reason and acknowledged, and that both
+/// have ended by what the executor lists.
+fn assert_stopped(agent: &[Value], cause: &str) {
+    let sent = lines_of(agent, "stop_sent");
+    let tasks: HashSet<_> = sent.iter().filter_map(|line| line["task"].as_str()).collect();
+    assert_eq!((sent.len(), tasks.len()), (2, 2), "{agent:?}");
+    for line in sent {
+        assert_eq!(line["cause"], cause);
+        assert!(line["run"].is_u64() && line["token"].is_u64(), "{line}");
+    }
+    let answered = lines_of(agent, "stop_answered");
+    for task in tasks {
+        let is_acknowledged =
+            |line: &&&Value| line["task"] == task && line["is_acknowledged"] == true;
+        let answer = answered.iter().find(is_acknowledged).expect("the executor has answered");
+        assert!(answer["took_ms"].is_u64() && answer["is_repeated"].is_boolean(), "{answer}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_request_names_its_stops() {
+    with_direct_system("cancelled", LASTING, async |system| {
+        let call = job(2);
+        let cancel = async {
+            system.until_executor_is_full().await;
+            assert_eq!(system.cancel(ID).await, StatusCode::OK);
+            system.until_executor_is_idle().await;
+        };
+        tokio::join!(cancel, system.submit(ID, &call));
+        let (entry, agent) = system.finish(ID);
+        assert_eq!(events(&entry), ["accepted", "placed", "withdrawn", "answered"]);
+        let (placed, withdrawn) = (&entry[1], &entry[2]);
+        assert_eq!(placed["orders"].as_array().map(Vec::len), Some(2));
+        assert_eq!(withdrawn["orders"], placed["orders"]);
+        assert_eq!(withdrawn["agent"], "agent");
+        assert_eq!(
+            (&withdrawn["cause"], &withdrawn["is_connected"]),
+            (&json!("cancelled"), &json!(true))
+        );
+        assert_stopped(&agent, "requested");
+        let settled = lines_of(&agent, "settled");
+        assert_eq!(settled.len(), 2);
+        for line in settled {
+            assert_eq!(line["outcome"], "stopped");
+            assert!(["listed_end", "absence"].iter().any(|by| line["by"] == *by), "{line}");
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_caller_is_gone_names_its_stops() {
+    with_direct_system("gone-caller", LASTING, async |system| {
+        let call = job(2);
+        tokio::select! {
+            () = system.until_executor_is_full() => {}
+            status = system.submit(ID, &call) => panic!("answered with {status}"),
+        }
+        system.until_executor_is_idle().await;
+        let (entry, agent) = system.finish(ID);
+        assert_eq!(events(&entry), ["accepted", "placed", "client_gone", "withdrawn"]);
+        assert_eq!(entry[3]["cause"], "client_gone");
+        assert_stopped(&agent, "requested");
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stops_of_the_runs_of_a_killed_entry_name_their_cause() {
+    with_direct_system("gone-entry", LASTING, async |system| {
+        let call = job(2);
+        let kill = async {
+            system.until_executor_is_full().await;
+            system.entry.signal(Signal::KILL);
+            system.until_executor_is_idle().await;
+        };
+        tokio::join!(kill, system.try_submit(ID, &call));
+        let (_, agent) = system.finish(ID);
+        assert_stopped(&agent, "entry_gone");
+    })
+    .await;
+}
+
+/// Submits a job of two tasks, waits for their start and for what `disturb` does, and cancels the
+/// job.
+async fn disturbed(name: &str, disturb: impl AsyncFnOnce(&mut DirectSystem)) -> [Vec<Value>; 2] {
+    let mut lines = [Vec::new(), Vec::new()];
+    with_direct_system(name, LASTING, async |mut system| {
+        let call = system.call(ID, &job(2));
+        system.until_executor_is_full().await;
+        disturb(&mut system).await;
+        system.cancel(ID).await;
+        call.await.expect("the call ends");
+        system.until_executor_is_idle().await;
+        lines = system.finish(ID).into();
+    })
+    .await;
+    lines
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_of_a_killed_agent_are_found_and_stopped_by_the_next_one() {
+    let [entry, agent] = disturbed("next-agent", async |system| {
+        system.replace_agent();
+        system.entry.next_line("presumed_lost");
+    })
+    .await;
+    assert_eq!(lines_of(&agent, "found_run").len(), 2, "{agent:?}");
+    let found = lines_of(&agent, "stop_sent");
+    let found = found.iter().filter(|line| line["cause"] == "found").count();
+    assert_eq!(found, 2, "{agent:?}");
+    // The test has read the first of the two lines.
+    let lost = lines_of(&entry, "presumed_lost");
+    assert_eq!(lost.len(), 1, "{entry:?}");
+    assert_eq!((&lost[0]["agent"], &lost[0]["cause"]), (&json!("agent"), &json!("agent_replaced")));
+    assert!(lost[0]["task"].is_string() && lost[0]["order"].is_u64(), "{entry:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn attempts_at_a_silent_agent_are_named_when_they_count_as_lost() {
+    let mut silent_ms = None;
+    let [entry, agent] = disturbed("silent-agent", async |system| {
+        system.agent.signal(Signal::STOP);
+        silent_ms = system.entry.next_line("presumed_lost")["silent_ms"].as_u64();
+        system.agent.signal(Signal::CONT);
+        let late = system.agent.next_line("late_loop");
+        assert!(late["delay_ms"].as_u64() >= Some(1_000), "{late}");
+    })
+    .await;
+    assert!(silent_ms >= Some(1_300), "{silent_ms:?}");
+    assert_eq!(lines_of(&entry, "presumed_lost")[0]["cause"], "silent");
+    let causes: Vec<_> = lines_of(&agent, "stop_sent").iter().map(|line| &line["cause"]).collect();
+    let expected = |cause: &&&Value| **cause == "session_expired" || **cause == "unwanted";
+    assert_eq!(causes.iter().filter(expected).count(), 2, "{agent:?}");
+}
--- a/crates/ebonycroft/tests/direct_roles/direct_system.rs
+++ b/crates/ebonycroft/tests/direct_roles/direct_system.rs
@@ -1,6 +1,9 @@
 //! One entry and one agent for direct jobs, with fakes of the executor and of the store.
 
-use std::{fs, path::Path};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 use emulator::{FakeExecutor, FakeExecutorSettings, LogServer, LogSettings, RunLedger};
 use reqwest::{Client, StatusCode};
@@ -33,9 +36,11 @@
     _store: LogServer,
     pub(crate) executor: FakeExecutor,
     pub(crate) entry: Role,
-    agent: Role,
+    pub(crate) agent: Role,
     pub(crate) client: Client,
-    _heartbeats: JoinHandle<()>,
+    heartbeats: JoinHandle<()>,
+    dir: PathBuf,
+    agent_settings: Value,
 }
 
 impl DirectSystem {
@@ -68,7 +73,16 @@
         let heartbeats = executor.announce(agent.addr("control"));
         entry.next_line("upstream");
         let client = Client::builder().no_proxy().build().expect("a client can be built");
-        Self { _store: store, executor, entry, agent, client, _heartbeats: heartbeats }
+        Self {
+            _store: store,
+            executor,
+            entry,
+            agent,
+            client,
+            heartbeats,
+            dir: dir.to_owned(),
+            agent_settings: settings,
+        }
     }
 
     /// Submits a job and returns the status of the reply.
@@ -85,6 +99,14 @@
         Some(reply.status())
     }
 
+    /// Submits a job; the returned task ends with the status of the reply.
+    pub(crate) fn call(&self, id: &str, body: &Value) -> JoinHandle<StatusCode> {
+        let url = format!("http://{}/j/{id}", self.entry.addr("callers"));
+        let call = self.client.post(url).header("Host", "jobs.example").body(body.to_string());
+        let call = call.header("Deadline-Ms", "20000");
+        tokio::spawn(async move { call.send().await.expect("an answer comes").status() })
+    }
+
     /// Requests to cancel a job and returns the status of the reply.
     pub(crate) async fn cancel(&self, id: &str) -> StatusCode {
         let url = format!("http://{}/j/{id}", self.entry.addr("callers"));
@@ -106,6 +128,14 @@
         }
     }
 
+    /// Kills the agent and starts another one for the same executor.
+    pub(crate) fn replace_agent(&mut self) {
+        self.agent.signal(Signal::KILL);
+        self.agent = Role::start(&self.dir, "direct-agent", &self.agent_settings);
+        self.heartbeats.abort();
+        self.heartbeats = self.executor.announce(self.agent.addr("control"));
+    }
+
     /// Stops the agent and returns the events of its remaining decision lines.
     pub(crate) fn finish_agent(mut self) -> Vec<String> {
         self.agent.signal(Signal::TERM);
--- a/crates/ebonycroft/tests/explain.rs
+++ b/crates/ebonycroft/tests/explain.rs
@@ -9,12 +9,27 @@
 {"at_ms":1003,"process":"entry-a","event":"accepted","job":"other"}
 {"at_ms":1400,"process":"entry-a","event":"agent_lost","agent":"agent-b","cause":"silent"}
 {"at_ms":2500,"process":"entry-a","event":"answered","job":"j1","end":"timed_out"}
+{"at_ms":70000,"process":"entry-a","event":"accepted","job":"twice"}
+{"at_ms":70003,"process":"entry-a","event":"placed","job":"twice","agent":"agent-b","orders":[7],"run":1}
+{"at_ms":70010,"process":"entry-c","event":"accepted","job":"twice"}
+{"at_ms":70011,"process":"entry-c","event":"placed","job":"twice","agent":"agent-d","orders":[9],"run":1}
+{"at_ms":70013,"process":"entry-a","event":"client_gone","job":"twice","after_ms":12}
+{"at_ms":70014,"process":"entry-a","event":"withdrawn","job":"twice","agent":"agent-b","orders":[7],"cause":"client_gone"}
+{"at_ms":70031,"process":"entry-a","event":"late_loop","delay_ms":21}
+{"at_ms":71400,"process":"entry-a","event":"presumed_lost","job":"twice","task":"twice/0/0","agent":"agent-b","order":7,"cause":"silent"}
 "#;
-/// The clock of the agent is 700 ms behind that of the entry.
+/// The clock of the agent is 700 ms behind that of the entry in the first job, and right later.
 const AGENT: &str = r#"
 {"at_ms":302,"process":"agent-b","event":"started","job":"j1","run":1}
 {"at_ms":310,"process":"agent-b","event":"upstream_mute","cause":"no answer"}
 {"at_ms":99999,"process":"agent-b","event":"upstream_mute","cause":"long after"}
+{"at_ms":70006,"process":"agent-b","event":"started","job":"twice","task":"twice/0/0","run":1}
+{"at_ms":70012,"process":"agent-d","event":"started","job":"twice","task":"twice/0/0","run":1}
+{"at_ms":70015,"process":"agent-b","event":"stop_sent","job":"twice","task":"twice/0/0","run":1,"cause":"requested"}
+{"at_ms":70017,"process":"agent-b","event":"stop_answered","job":"twice","task":"twice/0/0","run":1,"is_acknowledged":true}
+{"at_ms":70019,"process":"agent-b","event":"settled","job":"twice","task":"twice/0/0","order":7,"outcome":"stopped"}
+{"at_ms":70500,"process":"agent-b","event":"open","token":5}
+{"at_ms":70501,"process":"agent-b","event":"found_run","job":"twice","task":"twice/0/0","run":1}
 "#;
 
 fn explain(id: &str) -> String {
@@ -45,6 +60,35 @@
     assert!(!text.contains("long after") && !text.contains("other"), "{text}");
 }
 
+#[test]
+fn starts_stops_and_settlements_of_two_runs_are_shown() {
+    let text = explain("twice");
+    let lines = [
+        "entry-a accepted",
+        "entry-a placed",
+        "agent-b started",
+        "entry-c accepted",
+        "entry-c placed",
+        "agent-d started",
+        "entry-a client_gone",
+        "entry-a withdrawn",
+        "agent-b stop_sent",
+        "agent-b stop_answered",
+        "agent-b settled",
+        "entry-a late_loop",
+        "agent-b open",
+        "agent-b found_run",
+        "entry-a presumed_lost",
+    ];
+    let name_and_event = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().skip(2).take(2).collect();
+        words.join(" ")
+    };
+    let shown: Vec<String> = text.lines().map(name_and_event).collect();
+    assert_eq!(shown, lines, "{text}");
+    assert!(text.contains("cause=\"requested\"") && text.contains("orders=[7]"), "{text}");
+}
+
 #[test]
 fn unknown_request_is_reported() {
     assert!(explain("j9").starts_with("no line names j9"));
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use direct::{RunList, StartResult, StartRun, TaskId};
+use direct::{RunList, StartResult, StartRun, StopCause, TaskId};
 use platform::{CallFailure, RunListReply};
 use tokio::{
     task::spawn_local,
@@ -149,17 +149,22 @@
 }
 
 /// Stops a run at the upstream.
-pub(crate) async fn stop(state: Rc<AgentState>, task: TaskId, run: u32) {
+pub(crate) async fn stop(state: Rc<AgentState>, task: TaskId, run: u32, cause: StopCause) {
     let is_acknowledged = {
         let Ok(_permit) = state.stops.acquire().await else { return };
+        state.on_stop_sent(&task, run, cause);
+        let sent_ms = clock::now_ms();
         let mut call = pin!(state.executor.stop(&task, run, state.token()));
-        match timeout(state.call_overdue(), &mut call).await {
+        let is_acknowledged = match timeout(state.call_overdue(), &mut call).await {
             Ok(is_acknowledged) => is_acknowledged,
             Err(_) => {
                 state.on_stop_overdue(&task, run);
                 call.await
             }
-        }
+        };
+        let took_ms = clock::now_ms().saturating_sub(sent_ms);
+        state.on_stop_answer(&task, run, cause, is_acknowledged, took_ms);
+        is_acknowledged
     };
     if !is_acknowledged {
         sleep(STOP_PAUSE).await;
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -128,7 +128,10 @@
 
 async fn tick(state: Rc<AgentState>) {
     loop {
-        sleep(if state.is_idle() { IDLE_TICK } else { BUSY_TICK }).await;
+        let period = if state.is_idle() { IDLE_TICK } else { BUSY_TICK };
+        state.loop_delay.set_timer(period);
+        sleep(period).await;
+        state.loop_delay.on_timer();
         state.tick();
     }
 }
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -11,7 +11,7 @@
 
 use direct::{
     AgentHello, AttemptBatch, AttemptOutcome, EntryHello, FencingToken, ListPosition, Report,
-    SessionKey, Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
+    SessionKey, StopCause, Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
 };
 use indexmap::IndexMap;
 use metrics::counter;
@@ -27,8 +27,9 @@
     DirectAgentSettings, ProcessSettings,
     agent::executor_calls,
     clock::{self, SuspensionDetector},
-    events::{Events, Level},
+    events::{self, Events, Level},
     known_entries::KnownEntries,
+    loop_delay::LoopDelay,
 };
 
 /// Most concurrent calls to the upstream, not counting stops and the poll that waits for runs to
@@ -42,6 +43,7 @@
     pub(crate) timing: Timing,
     pub(crate) known_entries: Rc<KnownEntries>,
     pub(crate) events: Rc<Events>,
+    pub(crate) loop_delay: LoopDelay,
     pub(crate) executor: ExecutorClient,
     /// Permits for calls to the upstream other than stops.
     pub(crate) calls: Semaphore,
@@ -76,10 +78,12 @@
         let now_ms = clock::now_ms();
         let incarnation = clock::unix_ms();
         let timeout = Duration::from_millis(process.timing.call_ms);
+        let events = Events::start(&process.name, process.log_decisions);
         Ok(Rc::new(Self {
             timing: process.timing,
             known_entries,
-            events: Events::start(&process.name, process.log_decisions),
+            loop_delay: LoopDelay::new(Rc::clone(&events)),
+            events,
             executor: ExecutorClient::new(settings.upstream, timeout)?,
             calls: Semaphore::new(MAX_CONCURRENT_CALLS),
             stops: Semaphore::new(MAX_CONCURRENT_STOPS),
@@ -217,7 +221,9 @@
         );
         let wake = Rc::new(Notify::new());
         self.report_wakers.borrow_mut().insert(key, Rc::clone(&wake));
-        let fields = [("entry", json!(&*hello.entry)), ("incarnation", json!(hello.incarnation))];
+        let mut fields =
+            vec![("entry", json!(&*hello.entry)), ("incarnation", json!(hello.incarnation))];
+        fields.extend(events::unsettled_fields(&hello.attempts));
         self.events.emit(Level::Notable, "entry_connected", &fields);
         self.apply(effects);
         (key, wake)
@@ -329,8 +335,11 @@
                 SupervisorEffect::Start(start) => {
                     spawn_local(executor_calls::start(Rc::clone(self), start));
                 }
-                SupervisorEffect::Stop(task, run) => {
-                    spawn_local(executor_calls::stop(Rc::clone(self), task, run));
+                SupervisorEffect::Stop(task, run, cause) => {
+                    if cause == StopCause::Found {
+                        self.emit_for_run("found_run", &task, run, &[]);
+                    }
+                    spawn_local(executor_calls::stop(Rc::clone(self), task, run, cause));
                 }
                 SupervisorEffect::PollRuns => {
                     spawn_local(executor_calls::poll_runs_once(Rc::clone(self)));
@@ -357,18 +366,22 @@
                     ];
                     self.events.emit(Level::Notable, "upstream_crashed", &fields);
                 }
-                SupervisorEffect::Settled(task, attempt, outcome) => {
+                SupervisorEffect::Settled { task, attempt, outcome, by } => {
                     counter!("agent_orders", "outcome" => outcome.name()).increment(1);
                     let level = match outcome {
                         AttemptOutcome::Done { .. } => Level::Routine,
                         _ => Level::Notable,
                     };
-                    let fields = [
+                    let mut fields = vec![
                         ("job", json!(&*task.job)),
                         ("task", json!(task.to_string())),
                         ("order", json!(attempt.map(|id| id.0))),
                         ("outcome", json!(outcome.name())),
                     ];
+                    // Success is always listed, and this line is written for each task.
+                    if level == Level::Notable {
+                        fields.push(("by", json!(by.name())));
+                    }
                     self.events.emit(level, "settled", &fields);
                 }
             }
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -2,10 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use direct::{RunList, StartResult, TaskId};
+use direct::{RunList, StartResult, StopCause, TaskId};
 use metrics::counter;
 use platform::{CallError, CallFailure};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::{agent::state::AgentState, events::Level};
 
@@ -148,6 +148,52 @@
         self.apply(effects);
     }
 
+    /// Records that a stop is being sent. Repeated calls have no line of their own: the upstream may
+    /// leave hundreds a second unanswered.
+    pub(crate) fn on_stop_sent(&self, task: &TaskId, run: u32, cause: StopCause) {
+        if cause != StopCause::Repeated {
+            let fields = [("token", json!(self.token())), ("cause", json!(cause.name()))];
+            self.emit_for_run("stop_sent", task, run, &fields);
+        }
+    }
+
+    /// Records the answer to a call of a stop, or the lack of one.
+    pub(crate) fn on_stop_answer(
+        &self,
+        task: &TaskId,
+        run: u32,
+        cause: StopCause,
+        is_acknowledged: bool,
+        took_ms: u64,
+    ) {
+        let is_repeated = cause == StopCause::Repeated;
+        if is_acknowledged || !is_repeated {
+            let fields = [
+                ("is_acknowledged", json!(is_acknowledged)),
+                ("took_ms", json!(took_ms)),
+                ("is_repeated", json!(is_repeated)),
+            ];
+            self.emit_for_run("stop_answered", task, run, &fields);
+        }
+    }
+
+    /// Writes a line about a run.
+    pub(super) fn emit_for_run(
+        &self,
+        event: &'static str,
+        task: &TaskId,
+        run: u32,
+        fields: &[(&str, Value)],
+    ) {
+        let mut all = vec![
+            ("job", json!(&*task.job)),
+            ("task", json!(task.to_string())),
+            ("run", json!(run)),
+        ];
+        all.extend(fields.iter().cloned());
+        self.events.emit(Level::Notable, event, &all);
+    }
+
     /// Sends a stop again whose answer is overdue.
     pub(crate) fn on_stop_overdue(self: &Rc<Self>, task: &TaskId, run: u32) {
         let effects = self.supervisor.borrow_mut().on_stop_overdue(task, run);
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,8 +11,8 @@
 
 use direct::{
     Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello,
-    EntryMessage, JobKey, JobName, JobOutcome, PoolCapacity, RefusalReason, Report, Routing,
-    Timing, ToAgent, choose_peers,
+    EntryMessage, JobKey, JobName, JobOutcome, LossCause, PoolCapacity, RefusalReason, Report,
+    Routing, Timing, ToAgent, choose_peers,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -26,10 +26,11 @@
 use crate::{
     DirectEntrySettings, ProcessSettings,
     clock::{self, SuspensionDetector},
-    entry::link_progress::LinkProgress,
-    events::{Events, Level},
+    entry::{BUSY_TICK, IDLE_TICK, link_progress::LinkProgress},
+    events::{self, Events, Level},
     http_server::ConnectionLimits,
     known_entries::KnownEntries,
+    loop_delay::LoopDelay,
     peer_links::PeerHandler,
 };
 
@@ -50,6 +51,7 @@
     pub(crate) max_job_tasks: u64,
     pub(crate) known_entries: Rc<KnownEntries>,
     pub(crate) events: Rc<Events>,
+    loop_delay: LoopDelay,
     name: Arc<str>,
     grace_ms: Cell<u64>,
     dispatcher: RefCell<Dispatcher>,
@@ -93,13 +95,15 @@
         let process = &settings.process;
         let links = settings.advertised_links.unwrap_or(settings.links);
         let known_entries = Rc::new(KnownEntries::from_seeds(process, Some(links)));
+        let events = Events::start(&process.name, process.log_decisions);
         Rc::new(Self {
             timing: process.timing,
             incarnation: clock::unix_ms(),
             links,
             max_job_tasks: settings.max_job_tasks,
             known_entries,
-            events: Events::start(&process.name, process.log_decisions),
+            loop_delay: LoopDelay::new(Rc::clone(&events)),
+            events,
             name: Arc::clone(&process.name),
             grace_ms: Cell::new(process.grace_ms),
             dispatcher: RefCell::new(Dispatcher::new(
@@ -248,11 +252,14 @@
         self.apply(effects);
     }
 
+    /// Must be called every [`BUSY_TICK`] while jobs are outstanding, else every [`IDLE_TICK`].
     pub(crate) fn tick(&self) {
+        self.loop_delay.on_timer();
         let now_ms = self.now_ms();
         let effects = self.dispatcher.borrow_mut().tick(now_ms);
         self.apply(effects);
         self.events.flush();
+        self.loop_delay.set_timer(if self.is_busy() { BUSY_TICK } else { IDLE_TICK });
     }
 
     /// Starts a session on a new connection of an agent, with the handshake as the first message in
@@ -268,6 +275,8 @@
         let id = self.next_connection_id.get();
         self.next_connection_id.set(id + 1);
         let (key, attempts, effects) = self.dispatcher.borrow_mut().on_agent_hello(hello, now_ms);
+        let mut fields = vec![("incarnation", json!(hello.incarnation))];
+        fields.extend(events::unsettled_fields(&attempts));
         let reply = EntryHello {
             entry: self.name(),
             incarnation: self.incarnation,
@@ -277,7 +286,7 @@
         // The outbox is new, so it has capacity.
         let _ = outbox.try_send(progress.message(ToAgent::Hello(reply)));
         self.agents.borrow_mut().insert(key, Connection { id, outbox, progress });
-        self.emit_for_agent("agent_connected", key, &[("incarnation", json!(hello.incarnation))]);
+        self.emit_for_agent("agent_connected", key, &fields);
         self.apply(effects);
         (key, id)
     }
@@ -346,6 +355,30 @@
                     counter!("entry_kinds_contained").increment(1);
                     self.events.emit(Level::Notable, "contained", &[("queue", json!(&*kind))]);
                 }
+                DispatcherEffect::Withdrawn { job, agent, attempts, cause } => {
+                    let orders: Vec<u64> = attempts.iter().map(|id| id.0).collect();
+                    let is_connected = self.agents.borrow().contains_key(&agent);
+                    let fields = [
+                        ("job", json!(&*job)),
+                        ("orders", json!(orders)),
+                        ("cause", json!(cause.name())),
+                        ("is_connected", json!(is_connected)),
+                    ];
+                    self.emit_for_agent("withdrawn", agent, &fields);
+                }
+                DispatcherEffect::PresumedLost { task, agent, attempt, cause } => {
+                    counter!("entry_orders_presumed_lost", "cause" => cause.name()).increment(1);
+                    let mut fields = vec![
+                        ("job", json!(&*task.job)),
+                        ("task", json!(task.to_string())),
+                        ("order", json!(attempt.0)),
+                        ("cause", json!(cause.name())),
+                    ];
+                    if let LossCause::Silent { silent_ms } = cause {
+                        fields.push(("silent_ms", json!(silent_ms)));
+                    }
+                    self.emit_for_agent("presumed_lost", agent, &fields);
+                }
                 DispatcherEffect::EjectionChanged { agent, is_ejected } => {
                     let fields = [("agent", json!(&*agent)), ("is_ejected", json!(is_ejected))];
                     self.events.emit(Level::Notable, "upstream_judged", &fields);
@@ -373,6 +406,10 @@
                     "tasks",
                     json!(batch.attempts.iter().map(|attempt| attempt.index).collect::<Vec<_>>()),
                 ),
+                (
+                    "orders",
+                    json!(batch.attempts.iter().map(|attempt| attempt.id.0).collect::<Vec<_>>()),
+                ),
                 ("run", json!(batch.attempts.first().map(|attempt| attempt.run))),
                 ("agent", json!(summary.as_ref().map(|summary| &*summary.name))),
                 ("view_age_ms", json!(summary.as_ref().map(|summary| summary.report_age_ms))),
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use direct::UnsettledAttempts;
 use serde_json::{Map, Value, json};
 
 pub(crate) use crate::line_budget::Level;
@@ -30,6 +31,15 @@
     Close(SyncSender<()>),
 }
 
+/// Returns the fields about the attempts in the handshake of an entry, if there are any.
+pub(crate) fn unsettled_fields(attempts: &UnsettledAttempts) -> Vec<(&'static str, Value)> {
+    let lists = [("wanted", &attempts.wanted), ("stopping", &attempts.stopping)];
+    let with_attempts = lists.into_iter().filter(|(_, ids)| !ids.is_empty());
+    with_attempts
+        .map(|(name, ids)| (name, json!(ids.iter().map(|id| id.0).collect::<Vec<_>>())))
+        .collect()
+}
+
 /// The decision log of a process.
 #[derive(Debug)]
 pub(crate) struct Events {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod http_server;
 mod known_entries;
 mod line_budget;
+mod loop_delay;
 mod metrics_server;
 mod peer_links;
 mod pipe_writes;
