Name the entry in settled lines without success

In a run of the scenario held-up both entries had an attempt with id 5 at one agent, and its line 'settled' did not tell whose had ended: ids are unique within an entry only. The line has the field 'entry' unless the outcome is 'done', where it would cost a field per task; 'placed' names agent and id.

--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -98,8 +98,8 @@
         Settled {
             /// The task.
             task: TaskId,
-            /// The attempt; `None` for a run that was found at the upstream.
-            attempt: Option<AttemptId>,
+            /// The session and the attempt; `None` for a run that was found at the upstream.
+            attempt: Option<(SessionKey, AttemptId)>,
             /// The outcome.
             outcome: AttemptOutcome,
             /// What shows the outcome.
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -162,7 +162,6 @@
         {
             session.record_outcome(id, outcome);
         }
-        let attempt = attempt.map(|(_, id)| id);
         effects.push(SupervisorEffect::Settled { task: task.clone(), attempt, outcome, by });
     }
 }
--- a/crates/ebonycroft/tests/direct_roles/decisions.rs
+++ b/crates/ebonycroft/tests/direct_roles/decisions.rs
@@ -156,7 +156,7 @@
         let settled = lines_of(&agent, "settled");
         assert_eq!(settled.len(), 2);
         for line in settled {
-            assert_eq!(line["outcome"], "stopped");
+            assert_eq!((&line["outcome"], &line["entry"]), (&json!("stopped"), &json!("entry")));
             assert!(["listed_end", "absence"].iter().any(|by| line["by"] == *by), "{line}");
         }
     })
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -292,20 +292,23 @@
         wakers.swap_remove(&key);
         drop(wakers);
         let cause = cause.map_or_else(|| "silent".to_owned(), ToString::to_string);
-        let entry = self.supervisor.borrow().session_entry(key).map(ToString::to_string);
-        let fields = [("entry", json!(entry)), ("cause", json!(cause))];
+        let fields = [("entry", json!(self.entry_name(key))), ("cause", json!(cause))];
         self.events.emit(Level::Notable, "entry_lost", &fields);
         self.supervisor.borrow_mut().on_disconnected(key);
     }
 
     /// Handles the end of an entry's process, which a refused connection has shown.
     pub(crate) fn on_entry_gone(self: &Rc<Self>, key: SessionKey) {
-        let entry = self.supervisor.borrow().session_entry(key).map(ToString::to_string);
-        self.events.emit(Level::Notable, "entry_gone", &[("entry", json!(entry))]);
+        let fields = [("entry", json!(self.entry_name(key)))];
+        self.events.emit(Level::Notable, "entry_gone", &fields);
         let effects = self.supervisor.borrow_mut().on_entry_gone(key);
         self.apply(effects);
     }
 
+    fn entry_name(&self, key: SessionKey) -> Option<String> {
+        self.supervisor.borrow().session_entry(key).map(ToString::to_string)
+    }
+
     /// Returns the period of a session's heartbeats.
     pub(crate) fn heartbeat(&self, key: SessionKey) -> Duration {
         Duration::from_millis(self.supervisor.borrow().heartbeat_ms(key))
@@ -375,11 +378,13 @@
                     let mut fields = vec![
                         ("job", json!(&*task.job)),
                         ("task", json!(task.to_string())),
-                        ("order", json!(attempt.map(|id| id.0))),
+                        ("order", json!(attempt.map(|(_, id)| id.0))),
                         ("outcome", json!(outcome.name())),
                     ];
-                    // Success is always listed, and this line is written for each task.
+                    // Success is always listed, and its line is written for each task.
                     if level == Level::Notable {
+                        let entry = attempt.and_then(|(key, _)| self.entry_name(key));
+                        fields.push(("entry", json!(entry)));
                         fields.push(("by", json!(by.name())));
                     }
                     self.events.emit(level, "settled", &fields);
