Let the fake executor take time to end a stopped run

The protocol allows an executor `stopTimeoutMs` to end a run that it has been told to stop.

`stop_ms` is the time until the run has ended (0, as before, by default), and `stopping_runs` says whether the run is listed as running meanwhile, or neither as running nor as ended. The ledger records the end at the time when it was due. A run that was stopped before its start arrived is refused, as before; a test says so now.

--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -70,6 +70,20 @@
         /// Start of the names of tasks that crash it when they start. It loses all its runs and is
         /// back as another incarnation after 300 ms.
         pub crashed_by: Option<&'static str>,
+        /// Time from a stop until the run has ended, milliseconds.
+        pub stop_ms: u64,
+        /// What its lists show of a run during this time.
+        pub stopping_runs: StoppingRuns,
+    }
+
+    /// What the lists of an executor show of runs that are being stopped.
+    #[derive(Copy, Eq, Default)]
+    pub enum StoppingRuns {
+        /// They are listed as running.
+        #[default]
+        Running,
+        /// They are listed neither as running nor as ended.
+        Unlisted,
     }
 }
 
@@ -114,6 +128,8 @@
     /// Time on the executor's clock at which the lease expires, in milliseconds.
     lease_until: u64,
     running: BTreeMap<String, ActiveRun>,
+    /// Runs that are being stopped, by task.
+    stopping: Vec<(String, StoppingRun)>,
     /// Highest run number of each task; a start with this number or a lower one is refused.
     highest_run: BTreeMap<String, u64>,
     /// Ended runs that the agent has not acknowledged: number of the end, task, run and outcome.
@@ -130,6 +146,22 @@
     ends_at: Instant,
 }
 
+#[derive(Debug)]
+struct StoppingRun {
+    run: u64,
+    ledger_index: usize,
+    stopped_at: Instant,
+}
+
+impl RunTable {
+    /// Removes all runs and returns their indices in the ledger.
+    fn remove_all(&mut self) -> Vec<usize> {
+        let running = std::mem::take(&mut self.running).into_values().map(|run| run.ledger_index);
+        let stopping = std::mem::take(&mut self.stopping).into_iter();
+        running.chain(stopping.map(|(_, run)| run.ledger_index)).collect()
+    }
+}
+
 impl FakeExecutor {
     /// Starts an executor on a free port of the loopback address.
     ///
@@ -179,9 +211,10 @@
         tokio::spawn(announce(Arc::clone(&self.shared), self.addr(), control))
     }
 
-    /// Returns the number of tasks in progress.
+    /// Returns the number of tasks in progress, including those that are being stopped.
     pub fn running(&self) -> usize {
-        lock(&self.shared.state).running.len()
+        let state = lock(&self.shared.state);
+        state.running.len() + state.stopping.len()
     }
 
     /// Returns how often it has crashed.
@@ -198,8 +231,8 @@
 impl Drop for FakeExecutor {
     fn drop(&mut self) {
         self.advancing.abort();
-        let runs = std::mem::take(&mut lock(&self.shared.state).running);
-        runs.values().for_each(|run| self.shared.ledger.record_end(run.ledger_index, false));
+        let runs = lock(&self.shared.state).remove_all();
+        runs.into_iter().for_each(|run| self.shared.ledger.record_end(run, false));
     }
 }
 
@@ -220,8 +253,8 @@
         }
         let index = self.ledger.record_start(task, &self.settings.id);
         self.ledger.record_end(index, false);
-        let runs = std::mem::take(&mut *lock(&self.state)).running;
-        runs.values().for_each(|run| self.ledger.record_end(run.ledger_index, false));
+        let runs = std::mem::take(&mut *lock(&self.state)).remove_all();
+        runs.into_iter().for_each(|run| self.ledger.record_end(run, false));
         {
             let mut lifetime = lock(&self.lifetime);
             lifetime.crashes += 1;
@@ -264,16 +297,23 @@
         for name in names {
             let is_done = state.running.get(&name).is_some_and(|run| run.ends_at <= now);
             let outcome = if is_done { outcome } else { "lapsed" };
-            self.end(&mut state, &name, outcome);
+            let Some(run) = state.running.remove(&name) else { continue };
+            self.list_end(&mut state, name, run.run, outcome);
+            self.ledger.record_end(run.ledger_index, outcome == "done");
+        }
+        for (name, run) in std::mem::take(&mut state.stopping) {
+            if is_lease_expired || run.stopped_at <= now {
+                self.ledger.record_end_at(run.ledger_index, run.stopped_at.min(now), false);
+                self.list_end(&mut state, name, run.run, "stopped");
+            } else {
+                state.stopping.push((name, run));
+            }
         }
     }
 
-    fn end(&self, state: &mut RunTable, name: &str, outcome: &'static str) {
-        let Some(run) = state.running.remove(name) else { return };
+    fn list_end(&self, state: &mut RunTable, name: String, run: u64, outcome: &'static str) {
         state.last_end_number += 1;
-        let number = state.last_end_number;
-        state.ended.push((number, name.to_owned(), run.run, outcome));
-        self.ledger.record_end(run.ledger_index, outcome == "done");
+        state.ended.push((state.last_end_number, name, run, outcome));
         self.run_ended.notify_waiters();
     }
 
@@ -327,8 +367,11 @@
         state.acknowledged = state.acknowledged.max(last_seen);
         let acknowledged = state.acknowledged;
         state.ended.retain(|(number, ..)| *number > acknowledged);
-        let running: Vec<Value> =
+        let mut running: Vec<Value> =
             state.running.iter().map(|(task, run)| json!([task, run.run, "", 0])).collect();
+        if lock(&self.faults).stopping_runs == StoppingRuns::Running {
+            running.extend(state.stopping.iter().map(|(task, run)| json!([task, run.run, "", 0])));
+        }
         let ended: Vec<Value> = state
             .ended
             .iter()
@@ -416,9 +459,16 @@
     state.fencing_token = int_field("fencingToken");
     let highest_run = state.highest_run.entry(task.clone()).or_insert(0);
     *highest_run = (*highest_run).max(int_field("run"));
-    if state.running.get(&task).is_some_and(|active| active.run <= int_field("run")) {
-        shared.end(&mut state, &task, "stopped");
+    if state.running.get(&task).is_some_and(|active| active.run <= int_field("run"))
+        && let Some(run) = state.running.remove(&task)
+    {
+        let stop_ms = lock(&shared.faults).stop_ms;
+        let stopped_at = Instant::now() + Duration::from_millis(stop_ms);
+        let ActiveRun { run, ledger_index, .. } = run;
+        state.stopping.push((task, StoppingRun { run, ledger_index, stopped_at }));
     }
+    drop(state);
+    shared.advance();
     shared.response(StatusCode::OK, None)
 }
 
--- a/crates/emulator/src/platform_fake/mod.rs
+++ b/crates/emulator/src/platform_fake/mod.rs
@@ -6,7 +6,7 @@
 mod run_ledger;
 
 pub use crate::platform_fake::{
-    executor::{FakeExecutor, FakeExecutorFaults, FakeExecutorSettings},
+    executor::{FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, StoppingRuns},
     log_server::LogServer,
     run_ledger::RunLedger,
 };
--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -29,8 +29,12 @@
     }
 
     pub(crate) fn record_end(&self, run: usize, is_done: bool) {
+        self.record_end_at(run, Instant::now(), is_done);
+    }
+
+    pub(crate) fn record_end_at(&self, run: usize, at: Instant, is_done: bool) {
         let mut runs = self.lock();
-        runs[run].to.get_or_insert_with(Instant::now);
+        runs[run].to.get_or_insert(at);
         runs[run].is_done |= is_done;
     }
 
--- /dev/null
+++ b/crates/emulator/tests/fake_executor.rs
@@ -0,0 +1,100 @@
+//! The fake executor's stops, called as an agent calls it.
+
+use emulator::{FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, RunLedger, StoppingRuns};
+use reqwest::{Client, StatusCode};
+use serde_json::{Value, json};
+
+/// Longer than every test: the run or its stop lasts.
+const LASTING_MS: u64 = 60_000;
+const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
+
+struct Called {
+    executor: FakeExecutor,
+    ledger: RunLedger,
+    client: Client,
+}
+
+impl Called {
+    async fn start(stop_ms: u64, stopping_runs: StoppingRuns) -> Self {
+        let ledger = RunLedger::default();
+        let settings = FakeExecutorSettings {
+            id: "executor".into(),
+            pool: "kitchen".into(),
+            zone: "a".into(),
+            milli_cores: 2_000,
+            run_ms: LASTING_MS,
+        };
+        let executor = FakeExecutor::start(settings, ledger.clone()).await.unwrap();
+        executor.set_faults(FakeExecutorFaults { stop_ms, stopping_runs, ..Default::default() });
+        let client = Client::builder().no_proxy().build().unwrap();
+        Self { executor, ledger, client }
+    }
+
+    async fn call(&self, path: &str, body: Value) -> (StatusCode, Value) {
+        let url = format!("http://{}/-/{path}", self.executor.addr());
+        let reply = self.client.post(url).header("Content-Type", "application/json");
+        let reply = reply.body(body.to_string()).send().await.unwrap();
+        let status = reply.status();
+        (status, serde_json::from_str(&reply.text().await.unwrap()).unwrap())
+    }
+
+    async fn start_run(&self, run: u64) -> (StatusCode, Value) {
+        let body = json!({ "task": TASK, "run": run, "spec": "", "deadlineMs": LASTING_MS,
+            "fencingToken": 1 });
+        self.call("run-start", body).await
+    }
+
+    async fn stop_run(&self, run: u64) -> StatusCode {
+        self.call("run-stop", json!({ "task": TASK, "run": run, "fencingToken": 1 })).await.0
+    }
+
+    /// Returns the lists of running and ended runs.
+    async fn lists(&self, wait_ms: u64) -> (Value, Value) {
+        let body = json!({ "deadlineMs": LASTING_MS, "fencingToken": 1, "lastSeen": 0,
+            "waitMs": wait_ms });
+        let (_, mut lists) = self.call("hold", body).await;
+        (lists["running"].take(), lists["ended"].take())
+    }
+}
+
+types::cases! {
+    fn a_run_that_is_being_stopped_has_not_ended(stopping_runs: StoppingRuns, running: Value) {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let called = Called::start(LASTING_MS, stopping_runs).await;
+            assert_eq!(called.start_run(1).await.0, StatusCode::OK);
+            assert_eq!(called.stop_run(1).await, StatusCode::OK);
+            assert_eq!(called.lists(0).await, (running, json!([])));
+            assert_eq!((called.executor.running(), called.ledger.running()), (1, 1));
+            let (status, body) = called.start_run(1).await;
+            assert_eq!((status, &body["reason"]), (StatusCode::CONFLICT, &json!("old")));
+            // A higher run starts beside it, which the record shows.
+            assert_eq!(called.start_run(2).await.0, StatusCode::OK);
+            assert_eq!(called.ledger.overlaps().len(), 1);
+        });
+    }
+    listed_as_running: (StoppingRuns::Running, json!([[TASK, 1, "", 0]])),
+    not_listed: (StoppingRuns::Unlisted, json!([])),
+}
+
+#[tokio::test]
+async fn the_end_of_a_stopped_run_is_listed_and_recorded() {
+    let called = Called::start(50, StoppingRuns::Unlisted).await;
+    called.start_run(1).await;
+    assert_eq!(called.stop_run(1).await, StatusCode::OK);
+    let ended = json!([[1, TASK, 1, "stopped", ""]]);
+    assert_eq!(called.lists(2_000).await, (json!([]), ended));
+    assert_eq!((called.executor.running(), called.ledger.running()), (0, 0));
+    assert_eq!(called.ledger.done(), 0);
+}
+
+#[tokio::test]
+async fn a_run_that_was_stopped_before_its_start_arrived_is_refused() {
+    let called = Called::start(50, StoppingRuns::Running).await;
+    assert_eq!(called.stop_run(3).await, StatusCode::OK);
+    for run in [2, 3] {
+        assert_eq!(called.start_run(run).await.0, StatusCode::CONFLICT, "run {run}");
+    }
+    assert_eq!(called.ledger.count_runs(TASK), 0);
+    assert_eq!(called.start_run(4).await.0, StatusCode::OK);
+}
