--- a/crates/ebonycroft/tests/direct_roles/role.rs
+++ b/crates/ebonycroft/tests/direct_roles/role.rs
@@ -22,9 +22,7 @@
 
 impl Drop for Role {
     fn drop(&mut self) {
-        // The process may have exited already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -85,6 +83,13 @@
         lines
     }
 
+    /// Kills the role and waits for its end.
+    pub(crate) fn kill(&mut self) {
+        // The process may have exited already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id is small");
         let pid = Pid::from_raw(id).expect("a process id is not 0");
