Count a stopped run as ended when it has had its time to end

An agent took a run for ended when its stop was acknowledged and the next list did not contain it. The executor may take `stopTimeoutMs` from then on, and one that lists the run neither as running nor as ended meanwhile made the agent open, or settle the attempt, up to 50 ms early.

A run whose stop was acknowledged now counts as ended when its end is listed, or when a list that was requested `stop_ms` after the acknowledgement does not contain it. This holds for runs of an earlier agent, which keep the agent closed until then, and for the agent's own. The executor has carried out the stop by its acknowledgement, so the run has ended by then. A run of an earlier agent that is still listed after that time is stopped again. An agent that is open accepts attempts as before once the stops of runs that it didn't start are acknowledged.

Cost, by the periods of the polls (not measured): an attempt whose start got no answer, and whose run isn't there, is reported as not started 50 to 80 ms later. Ends that are listed are settled at once.

Two tests had lists that were requested 1 ms after the acknowledgement settle a run; they now require that such a list settles nothing, and that one requested `stop_ms` after it does.

--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -98,3 +98,11 @@
         Settled(TaskId, Option<AttemptId>, AttemptOutcome),
     }
 }
+
+impl RunList {
+    /// Returns whether the list contains a run as running.
+    pub(crate) fn contains(&self, task: &TaskId, number: u32) -> bool {
+        self.running.iter().any(|row| &row.task == task && row.run == number)
+            || self.unnumbered.contains(task)
+    }
+}
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -16,7 +16,7 @@
 
 use std::sync::Arc;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use types::Resources;
 
 pub use crate::supervisor::messages::{
@@ -68,9 +68,10 @@
     /// Whether all runs of earlier agents have ended; no attempts are accepted before.
     is_open: bool,
     is_leaving: bool,
-    /// Runs at the upstream that this agent did not start, for example those of an earlier agent;
-    /// they are being stopped. The number is that of the run.
-    orphaned_runs: IndexSet<(TaskId, u32)>,
+    /// Runs at the upstream that this agent did not start, for example those of an earlier agent,
+    /// with the time at which their stop was acknowledged, milliseconds. The number is that of the
+    /// run.
+    orphaned_runs: IndexMap<(TaskId, u32), Option<u64>>,
     /// Number of unanswered stop calls for each run.
     open_stops: IndexMap<(TaskId, u32), u32>,
     leases: LeaseRecord,
@@ -98,7 +99,7 @@
             next_session: 0,
             is_open: false,
             is_leaving: false,
-            orphaned_runs: IndexSet::new(),
+            orphaned_runs: IndexMap::new(),
             open_stops: IndexMap::new(),
             // An earlier agent may have granted a lease until now.
             leases: LeaseRecord::new(now_ms),
@@ -359,8 +360,8 @@
     }
 
     /// Applies a run list of the upstream: settles runs that have ended or are missing, and stops
-    /// runs that the agent did not start. The agent opens once the upstream lists no run and none
-    /// of these stops is pending.
+    /// runs that the agent did not start. The agent opens once the upstream lists no run and all
+    /// of these have ended.
     pub fn on_run_list(&mut self, list: &RunList) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
         if self.is_of_earlier_incarnation(list) {
@@ -375,13 +376,7 @@
             self.on_run_end(task, *number, *run_outcome, list.received_ms, &mut effects);
         }
         self.settle_absent(list, &mut effects);
-        for row in &list.running {
-            let is_known = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
-            let orphaned = (row.task.clone(), row.run);
-            if !is_known && self.orphaned_runs.insert(orphaned) {
-                effects.extend(self.send_stop(&row.task, row.run));
-            }
-        }
+        self.stop_orphans(list, &mut effects);
         if !self.is_open && list.running.is_empty() && self.orphaned_runs.is_empty() {
             self.is_open = true;
             effects.push(SupervisorEffect::Open);
@@ -478,7 +473,7 @@
             && self.is_open
             && !self.is_leaving
             && !self.response_monitor.is_unresponsive()
-            && self.orphaned_runs.is_empty()
+            && self.orphaned_runs.values().all(Option::is_some)
             && !self.is_capacity_outdated
     }
 
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -41,17 +41,13 @@
         self.finish(task, outcome, effects);
     }
 
-    /// Settles the runs that are missing from a list and whose start, or whose stop, was
-    /// acknowledged before the list was requested: the list would contain them if they still
-    /// existed.
+    /// Settles the runs that are missing from a list if their start was acknowledged before the
+    /// list was requested, or their stop early enough for the run to have ended: the list would
+    /// contain them if they still existed.
     pub(crate) fn settle_absent(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
-        let listed = |task: &TaskId, number: u32| {
-            list.running.iter().any(|row| &row.task == task && row.run == number)
-                || list.unnumbered.contains(task)
-        };
         let mut absent = Vec::new();
         for (task, run) in &self.runs {
-            if listed(task, run.number) {
+            if list.contains(task, run.number) {
                 continue;
             }
             match run.phase {
@@ -59,7 +55,7 @@
                     absent.push((task.clone(), AttemptOutcome::Lost));
                 }
                 Phase::Stopping { acked_ms: Some(acked_ms), report }
-                    if list.sent_ms >= acked_ms =>
+                    if self.is_ended_without_row(acked_ms, list) =>
                 {
                     let outcome = match report {
                         StopReport::Stopped => AttemptOutcome::Stopped,
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -1,7 +1,7 @@
 //! Stops of runs.
 
 use crate::{
-    AttemptId, SessionKey, TaskId,
+    AttemptId, RunList, SessionKey, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Applies the result of one call of a stop; an unacknowledged stop is sent again. A run that
-    /// the agent started counts as ended only when a later list does not contain it.
+    /// Applies the result of one call of a stop; an unacknowledged stop is sent again. A run counts
+    /// as ended only when a list shows it: see [`Supervisor::is_ended_without_row`].
     pub fn on_stop_result(
         &mut self,
         task: &TaskId,
@@ -50,13 +50,15 @@
         if !is_acknowledged {
             return self.on_stop_overdue(task, number);
         }
-        self.orphaned_runs.shift_remove(&run_key);
+        if let Some(acked_ms) = self.orphaned_runs.get_mut(&run_key) {
+            acked_ms.get_or_insert(now_ms);
+        }
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return Vec::new();
         };
         match &mut run.phase {
             Phase::Stopping { acked_ms, report } => {
-                // A list is proof from the first acknowledgement on.
+                // The time to end counts from the first acknowledgement.
                 acked_ms.get_or_insert(now_ms);
                 match report {
                     StopReport::Stopped => Vec::new(),
@@ -67,9 +69,43 @@
         }
     }
 
+    /// Returns whether a run whose stop was acknowledged at `acked_ms` has ended if a list contains
+    /// no row of it: an upstream may list a run neither as running nor as ended while it ends.
+    pub(crate) fn is_ended_without_row(&self, acked_ms: u64, list: &RunList) -> bool {
+        list.sent_ms >= acked_ms + self.timing.stop_ms
+    }
+
+    /// Stops the runs of a list that the agent did not start, and removes those that have ended.
+    pub(crate) fn stop_orphans(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
+        let mut ended = Vec::new();
+        for (run_key, acked_ms) in &self.orphaned_runs {
+            let (task, number) = run_key;
+            if !list.contains(task, *number)
+                && acked_ms.is_some_and(|ms| self.is_ended_without_row(ms, list))
+            {
+                ended.push(run_key.clone());
+            }
+        }
+        for run_key in ended {
+            self.orphaned_runs.shift_remove(&run_key);
+        }
+        for row in &list.running {
+            let is_known = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
+            let run_key = (row.task.clone(), row.run);
+            let acked_ms = self.orphaned_runs.get(&run_key).copied();
+            // A stop that has had its time and did not end the run is sent again.
+            let is_stopped = acked_ms
+                .is_some_and(|acked| acked.is_none_or(|ms| !self.is_ended_without_row(ms, list)));
+            if !is_known && !is_stopped {
+                self.orphaned_runs.insert(run_key, None);
+                effects.extend(self.send_stop(&row.task, row.run));
+            }
+        }
+    }
+
     /// Returns whether a run is to be stopped and no stop has been acknowledged.
     fn is_stop_pending(&self, task: &TaskId, number: u32) -> bool {
-        self.orphaned_runs.contains(&(task.clone(), number))
+        self.orphaned_runs.get(&(task.clone(), number)) == Some(&None)
             || self.runs.get(task).is_some_and(|run| {
                 run.number == number && matches!(run.phase, Phase::Stopping { acked_ms: None, .. })
             })
--- a/crates/direct/tests/capacity.rs
+++ b/crates/direct/tests/capacity.rs
@@ -44,9 +44,13 @@
         agent.on_stop_result(&task("j", index), 1, true, 120);
     }
     let left = [3, 4, 5].map(|index| task("j", index));
-    agent.on_run_list(&run_list(121, &[(&left[0], 1), (&left[1], 1), (&left[2], 1)]));
+    let left = [(&left[0], 1), (&left[1], 1), (&left[2], 1)];
+    let end_ms = 120 + Timing::default().stop_ms;
+    agent.on_run_list(&run_list(end_ms - 1, &left));
+    assert_eq!(agent.free(), cores(0), "the stopped runs may take this time to end");
+    agent.on_run_list(&run_list(end_ms, &left));
     assert_eq!(agent.free(), cores(1));
-    assert_eq!(starts(&agent.on_attempts(entry, &batch("k", &[8, 9], cores(1)), 130)), 1);
+    assert_eq!(starts(&agent.on_attempts(entry, &batch("k", &[8, 9], cores(1)), end_ms + 1)), 1);
     agent.on_heartbeat(of_capacity(8), 3, 200);
     assert_eq!(agent.free(), cores(4));
 }
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -97,10 +97,39 @@
     agent.supervisor.on_stop_result(&t, 1, true, 60);
     agent.supervisor.on_run_list(&run_list(59, &[]));
     assert!(agent.outcomes().is_empty(), "a list from before the stop proves nothing");
-    agent.supervisor.on_run_list(&run_list(61, &[]));
+    let end_ms = 60 + Timing::default().stop_ms;
+    agent.supervisor.on_run_list(&run_list(end_ms - 1, &[]));
+    assert!(agent.outcomes().is_empty(), "a run that has started takes this time to end");
+    agent.supervisor.on_run_list(&run_list(end_ms, &[]));
     assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::NotStarted)]);
 }
 
+/// Guards against an agent that takes the acknowledgement of a stop for the end of the run: the entry
+/// started the task again beside it.
+#[test]
+fn a_stopped_run_has_ended_when_its_end_is_listed_or_its_time_to_end_is_over() {
+    let stop_ms = Timing::default().stop_ms;
+    let t = task("j", 0);
+    let mut stopped = RunList { ended: Vec::new(), ..run_list(31, &[]) };
+    stopped.ended.push((t.clone(), 1, RunOutcome::Terminated));
+    let listed = run_list(30 + stop_ms, &[(&t, 1)]);
+    for (list, outcomes) in [
+        (run_list(31, &[]), vec![]),
+        (run_list(29 + stop_ms, &[]), vec![]),
+        (listed, vec![]),
+        (run_list(30 + stop_ms, &[]), vec![(AttemptId(1), AttemptOutcome::Stopped)]),
+        (stopped, vec![(AttemptId(1), AttemptOutcome::Stopped)]),
+    ] {
+        let mut agent = agent();
+        agent.starts("j", &[1], 1);
+        agent.supervisor.on_start_result(&t, 1, StartResult::Started, 20);
+        agent.supervisor.on_stop(agent.entry, &[AttemptId(1)]);
+        agent.supervisor.on_stop_result(&t, 1, true, 30);
+        agent.supervisor.on_run_list(&list);
+        assert_eq!(agent.outcomes(), outcomes, "{list:?}");
+    }
+}
+
 #[test]
 fn a_start_whose_answer_is_overdue_is_sent_again_while_the_first_call_goes_on() {
     let mut agent = agent();
@@ -287,11 +316,13 @@
     assert_eq!(stops(&effects), [(task("j", 0), 1)]);
     assert_eq!(supervisor.lease_end_ms(3), None);
     supervisor.on_stop_result(&task("j", 0), 1, true, 4);
-    supervisor.on_run_list(&run_list(5, &[]));
+    let now_ms = 4 + Timing::default().stop_ms;
+    assert_eq!(supervisor.lease_end_ms(now_ms), None);
+    supervisor.on_run_list(&run_list(now_ms, &[]));
     let none = UnsettledAttempts::default();
-    let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, 6, 6);
-    supervisor.on_attempts(entry, &batch("k", &[1], cores(1)), 6);
-    assert_eq!(supervisor.lease_end_ms(6), Some(6 + Timing::default().lease_ms));
+    let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, now_ms, now_ms);
+    supervisor.on_attempts(entry, &batch("k", &[1], cores(1)), now_ms);
+    assert_eq!(supervisor.lease_end_ms(now_ms), Some(now_ms + Timing::default().lease_ms));
 }
 
 /// Guards against a run that a lease from before its start protects beyond its limit: its entry is
@@ -535,6 +566,35 @@
     assert!(supervisor.on_run_list(&list).contains(&SupervisorEffect::Open));
 }
 
+/// Guards against a new agent that opens when the stop of an earlier agent's run is acknowledged: its
+/// entries started the task again beside the run that still ended.
+#[test]
+fn a_restarted_agent_opens_when_the_runs_that_it_stopped_have_had_their_time_to_end() {
+    let mut supervisor = Supervisor::new(Timing::default(), 0);
+    let found = task("old", 0);
+    supervisor.on_run_list(&run_list(1, &[(&found, 3)]));
+    supervisor.on_stop_result(&found, 3, true, 5);
+    let end_ms = 5 + Timing::default().stop_ms;
+    for sent_ms in [6, end_ms - 1] {
+        let effects = supervisor.on_run_list(&run_list(sent_ms, &[]));
+        assert!(!effects.contains(&SupervisorEffect::Open), "at {sent_ms} ms");
+    }
+    let effects = supervisor.on_run_list(&run_list(end_ms, &[]));
+    assert!(effects.contains(&SupervisorEffect::Open));
+}
+
+#[test]
+fn a_stop_that_did_not_end_the_run_of_an_earlier_agent_is_sent_again() {
+    let mut supervisor = Supervisor::new(Timing::default(), 0);
+    let found = task("old", 0);
+    supervisor.on_run_list(&run_list(1, &[(&found, 3)]));
+    supervisor.on_stop_result(&found, 3, true, 5);
+    let end_ms = 5 + Timing::default().stop_ms;
+    assert!(stops(&supervisor.on_run_list(&run_list(end_ms - 1, &[(&found, 3)]))).is_empty());
+    let effects = supervisor.on_run_list(&run_list(end_ms, &[(&found, 3)]));
+    assert_eq!(stops(&effects), [(found, 3)]);
+}
+
 #[test]
 fn a_resubmitted_task_gets_a_higher_run_number() {
     let mut agent = agent();
