--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -12,4 +12,5 @@
 mod reload;
 mod role;
 mod stopped_runs;
+mod suspensions;
 mod templates;
