Start nothing after a suspension until the ends of channels are read

While a suspension closes admission, `Dispatcher` starts nothing. The unit test failed before the change.

--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -159,7 +159,8 @@
         }
     }
 
-    /// Sets whether submissions are accepted.
+    /// Sets whether submissions are accepted. While they are refused because of a suspension, nothing
+    /// of the accepted jobs starts either.
     pub fn set_admission(&mut self, admission: Admission) {
         self.admission = admission;
     }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -8,7 +8,7 @@
 use crate::{
     Attempt, AttemptBatch, AttemptId, RefusalReason, ToAgent,
     dispatcher::{
-        AgentKey, Dispatcher, DispatcherEffect, JobKey, OutstandingAttempt,
+        Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, OutstandingAttempt,
         agent_choice::TaskRequirements, agent_view::AgentView, crash_ledger::Suspicion,
         job_state::JobState,
     },
@@ -23,9 +23,14 @@
 
 impl Dispatcher {
     /// Sends queued tasks to agents with free capacity, the most urgent jobs first, and refuses
-    /// jobs that have waited too long without a start.
+    /// jobs that have waited too long without a start. Does nothing while a suspension closes
+    /// admission: callers may have left during it, and the ends of their connections are still
+    /// unread.
     pub(crate) fn dispatch_queued(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
+        if self.admission == Admission::Closed(RefusalReason::Suspended) {
+            return effects;
+        }
         let keys: Vec<JobKey> = self.queue.iter().map(|(.., key)| *key).collect();
         let mut free = self.max_free(now_ms);
         let mut unplaced = Vec::new();
--- a/crates/direct/tests/dispatcher.rs
+++ b/crates/direct/tests/dispatcher.rs
@@ -433,6 +433,25 @@
     assert!(attempts(&effects).is_empty());
 }
 
+/// Guards against an entry that resumes from a suspension, hears of free capacity and starts a queued
+/// task before it reads that the caller has left and may have submitted its job elsewhere.
+#[test]
+fn nothing_of_an_accepted_job_starts_while_a_suspension_closes_admission() {
+    let (mut dispatcher, keys) = dispatcher(&[("a", 1)]);
+    let (_, effects) = dispatcher.submit(job("running", 1), 0);
+    let running = attempts(&effects)[0].1;
+    let (left, _) = dispatcher.submit(job("left", 1), 1);
+    dispatcher.submit(job("waits", 1), 2);
+    dispatcher.set_admission(Admission::Closed(RefusalReason::Suspended));
+    let done = [(running, AttemptOutcome::Done { run_ms: 100 })];
+    assert!(attempts(&settle(&mut dispatcher, keys[0], 1, &done, 20)).is_empty());
+    assert!(attempts(&dispatcher.tick(21)).is_empty());
+    assert!(attempts(&dispatcher.cancel(left, 22)).is_empty());
+    dispatcher.set_admission(Admission::Open);
+    let batches = batches(&dispatcher.tick(23));
+    assert_eq!(batches.iter().map(|(_, batch)| &*batch.job).collect::<Vec<_>>(), ["waits"]);
+}
+
 #[test]
 fn the_faster_upstream_is_learned_and_chosen() {
     let (mut dispatcher, keys) = dispatcher(&[("slow", 0), ("fast", 0)]);
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -33,8 +33,9 @@
     peer_links::PeerHandler,
 };
 
-/// How long submissions are refused after a suspension, milliseconds. A request that arrived during
-/// the suspension may be as old as the suspension was long.
+/// How long submissions are refused and nothing starts after a suspension, milliseconds. A request
+/// that arrived during the suspension may be as old as the suspension was long, and the entry first
+/// reads which callers have left.
 const SUSPENDED_REFUSAL_MS: u64 = 200;
 /// Time after the start of the process during which requests wait for the first configuration,
 /// milliseconds.
