--- a/crates/ebonycroft/tests/direct_roles/decisions.rs
+++ b/crates/ebonycroft/tests/direct_roles/decisions.rs
@@ -238,8 +238,8 @@
         system.agent.signal(Signal::STOP);
         silent_ms = system.entry.next_line("presumed_lost")["silent_ms"].as_u64();
         system.agent.signal(Signal::CONT);
-        let late = system.agent.next_line("late_loop");
-        assert!(late["delay_ms"].as_u64() >= Some(1_000), "{late}");
+        // A busy machine may have delayed the agent before, too.
+        while system.agent.next_line("late_loop")["delay_ms"].as_u64() < Some(1_000) {}
     })
     .await;
     assert!(silent_ms >= Some(1_300), "{silent_ms:?}");
