Hold each submission for its own time, and after a stop of the process too

The review of the change that holds jobs found three ways in which a start could still precede the end of a connection that had arrived or was on its way:

After its wait a release now waits 1 ms more, and again while that is late, which gives the event loop a turn that reads. - A held submission that joined a held job got the rest of the first one's time only. Each has its own time now, and a submission that is not held lets the job start at once.

The wait is the setting timing.end_wait_ms (10 by default).

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -61,8 +61,8 @@
             histories: IndexMap::new(),
             outstanding: 0,
             has_run: false,
-            is_held: false,
             waiters: vec![key],
+            held_waiters: Vec::new(),
             job,
         }
     }
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -53,10 +53,10 @@
     /// Whether a task may have started: an attempt had an outcome other than `NotStarted` and
     /// `Unhealthy`.
     pub(crate) has_run: bool,
-    /// Whether nothing starts yet, because the caller may have gone.
-    pub(crate) is_held: bool,
     /// Submissions that wait for the outcome; the first one created the job.
     pub(crate) waiters: Vec<JobKey>,
+    /// Those of them whose callers may have gone; the job starts for one of the others only.
+    pub(crate) held_waiters: Vec<JobKey>,
 }
 
 impl JobState {
@@ -114,6 +114,11 @@
         self.histories.values().map(|history| history.crashes).max().unwrap_or(0)
     }
 
+    /// Returns whether nothing starts yet, because every caller may have gone.
+    pub(crate) fn is_held(&self) -> bool {
+        self.waiters.iter().all(|key| self.held_waiters.contains(key))
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.unfinished == 0)
     }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -244,16 +244,19 @@
         self.admit(job, false, now_ms)
     }
 
-    /// Accepts or refuses a submission like [`Dispatcher::submit`]; nothing of an accepted job starts
-    /// before [`Dispatcher::release`].
+    /// Accepts or refuses a submission like [`Dispatcher::submit`]; nothing starts for it before
+    /// [`Dispatcher::release`].
     pub fn submit_held(&mut self, job: DirectJob, now_ms: u64) -> (JobKey, Vec<DispatcherEffect>) {
         self.admit(job, true, now_ms)
     }
 
-    /// Lets the tasks of a held job start.
+    /// Lets the tasks of a held submission's job start.
     pub fn release(&mut self, key: JobKey, now_ms: u64) -> Vec<DispatcherEffect> {
-        let Some(state) = self.jobs.get_mut(&key) else { return Vec::new() };
-        state.is_held = false;
+        let mut states = self.jobs.values_mut();
+        let Some(state) = states.find(|state| state.held_waiters.contains(&key)) else {
+            return Vec::new();
+        };
+        state.held_waiters.retain(|waiter| *waiter != key);
         self.dispatch_queued(now_ms)
     }
 
@@ -268,8 +271,13 @@
         if let Some(state) =
             self.by_name.get(&job.name()).and_then(|first| self.jobs.get_mut(first))
         {
+            let was_held = state.is_held();
             state.waiters.push(key);
-            return (key, Vec::new());
+            if is_held {
+                state.held_waiters.push(key);
+            }
+            let effects = if was_held { self.dispatch_queued(now_ms) } else { Vec::new() };
+            return (key, effects);
         }
         let is_deadly = self.crashes.suspicion(&job.name()) == Suspicion::Proven;
         let refusal = match self.admission {
@@ -281,7 +289,7 @@
             return (key, vec![DispatcherEffect::Answer(key, outcome)]);
         }
         let mut state = self.new_state(job, key, now_ms);
-        state.is_held = is_held;
+        state.held_waiters.extend(is_held.then_some(key));
         self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
@@ -297,6 +305,7 @@
             return Vec::new();
         };
         state.waiters.retain(|waiter| *waiter != key);
+        state.held_waiters.retain(|waiter| *waiter != key);
         if !state.waiters.is_empty() {
             return Vec::new();
         }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -40,7 +40,7 @@
             let Some(state) = self.jobs.get(&key) else { continue };
             // A job whose time has run out is answered by the next `tick`; its caller may already
             // have resubmitted it.
-            if state.is_held
+            if state.is_held()
                 || self.stopping_jobs.contains_key(state.name())
                 || state.is_expired(now_ms)
                 || self.is_withheld(state)
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -25,6 +25,9 @@
         pub standby_heartbeat_ms: u64,
         /// Time without a message after which the connection of a link on standby is replaced.
         pub standby_silence_ms: u64,
+        /// Time for which a job whose request may have been held up is held: if its caller has gone,
+        /// the end of the connection follows the request within a round trip.
+        pub end_wait_ms: u64,
         /// Timeout of a call to an upstream.
         pub call_ms: u64,
         /// Gap between two readings of the clock that counts as a suspension of the process.
@@ -43,6 +46,7 @@
             silence_ms: 550,
             standby_heartbeat_ms: 3_000,
             standby_silence_ms: 8_000,
+            end_wait_ms: 10,
             call_ms: 100,
             suspension_ms: 400,
         }
@@ -114,9 +118,11 @@
     }
 
     /// Returns the age below which a request cannot have been sent again by the time at which a run
-    /// that it starts has been stopped, milliseconds.
+    /// that it starts has been stopped, milliseconds. The start may be under way for as long as its
+    /// agent accepts it.
     pub fn max_request_age_ms(&self) -> u64 {
-        self.resend_ms.saturating_sub(self.call_ms + self.stop_ms)
+        let stopped_ms = self.max_start_age_ms() + self.call_ms + self.stop_ms;
+        self.resend_ms.saturating_sub(stopped_ms)
     }
 
     /// Returns the time from the last proof that an entry lives after which no lease may protect its
--- a/crates/direct/tests/held_jobs.rs
+++ b/crates/direct/tests/held_jobs.rs
@@ -41,6 +41,39 @@
     assert_eq!(starts(&dispatcher.tick(20)), 0);
 }
 
+/// Guards against a start for a caller who has gone, in the time of another held submission of the job.
+#[test]
+fn a_held_submission_is_not_released_by_another_one() {
+    let (mut dispatcher, _) = dispatcher();
+    let (first, _) = dispatcher.submit_held(job("j", 1), 0);
+    let (second, effects) = dispatcher.submit_held(job("j", 1), 9);
+    assert_eq!(starts(&effects), 0);
+    assert_eq!(starts(&dispatcher.cancel(first, 9)), 0);
+    assert_eq!(starts(&dispatcher.release(first, 10)), 0);
+    assert_eq!(starts(&dispatcher.release(second, 19)), 1);
+}
+
+/// Guards against a delay of a caller who certainly waits, because a held submission came first.
+#[test]
+fn a_submission_that_is_not_held_starts_the_job_at_once() {
+    let (mut dispatcher, _) = dispatcher();
+    dispatcher.submit_held(job("j", 1), 0);
+    let (_, effects) = dispatcher.submit(job("j", 1), 1);
+    assert_eq!(starts(&effects), 1);
+}
+
+/// Guards against a limit that leaves a start no time on its way: the request of a caller who breaks off
+/// at once and comes back after the resend time is held from this age on.
+#[test]
+fn a_request_that_is_not_held_leaves_time_for_its_start_and_its_stop() {
+    let timing = Timing::default();
+    let stopped_ms = timing.max_request_age_ms()
+        + timing.max_start_age_ms()
+        + timing.call_ms
+        + timing.stop_ms;
+    assert!(stopped_ms <= timing.resend_ms);
+}
+
 /// Guards against a delay of other jobs beside a held one.
 #[test]
 fn a_held_job_does_not_delay_another_one() {
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -16,7 +16,10 @@
     encode_error, encode_outcome, encode_pending, encode_unknown_job,
 };
 use serde_json::json;
-use tokio::{task::spawn_local, time::sleep};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, sleep, sleep_until},
+};
 
 use crate::{
     clock,
@@ -28,9 +31,11 @@
 /// Request header with the time that the caller waits for its answer, milliseconds.
 const CALLER_TIMEOUT_HEADER: &str = platform::CALLER_TIMEOUT_HEADER;
 
-/// Time for which a job whose request may have been held up is held: the end of its connection, if
-/// the caller has gone, follows the request within a round trip.
-const END_OF_CONNECTION_WAIT: Duration = Duration::from_millis(10);
+/// A wait that is on time shows that the event loop has read the connections since the last one, and
+/// the delay from which it is not on time. A process that is always late goes on after a few waits.
+const CHECK_WAIT: Duration = Duration::from_millis(1);
+const MAX_DELAY: Duration = Duration::from_millis(5);
+const MAX_CHECKS: u32 = 5;
 
 /// Cancels a job whose caller closes the connection before the answer is sent; the HTTP server
 /// drops the request's future then.
@@ -183,10 +188,18 @@
     encode_outcome(outcome)
 }
 
-/// Lets a held job start after [`END_OF_CONNECTION_WAIT`]. The event loop reads connections before it
-/// runs timers that are due, so an end that has arrived by then cancels the job first.
+/// Lets a held job start after `end_wait_ms`. The event loop reads connections before it runs timers
+/// that are due, so an end that has arrived by then cancels the job first.
 async fn release(state: Rc<EntryState>, key: JobKey) {
-    sleep(END_OF_CONNECTION_WAIT).await;
+    sleep(Duration::from_millis(state.timing.end_wait_ms)).await;
+    // When the process has been stopped and goes on, due timers run before connections are read.
+    for _ in 0..MAX_CHECKS {
+        let due = Instant::now() + CHECK_WAIT;
+        sleep_until(due).await;
+        if due.elapsed() < MAX_DELAY {
+            break;
+        }
+    }
     state.release(key);
 }
 
