--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -32,9 +32,14 @@
 
     /// Returns the time and, if a suspension has just ended, its length, both in milliseconds.
     pub(crate) fn check(&self) -> (u64, Option<u64>) {
+        self.check_above(self.min_gap_ms)
+    }
+
+    /// Returns the same, and counts gaps from `min_gap_ms` on as suspensions.
+    pub(crate) fn check_above(&self, min_gap_ms: u64) -> (u64, Option<u64>) {
         let now_ms = now_ms();
         let gap_ms = now_ms.saturating_sub(self.last_check_ms.replace(now_ms));
-        (now_ms, Some(gap_ms).filter(|gap_ms| *gap_ms >= self.min_gap_ms))
+        (now_ms, Some(gap_ms).filter(|gap_ms| *gap_ms >= min_gap_ms))
     }
 
     /// Returns the time of the last check, milliseconds.
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -38,6 +38,9 @@
 /// that arrived during the suspension may be as old as the suspension was long, and the entry first
 /// reads which callers have left.
 const SUSPENDED_REFUSAL_MS: u64 = 200;
+/// Gap between two readings of the clock that counts as a further suspension in this time, milliseconds:
+/// longer than the pauses of a process that shares its processor, shorter than the refusal.
+const RENEWED_SUSPENSION_MS: u64 = 150;
 /// Time after the start of the process during which requests wait for the first configuration,
 /// milliseconds.
 const FIRST_CONFIG_WAIT_MS: u64 = 400;
@@ -142,7 +145,13 @@
     /// Returns the time. Every event takes its time from here, so a suspension is detected before
     /// the first event after it is handled, and submissions are refused for a while.
     fn now_ms(&self) -> u64 {
-        let (now_ms, suspended_ms) = self.suspensions.check();
+        let is_refusing = self.suspensions.last_check_ms() < self.refuse_until_ms.get();
+        let min_gap_ms = if is_refusing {
+            self.timing.suspension_ms.min(RENEWED_SUSPENSION_MS)
+        } else {
+            self.timing.suspension_ms
+        };
+        let (now_ms, suspended_ms) = self.suspensions.check_above(min_gap_ms);
         if self.is_ending.get() {
             return now_ms;
         }
