Check held requests with a wait that no busy machine exceeds

The tests of held-up requests relied on an end that follows within the 10 ms wait; they now set a wait of 1 s, check that the entry held what it accepted and placed nothing, and one more test shows that a request soon after an answer is not held.

--- a/crates/ebonycroft/tests/direct_roles/held_up_request.rs
+++ b/crates/ebonycroft/tests/direct_roles/held_up_request.rs
@@ -15,7 +15,7 @@
     time::sleep,
 };
 
-use crate::role::Role;
+use crate::role::{Role, Signal};
 
 const ANY_PORT: &str = "127.0.0.1:0";
 const ID: &str = "5c0e7a21d94b36f8";
@@ -23,6 +23,10 @@
 const RUN_MS: u64 = 2_500;
 /// Processor of an upstream and of a task, so that no upstream runs two of them.
 const MILLI_CORES: u32 = 2_000;
+/// Wait for the end of a connection, long enough for a busy machine.
+const END_WAIT_MS: u64 = 1_000;
+/// Resend time with which no request of a test can have been sent again.
+const LONG_RESEND_MS: u64 = 600_000;
 /// Bandwidth of the released path: the end of the connection follows its request after some 5 ms.
 const BYTES_PER_S: u32 = 50_000;
 /// Time for which the caller waits for an answer, and pause before it sends the job again.
@@ -39,7 +43,7 @@
 }
 
 impl HeldUpPath {
-    async fn start(dir: &Path) -> Self {
+    async fn start(dir: &Path, timing: Value) -> Self {
         let addr = ANY_PORT.parse().expect("it is an address");
         let store = LogServer::start(LogSettings::default(), addr).await.expect("a store starts");
         store.put_config(&json!({ "version": 1, "services": [], "routes": [{ "name": "r",
@@ -47,7 +51,7 @@
             "maxAttempts": 2, "stretchFactor": 1.0, "targetCompletionMs": 20_000 }] }));
         let process = |name: &str, seeds: &[SocketAddr]| {
             json!({ "name": name, "store": { "address": store.addr().to_string() },
-                "grace_ms": 3_000, "seeds": seeds })
+                "grace_ms": 3_000, "seeds": seeds, "timing": timing })
         };
         let entries: Vec<Role> = ["first", "second"]
             .iter()
@@ -117,6 +121,12 @@
         assert_eq!(answer.status(), StatusCode::OK);
         assert_eq!(self.ledger.overlaps(), Vec::<String>::new());
         assert_eq!(self.ledger.count_runs(ID), 1, "a run started for a caller who had gone");
+        self.entries[0].signal(Signal::TERM);
+        // An end that is read together with its request leaves no line.
+        for line in self.entries[0].lines_about(ID) {
+            let is_held = line["event"] == "accepted" && line["is_held"] == true;
+            assert!(is_held || line["event"] == "client_gone", "{line}");
+        }
     }
 }
 
@@ -134,10 +144,18 @@
     )
 }
 
-async fn with_held_up_path(test: &str, check: impl AsyncFnOnce(HeldUpPath)) {
+/// Sends a job on a connection and reads the answer.
+async fn post(stream: &mut TcpStream, id: &str) {
+    stream.write_all(request(id).as_bytes()).await.expect("the request can be sent");
+    let mut buf = [0; 4_096];
+    let length = stream.read(&mut buf).await.expect("an answer comes");
+    assert!(buf[..length].starts_with(b"HTTP/1.1 200"), "the request is served");
+}
+
+async fn with_held_up_path(test: &str, timing: Value, check: impl AsyncFnOnce(HeldUpPath)) {
     let dir = std::env::temp_dir().join(format!("{test}-{}", std::process::id()));
     fs::create_dir_all(&dir).expect("a folder can be made");
-    check(HeldUpPath::start(&dir).await).await;
+    check(HeldUpPath::start(&dir, timing).await).await;
     fs::remove_dir_all(&dir).expect("the folder can be removed");
 }
 
@@ -145,26 +163,45 @@
 /// end, after the caller has sent the job to another entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_held_up_first_request_does_not_run_beside_its_resubmission() {
-    with_held_up_path("held-up-first-request", async |mut path| {
-        let stream = TcpStream::connect(path.relay.addr()).await.expect("the relay accepts");
-        path.resubmit_elsewhere(stream).await;
-    })
+    with_held_up_path(
+        "held-up-first-request",
+        json!({ "end_wait_ms": END_WAIT_MS }),
+        async |mut path| {
+            let stream = TcpStream::connect(path.relay.addr()).await.expect("the relay accepts");
+            path.resubmit_elsewhere(stream).await;
+        },
+    )
     .await;
 }
 
 /// Guards against the same on a connection that has carried requests before.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_held_up_later_request_does_not_run_beside_its_resubmission() {
-    with_held_up_path("held-up-later-request", async |mut path| {
-        let mut stream = TcpStream::connect(path.relay.addr()).await.expect("the relay accepts");
-        stream
-            .write_all(request("00000000000000a1").as_bytes())
-            .await
-            .expect("the request can be sent");
-        let mut buf = [0; 4_096];
-        let length = stream.read(&mut buf).await.expect("an answer comes");
-        assert!(buf[..length].starts_with(b"HTTP/1.1 200"), "the first request is served");
-        path.resubmit_elsewhere(stream).await;
+    with_held_up_path(
+        "held-up-later-request",
+        json!({ "end_wait_ms": END_WAIT_MS }),
+        async |mut path| {
+            let mut stream =
+                TcpStream::connect(path.relay.addr()).await.expect("the relay accepts");
+            post(&mut stream, "00000000000000a1").await;
+            path.resubmit_elsewhere(stream).await;
+        },
+    )
+    .await;
+}
+
+/// Guards against a wait of callers who have just read an answer and therefore cannot have sent their next
+/// job elsewhere yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_soon_after_an_answer_is_not_held() {
+    let timing = json!({ "resend_ms": LONG_RESEND_MS });
+    with_held_up_path("soon-after-an-answer", timing, async |mut path| {
+        let addr = path.entries[0].addr("callers");
+        let mut stream = TcpStream::connect(addr).await.expect("the entry accepts");
+        post(&mut stream, ID).await;
+        post(&mut stream, ID).await;
+        assert_eq!(path.entries[0].next_line("accepted")["is_held"], true, "a new connection");
+        assert_eq!(path.entries[0].next_line("accepted")["is_held"], false);
     })
     .await;
 }
