Hold up callers' requests in the soak, over channels like the callers' own

Both directions of their paths are held, delayed or reset, and one sequence of faults has nothing else. Requests are delayed by up to 1,000 ms; SOAK_LATE_ENDS=1 delays them, and the ends of channels behind them, by up to 4,000 ms.

--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    ops::Range,
     sync::{
         Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
@@ -16,7 +17,7 @@
 
 use crate::{
     caller::DEADLY_CALLER,
-    network,
+    env_number, network,
     process::Process,
     system::{System, config},
 };
@@ -41,7 +42,7 @@
     StorePath,
 }
 
-/// All faults, each with the same probability.
+/// All faults, each with the same probability. Besides, one sequence has only those of callers.
 const ALL: [Fault; 14] = [
     Fault::Kill,
     Fault::Freeze,
@@ -59,6 +60,9 @@
     Fault::StorePath,
 ];
 
+/// Length of a disturbance of callers, milliseconds; some give up and submit again meanwhile.
+const CALLERS_MS: Range<u64> = 500..4_500;
+
 /// Injects several sequences of random faults at the same time. Returns the number of faults of
 /// each kind.
 pub(crate) async fn inject_all(
@@ -68,8 +72,11 @@
     length: Duration,
 ) -> BTreeMap<Fault, usize> {
     let version = AtomicU64::new(1);
-    let sequence = |n: u64| inject(system, seed ^ (n << 40), length, &version);
-    let counts = futures::future::join_all((0..sequences).map(sequence)).await;
+    let sequence = |n: u64| {
+        let kinds = if n == 0 { &[Fault::Callers][..] } else { &ALL };
+        inject(system, kinds, seed ^ (n << 40), length, &version)
+    };
+    let counts = futures::future::join_all((0..=sequences).map(sequence)).await;
     let mut sums = BTreeMap::new();
     for (fault, count) in counts.into_iter().flatten() {
         *sums.entry(fault).or_insert(0) += count;
@@ -84,16 +91,18 @@
 /// Injects random faults one after the other for a time. Returns the number of faults of each kind.
 async fn inject(
     system: &System,
+    kinds: &[Fault],
     seed: u64,
     length: Duration,
     version: &AtomicU64,
 ) -> BTreeMap<Fault, usize> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut counts = BTreeMap::new();
+    let has_late_ends = env_number("SOAK_LATE_ENDS", 0) > 0;
     let start = Instant::now();
     while start.elapsed() < length {
         sleep(Duration::from_millis(rng.random_range(100..600))).await;
-        let fault = ALL[rng.random_range(0..ALL.len())];
+        let fault = kinds[rng.random_range(0..kinds.len())];
         *counts.entry(fault).or_insert(0) += 1;
         let duration = Duration::from_millis(rng.random_range(50..2_000));
         match fault {
@@ -164,7 +173,8 @@
             }
             Fault::Callers => {
                 let relay = &system.caller_relays[rng.random_range(0..system.caller_relays.len())];
-                let kind = network::Kind::answers(&mut rng);
+                let kind = network::Kind::of_callers(&mut rng, has_late_ends);
+                let duration = Duration::from_millis(rng.random_range(CALLERS_MS));
                 network::disturb(relay, kind, duration, &mut rng).await;
             }
             Fault::ExecutorPath => {
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -1,10 +1,13 @@
 //! Invariants of real processes under load and random faults: no task runs twice at the same time,
 //! no executor is over its capacity, no refused job runs, and each task of a succeeded job has run.
 //! `SOAK_SEED` and `SOAK_SECONDS` choose another sequence of faults and another length,
-//! `SOAK_PROCESSES` another number of processes, `SOAK_FAULTS` how many faults may overlap, and
-//! `SOAK_LOGS` an existing folder for the decision lines of the processes.
+//! `SOAK_PROCESSES` another number of processes, `SOAK_FAULTS` how many faults may overlap besides
+//! those of callers' paths, and `SOAK_LOGS` an existing folder for the decision lines of the
+//! processes. `SOAK_LATE_ENDS=1` lets requests, and the ends of their channels behind them, be under
+//! way for longer than callers take to submit again.
 
 mod caller;
+mod channel;
 mod faults;
 mod network;
 mod process;
@@ -60,6 +63,7 @@
             jobs.iter().filter(|job| job.is_unknown()).count(),
             ledger.count_runs(""),
         );
+        println!("seed {seed}: overlaps by length, ms: {:?}", ledger.count_overlaps());
         assert_eq!(ledger.overlaps(), Vec::<String>::new(), "seed {seed}: a task ran twice at a time");
         assert!(ledger.max_concurrent_runs() <= SLOTS, "seed {seed}: an executor was over its capacity");
         for job in &jobs {
--- a/crates/ebonycroft/tests/soak/network.rs
+++ b/crates/ebonycroft/tests/soak/network.rs
@@ -12,6 +12,9 @@
 const GROWTH_PERIOD: Duration = Duration::from_millis(30);
 const GROWTH_MS: usize = 20;
 const MAX_DELAY_MS: u64 = 4_000;
+/// Longest delay of requests, and of the ends of channels, with which an entry learns that a caller
+/// has gone before the caller submits its job again, milliseconds.
+const MAX_REQUEST_DELAY_MS: u64 = 1_000;
 /// Number of connections after which the random selection repeats.
 const SELECTION: usize = 64;
 const HELD: PathFault = PathFault { delay_ms: 0, is_held: true, bytes_per_s: None };
@@ -47,15 +50,24 @@
         }
     }
 
-    /// Returns a disturbance that holds up answers only: a caller whose request is held up sends
-    /// the job to another entry, and both may run (KNOWN-RED.txt, held-up).
-    pub(crate) fn answers(rng: &mut StdRng) -> Self {
-        if rng.random_bool(0.4) {
-            return Self::Reset;
-        }
-        let delay_ms = rng.random_range(50..3_000);
-        let back = PathFault { delay_ms, is_held: rng.random_bool(0.5), ..PASSING };
-        Self::Constant(RelayFaults { out: PASSING, back })
+    /// Returns a disturbance of the path of callers. An entry can tell that a request was held up
+    /// from the end of the channel behind it. If that end is under way for longer than the callers
+    /// take to submit again, as it may be with `has_late_ends`, nothing tells it.
+    pub(crate) fn of_callers(rng: &mut StdRng, has_late_ends: bool) -> Self {
+        let late = |max_ms: u64, rng: &mut StdRng| PathFault {
+            delay_ms: rng.random_range(50..max_ms),
+            ..PASSING
+        };
+        let max_out_ms = if has_late_ends { MAX_DELAY_MS } else { MAX_REQUEST_DELAY_MS };
+        let (out, back) = match rng.random_range(0..8) {
+            0 => return Self::Reset,
+            1 => (PASSING, HELD),
+            2 => (PASSING, late(MAX_DELAY_MS, rng)),
+            3 => (late(max_out_ms, rng), late(MAX_DELAY_MS, rng)),
+            4 => (HELD, HELD),
+            _ => (HELD, PASSING),
+        };
+        Self::Constant(RelayFaults { out, back })
     }
 }
 
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -9,14 +9,10 @@
 };
 
 use emulator::{FakeExecutor, FakeExecutorSettings, LogServer, LogSettings, Relay, RunLedger};
-use reqwest::{Client, StatusCode};
 use serde_json::json;
 use tokio::{task::JoinHandle, time::sleep};
 
-use crate::{
-    caller::{self, Shape},
-    process::Process,
-};
+use crate::{caller, process::Process};
 
 /// Loopback address with port 0, so that a listener gets a free port.
 const ANY_PORT: &str = "127.0.0.1:0";
@@ -46,7 +42,7 @@
     /// Relay between all processes and the store.
     pub(crate) store_relay: Arc<Relay>,
     /// Addresses of the entries for callers: those of their relays.
-    pub(crate) callers: Arc<Mutex<Vec<SocketAddr>>>,
+    pub(crate) callers: Arc<[SocketAddr]>,
     _heartbeats: Vec<JoinHandle<()>>,
     dir: PathBuf,
 }
@@ -91,7 +87,6 @@
             executors.push(executor);
         }
         let callers = caller_relays.iter().map(|relay| relay.addr()).collect();
-        let callers = Arc::new(Mutex::new(callers));
         let system = Self {
             store,
             ledger,
@@ -112,7 +107,6 @@
 
     /// Waits until every entry has served a job.
     pub(crate) async fn until_serving(&self) {
-        let client = Client::builder().no_proxy().build().expect("a client can be built");
         let start = std::time::Instant::now();
         for (i, relay) in self.caller_relays.iter().enumerate() {
             let addr = relay.addr();
@@ -120,8 +114,7 @@
             loop {
                 n += 1;
                 let id = format!("{:016x}", 0xffff_0000_0000_0000_u64 + i as u64 * 10_000 + n);
-                let reply = caller::submit(&client, addr, &id, &Shape::default()).await;
-                if reply == Some((StatusCode::OK, true)) {
+                if caller::submit_once(addr, &id).await {
                     break;
                 }
                 assert!(start.elapsed() < SERVING_TIMEOUT, "the system does not serve again");
