Give the soak the load of the recipes site, and see requests run late

Entries, executors and callers are in three zones, with three queues of the site's priorities, widths and lengths (60, 900 and 200 ms; 8, 4 and 2 tasks) and 12 callers for each executor; the tasks that outlive their callers' wait and the jobs of several steps stay. Freezes last 0.2 to 6 s, killed processes start again at once or after up to 4 s, and SOAK_BUSY threads keep processors busy.

Speeds of the site's hosts are not played.

--- a/crates/ebonycroft/tests/soak/caller.rs
+++ b/crates/ebonycroft/tests/soak/caller.rs
@@ -19,10 +19,11 @@
 
 use crate::{
     channel::{Channel, Reply},
-    system::System,
+    system::{System, TASK_MILLI_CORES, ZONES},
 };
 
-const CALLERS: u64 = 12;
+/// Number of callers for each executor.
+const CALLERS_PER_EXECUTOR: usize = 12;
 /// Each caller with a number that is a multiple of this submits jobs whose tasks outlive the time
 /// for which it waits.
 const LASTING_CALLERS: u64 = 4;
@@ -31,22 +32,76 @@
 const MAX_LASTING_TASKS: usize = 2;
 /// Start of the ids of one caller's jobs; while the fault lasts, they crash every executor.
 pub(crate) const DEADLY_CALLER: &str = "00000005";
-const MAX_TASKS: usize = 6;
+/// One job in so many has more than one step.
+const STEPPED_JOBS: u32 = 4;
 const MAX_STEPS: usize = 3;
+/// One job in so many has as many tasks, or tasks as long, as its queue has at most.
+const LARGEST_JOBS: u32 = 20;
 /// Time for which a caller waits for the reply to one submission, milliseconds.
 const CALLER_TIMEOUT_MS: u64 = 1_500;
 /// Delay before a caller submits an unanswered job again.
 const RESUBMISSION_DELAY: Duration = Duration::from_millis(1_300);
 const MAX_SUBMISSIONS: usize = 3;
-/// Share of the submissions of short tasks whose caller gives up early, and after which time,
-/// milliseconds. Had the task lasted, a held-up end of the channel would hide that from the entry.
-const EARLY_SHARE: f64 = 0.1;
+/// Share of the submissions whose caller gives up early, and after which time, milliseconds.
+const EARLY_SHARE: f64 = 0.2;
 const EARLY_MS: Range<u64> = 20..80;
+/// Time for which these callers say that they wait, milliseconds. It is over before they submit
+/// again, since a held-up end of the channel would hide from the entry that they have gone.
+const EARLY_TIMEOUT_MS: u64 = 1_200;
 const OK: u16 = 200;
 const TOO_MANY_REQUESTS: u16 = 429;
 const SERVICE_UNAVAILABLE: u16 = 503;
 const GATEWAY_TIMEOUT: u16 = 504;
 
+/// A queue, with the share of the jobs that go there and their mean and largest sizes.
+#[derive(Debug)]
+pub(crate) struct Queue {
+    /// Name, and prefix of the path.
+    pub(crate) name: &'static str,
+    pub(crate) priority: u8,
+    pub(crate) max_attempts: u16,
+    /// Thousandths of all jobs.
+    share: u64,
+    run_ms: u64,
+    max_run_ms: u64,
+    tasks: u64,
+    max_tasks: u64,
+}
+
+/// Queues like those of the recipes site.
+pub(crate) const QUEUES: [Queue; 3] = [
+    Queue {
+        name: "check",
+        priority: 0,
+        max_attempts: 2,
+        share: 244,
+        run_ms: 60,
+        max_run_ms: 240,
+        tasks: 8,
+        max_tasks: 32,
+    },
+    Queue {
+        name: "scale",
+        priority: 2,
+        max_attempts: 4,
+        share: 45,
+        run_ms: 900,
+        max_run_ms: 3_600,
+        tasks: 4,
+        max_tasks: 16,
+    },
+    Queue {
+        name: "confirm",
+        priority: 1,
+        max_attempts: 4,
+        share: 711,
+        run_ms: 200,
+        max_run_ms: 800,
+        tasks: 2,
+        max_tasks: 8,
+    },
+];
+
 /// A job with the reply to each of its submissions, or `None` without one.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -58,16 +113,18 @@
 /// The tasks of a job.
 #[derive(Clone, Debug)]
 pub(crate) struct Shape {
+    queue: &'static Queue,
     /// Number of tasks of the first step.
     tasks: usize,
     /// Number of steps; each of the further ones has one task and follows the step before.
     steps: usize,
-    run_ms: Option<u64>,
+    run_ms: u64,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { tasks: 1, steps: 1, run_ms: None }
+        let queue = &QUEUES[0];
+        Self { queue, tasks: 1, steps: 1, run_ms: queue.run_ms }
     }
 }
 
@@ -75,10 +132,24 @@
     fn random(caller: u64, rng: &mut StdRng) -> Self {
         if caller.is_multiple_of(LASTING_CALLERS) {
             let tasks = rng.random_range(1..=MAX_LASTING_TASKS);
-            return Self { tasks, steps: 1, run_ms: Some(LASTING_MS) };
+            return Self { queue: &QUEUES[1], tasks, steps: 1, run_ms: LASTING_MS };
         }
-        let steps = rng.random_range(1..=MAX_STEPS);
-        Self { tasks: rng.random_range(1..=MAX_TASKS), steps, run_ms: None }
+        let mut of_all = rng.random_range(0..QUEUES.iter().map(|queue| queue.share).sum::<u64>());
+        let is_selected = |queue: &&Queue| {
+            let is_selected = of_all < queue.share;
+            of_all = of_all.saturating_sub(queue.share);
+            is_selected
+        };
+        let queue = QUEUES.iter().find(is_selected).expect("a number below the sum is in a share");
+        let mut around = |mean: u64, max: u64| {
+            let is_largest = rng.random_ratio(1, LARGEST_JOBS);
+            if is_largest { max } else { mean * rng.random_range(40..=160) / 100 }
+        };
+        let (tasks, run_ms) =
+            (around(queue.tasks, queue.max_tasks), around(queue.run_ms, queue.max_run_ms));
+        let steps = if rng.random_ratio(1, STEPPED_JOBS) { 2..=MAX_STEPS } else { 1..=1 };
+        let tasks = usize::try_from(tasks).expect("it is small").max(1);
+        Self { queue, tasks, steps: rng.random_range(steps), run_ms }
     }
 
     /// Returns the number of tasks of all steps.
@@ -86,17 +157,17 @@
         self.tasks + self.steps - 1
     }
 
-    fn is_short(&self) -> bool {
-        self.run_ms.is_none()
+    fn path(&self, id: &str) -> String {
+        format!("/{}/{id}", self.queue.name)
     }
 
     fn body(&self) -> String {
         let step = |i: usize| {
             let (count, after) = if i == 0 { (self.tasks, vec![]) } else { (1, vec![i - 1]) };
-            json!({ "count": count, "cpu": 1_000, "memMb": 64, "estimateMs": 120,
-                "dependsOn": after })
+            json!({ "count": count, "cpu": TASK_MILLI_CORES, "memMb": 64,
+                "estimateMs": self.queue.run_ms, "dependsOn": after })
         };
-        let spec = self.run_ms.map_or("payload".to_owned(), |ms| format!("run_ms={ms}"));
+        let spec = format!("run_ms={}", self.run_ms);
         let steps: Vec<Value> = (0..self.steps).map(step).collect();
         json!({ "spec": spec, "bestEffort": true, "steps": steps }).to_string()
     }
@@ -139,7 +210,7 @@
 pub(crate) fn start(system: &System, seed: u64) -> RunningCallers {
     let stop = Arc::new(AtomicBool::new(false));
     let mut callers = JoinSet::new();
-    for n in 0..CALLERS {
+    for n in 0..(system.executors.len() * CALLERS_PER_EXECUTOR) as u64 {
         callers.spawn(Caller::new(n, seed, system.callers.clone()).run(Arc::clone(&stop)));
     }
     RunningCallers { stop, callers }
@@ -161,16 +232,19 @@
 struct Caller {
     n: u64,
     rng: StdRng,
-    entries: Arc<[SocketAddr]>,
+    zone: &'static str,
+    /// Addresses of the entries, with their zones.
+    entries: Arc<[(&'static str, SocketAddr)]>,
     /// Entry of the present or the last channel.
     entry: Option<SocketAddr>,
     channel: Option<Channel>,
 }
 
 impl Caller {
-    fn new(n: u64, seed: u64, entries: Arc<[SocketAddr]>) -> Self {
+    fn new(n: u64, seed: u64, entries: Arc<[(&'static str, SocketAddr)]>) -> Self {
         let rng = StdRng::seed_from_u64(seed ^ (n << 32));
-        Self { n, rng, entries, entry: None, channel: None }
+        let zone = ZONES[usize::try_from(n).expect("it is small") % ZONES.len()];
+        Self { n, rng, zone, entries, entry: None, channel: None }
     }
 
     /// Submits jobs until `stop` is set.
@@ -203,15 +277,17 @@
             _ => self.other_entry(),
         };
         self.entry = Some(entry);
-        let gives_up = shape.is_short() && self.rng.random_bool(EARLY_SHARE);
-        let patience_ms =
-            if gives_up { self.rng.random_range(EARLY_MS) } else { CALLER_TIMEOUT_MS };
+        let (patience_ms, stated_ms) = if self.rng.random_bool(EARLY_SHARE) {
+            (self.rng.random_range(EARLY_MS), EARLY_TIMEOUT_MS)
+        } else {
+            (CALLER_TIMEOUT_MS, CALLER_TIMEOUT_MS)
+        };
         let attempt = async {
             let mut channel = match channel {
                 Some(channel) => channel,
                 None => Channel::open(entry).await?,
             };
-            let reply = channel.submit(id, &shape.body(), CALLER_TIMEOUT_MS).await?;
+            let reply = channel.submit(&shape.path(id), &shape.body(), stated_ms).await?;
             Ok::<_, std::io::Error>((reply, channel))
         };
         let done = timeout(Duration::from_millis(patience_ms), attempt).await;
@@ -220,11 +296,14 @@
         Some(reply)
     }
 
-    /// Returns another entry than the last one, if there is one.
+    /// Returns another entry than the last one, of the caller's zone if that has one.
     fn other_entry(&mut self) -> SocketAddr {
-        let is_other = |entry: &&SocketAddr| self.entry != Some(**entry);
-        let others: Vec<_> = self.entries.iter().filter(is_other).copied().collect();
-        let candidates = if others.is_empty() { &self.entries[..] } else { &others };
+        let others = |is_near: &dyn Fn(&str) -> bool| -> Vec<SocketAddr> {
+            let others = self.entries.iter().filter(|(zone, _)| is_near(zone));
+            others.map(|(_, entry)| *entry).filter(|entry| self.entry != Some(*entry)).collect()
+        };
+        let near = others(&|zone| zone == self.zone);
+        let candidates = if near.is_empty() { others(&|_| true) } else { near };
         candidates[self.rng.random_range(0..candidates.len())]
     }
 }
@@ -232,8 +311,9 @@
 /// Submits a job of one task over a new channel. Returns whether it has succeeded.
 pub(crate) async fn submit_once(entry: SocketAddr, id: &str) -> bool {
     let attempt = async {
-        let body = Shape::default().body();
-        Channel::open(entry).await?.submit(id, &body, CALLER_TIMEOUT_MS).await
+        let shape = Shape::default();
+        let mut channel = Channel::open(entry).await?;
+        channel.submit(&shape.path(id), &shape.body(), CALLER_TIMEOUT_MS).await
     };
     let done = timeout(Duration::from_millis(CALLER_TIMEOUT_MS), attempt).await;
     matches!(done, Ok(Ok(reply)) if reply.is_succeeded)
--- a/crates/ebonycroft/tests/soak/channel.rs
+++ b/crates/ebonycroft/tests/soak/channel.rs
@@ -40,9 +40,9 @@
     }
 
     /// Submits a job and waits for the answer.
-    pub(crate) async fn submit(&mut self, id: &str, body: &str, limit_ms: u64) -> Result<Reply> {
+    pub(crate) async fn submit(&mut self, path: &str, body: &str, limit_ms: u64) -> Result<Reply> {
         let head = format!(
-            "POST /j/{id} HTTP/1.1\r\nHost: jobs.example\r\nContent-Type: application/json\r\n\
+            "POST {path} HTTP/1.1\r\nHost: jobs.example\r\nContent-Type: application/json\r\n\
              Deadline-Ms: {limit_ms}\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -60,8 +60,12 @@
     Fault::StorePath,
 ];
 
-/// Length of a disturbance of callers, milliseconds; some give up and submit again meanwhile.
-const CALLERS_MS: Range<u64> = 500..4_500;
+/// Length of a disturbance of callers, milliseconds: a part of which the second makes it end after
+/// the callers that give up early, or all callers, have submitted their jobs again.
+const CALLERS_MS: Range<u64> = 50..1_200;
+const UNTIL_RESUBMISSION_MS: [u64; 3] = [0, 1_300, 2_800];
+
+const FREEZE_MS: Range<u64> = 200..6_000;
 
 /// Injects several sequences of random faults at the same time. Returns the number of faults of
 /// each kind.
@@ -107,12 +111,13 @@
         let duration = Duration::from_millis(rng.random_range(50..2_000));
         match fault {
             Fault::Kill => {
-                end(random_process(system, &mut rng), Signal::KILL, duration / 4).await;
+                let pause = if rng.random_bool(0.5) { Duration::ZERO } else { 2 * duration };
+                end(random_process(system, &mut rng), Signal::KILL, pause).await;
             }
             Fault::Freeze => {
                 let process = random_process(system, &mut rng);
                 lock(process).signal(Signal::STOP);
-                sleep(duration).await;
+                sleep(Duration::from_millis(rng.random_range(FREEZE_MS))).await;
                 lock(process).signal(Signal::CONT);
             }
             Fault::Stop => {
@@ -174,8 +179,9 @@
             Fault::Callers => {
                 let relay = &system.caller_relays[rng.random_range(0..system.caller_relays.len())];
                 let kind = network::Kind::of_callers(&mut rng, has_late_ends);
-                let duration = Duration::from_millis(rng.random_range(CALLERS_MS));
-                network::disturb(relay, kind, duration, &mut rng).await;
+                let until_ms = UNTIL_RESUBMISSION_MS[rng.random_range(0..3)];
+                let length = Duration::from_millis(until_ms + rng.random_range(CALLERS_MS));
+                network::disturb(relay, kind, length, &mut rng).await;
             }
             Fault::ExecutorPath => {
                 let relays = &system.executor_relays;
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! `SOAK_PROCESSES` another number of processes, `SOAK_FAULTS` how many faults may overlap besides
 //! those of callers' paths, and `SOAK_LOGS` an existing folder for the decision lines of the
 //! processes. `SOAK_LATE_ENDS=1` lets requests, and the ends of their channels behind them, be under
-//! way for longer than callers take to submit again.
+//! way for longer than callers take to submit again. `SOAK_BUSY` is a number of threads that keep
+//! processors busy.
 
 mod caller;
 mod channel;
@@ -15,6 +16,8 @@
 
 use std::{
     env,
+    sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -24,8 +27,8 @@
 };
 
 const DEFAULT_SEED: u64 = 1;
-const DEFAULT_SECONDS: u64 = 8;
-const DEFAULT_PROCESSES: u64 = 6;
+const DEFAULT_SECONDS: u64 = 20;
+const DEFAULT_PROCESSES: u64 = 8;
 /// Number of sequences of faults that go on at the same time.
 const DEFAULT_FAULTS: u64 = 2;
 
@@ -33,6 +36,16 @@
     env::var(name).ok().map_or(default, |text| text.parse().expect("the variable is a number"))
 }
 
+/// Keeps processors busy with this number of threads until the result is dropped.
+fn keep_busy(threads: u64) -> Arc<()> {
+    let busy = Arc::new(());
+    for _ in 0..threads {
+        let busy = Arc::downgrade(&busy);
+        thread::spawn(move || while busy.strong_count() > 0 {});
+    }
+    busy
+}
+
 #[test]
 fn invariants_hold_under_random_faults() {
     let (seed, seconds) =
@@ -42,6 +55,7 @@
     runtime.expect("a runtime can be built").block_on(async {
         let processes = usize::try_from(env_number("SOAK_PROCESSES", DEFAULT_PROCESSES));
         let system = System::start(processes.expect("the number is small")).await;
+        let _busy = keep_busy(env_number("SOAK_BUSY", 0));
         let callers = caller::start(&system, seed);
         let sequences = env_number("SOAK_FAULTS", DEFAULT_FAULTS);
         let injected =
@@ -64,7 +78,8 @@
             ledger.count_runs(""),
         );
         println!("seed {seed}: overlaps by length, ms: {:?}", ledger.count_overlaps());
-        assert_eq!(ledger.overlaps(), Vec::<String>::new(), "seed {seed}: a task ran twice at a time");
+        let overlaps = ledger.overlaps();
+        assert!(overlaps.is_empty(), "seed {seed}: tasks ran twice at a time:\n{}", overlaps.join("\n"));
         assert!(ledger.max_concurrent_runs() <= SLOTS, "seed {seed}: an executor was over its capacity");
         for job in &jobs {
             let runs = ledger.count_runs(&job.id);
--- a/crates/ebonycroft/tests/soak/network.rs
+++ b/crates/ebonycroft/tests/soak/network.rs
@@ -15,10 +15,12 @@
 /// Longest delay of requests, and of the ends of channels, with which an entry learns that a caller
 /// has gone before the caller submits its job again, milliseconds.
 const MAX_REQUEST_DELAY_MS: u64 = 1_000;
+/// Longest round trip between callers and entries, milliseconds.
+const MAX_ROUND_TRIP_MS: u64 = 6;
 /// Number of connections after which the random selection repeats.
 const SELECTION: usize = 64;
-const HELD: PathFault = PathFault { delay_ms: 0, is_held: true, bytes_per_s: None };
-const PASSING: PathFault = PathFault { delay_ms: 0, is_held: false, bytes_per_s: None };
+const PASSING: PathFault = PathFault { delay_ms: 0, is_held: false, gap_ms: 0, bytes_per_s: None };
+const HELD: PathFault = PathFault { is_held: true, ..PASSING };
 
 /// Kind of a disturbance.
 #[derive(Clone, Copy, Debug)]
@@ -42,8 +44,8 @@
             _ => {
                 let path = PathFault {
                     delay_ms: rng.random_range(50..1_500),
-                    is_held: false,
                     bytes_per_s: rng.random_bool(0.5).then(|| rng.random_range(2_000..50_000)),
+                    ..PASSING
                 };
                 Self::Constant(RelayFaults { out: path, back: path })
             }
@@ -58,14 +60,15 @@
             delay_ms: rng.random_range(50..max_ms),
             ..PASSING
         };
+        let held = PathFault { gap_ms: rng.random_range(0..=MAX_ROUND_TRIP_MS), ..HELD };
         let max_out_ms = if has_late_ends { MAX_DELAY_MS } else { MAX_REQUEST_DELAY_MS };
         let (out, back) = match rng.random_range(0..8) {
             0 => return Self::Reset,
             1 => (PASSING, HELD),
             2 => (PASSING, late(MAX_DELAY_MS, rng)),
             3 => (late(max_out_ms, rng), late(MAX_DELAY_MS, rng)),
-            4 => (HELD, HELD),
-            _ => (HELD, PASSING),
+            4 => (held, HELD),
+            _ => (held, PASSING),
         };
         Self::Constant(RelayFaults { out, back })
     }
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -12,16 +12,24 @@
 use serde_json::json;
 use tokio::{task::JoinHandle, time::sleep};
 
-use crate::{caller, process::Process};
+use crate::{
+    caller::{self, QUEUES, Queue},
+    process::Process,
+};
 
 /// Loopback address with port 0, so that a listener gets a free port.
 const ANY_PORT: &str = "127.0.0.1:0";
 /// One process in so many is an entry.
 const PROCESSES_PER_ENTRY: usize = 6;
-const MIN_ENTRIES: usize = 2;
+const MIN_ENTRIES: usize = 3;
+/// Availability zones of the entries, and of the executors, in turn.
+pub(crate) const ZONES: [&str; 3] = ["mid-a", "mid-b", "mid-c"];
+/// Processor capacity of an executor and of a task, thousandths of a core.
+const MILLI_CORES: u32 = 32_000;
+pub(crate) const TASK_MILLI_CORES: u32 = 3_100;
 /// Tasks that an executor can run at the same time.
-pub(crate) const SLOTS: usize = 4;
-/// Run time of a task, milliseconds.
+pub(crate) const SLOTS: usize = (MILLI_CORES / TASK_MILLI_CORES) as usize;
+/// Run time of a task that names none, milliseconds.
 const TASK_MS: u64 = 120;
 /// Time limit for the system to serve jobs again; it only ends a test that hangs.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(60);
@@ -41,8 +49,8 @@
     pub(crate) executor_relays: Vec<Arc<Relay>>,
     /// Relay between all processes and the store.
     pub(crate) store_relay: Arc<Relay>,
-    /// Addresses of the entries for callers: those of their relays.
-    pub(crate) callers: Arc<[SocketAddr]>,
+    /// Addresses of the entries for callers, those of their relays, with the zones.
+    pub(crate) callers: Arc<[(&'static str, SocketAddr)]>,
     _heartbeats: Vec<JoinHandle<()>>,
     dir: PathBuf,
 }
@@ -73,8 +81,8 @@
             let settings = FakeExecutorSettings {
                 id: format!("executor-{i}"),
                 pool: "kitchen".into(),
-                zone: "mid-a".into(),
-                milli_cores: u32::try_from(SLOTS).expect("it is small") * 1_000,
+                zone: zone(i).into(),
+                milli_cores: MILLI_CORES,
                 run_ms: TASK_MS,
             };
             let executor = FakeExecutor::start(settings, ledger.clone()).await;
@@ -86,7 +94,8 @@
             executor_relays.push(relay);
             executors.push(executor);
         }
-        let callers = caller_relays.iter().map(|relay| relay.addr()).collect();
+        let callers = caller_relays.iter().enumerate();
+        let callers = callers.map(|(i, relay)| (zone(i), relay.addr())).collect();
         let system = Self {
             store,
             ledger,
@@ -133,9 +142,18 @@
 
 /// Returns the configuration of the service under a version.
 pub(crate) fn config(version: u64) -> serde_json::Value {
-    json!({ "version": version, "services": [{ "name": "kitchen" }], "routes": [{
-        "name": "r", "host": "jobs.example", "pathPrefix": "/j/", "service": "kitchen",
-        "priority": 1, "maxAttempts": 4, "stretchFactor": 4.0, "targetCompletionMs": 800 }] })
+    let route = |queue: &Queue| {
+        json!({ "name": queue.name, "host": "jobs.example", "pathPrefix": format!("/{}/", queue.name),
+            "service": "kitchen", "priority": queue.priority, "maxAttempts": queue.max_attempts,
+            "timeoutMs": 1_500, "stretchFactor": 1.6, "targetCompletionMs": 60 })
+    };
+    let routes: Vec<_> = QUEUES.iter().map(route).collect();
+    json!({ "version": version, "services": [{ "name": "kitchen" }], "routes": routes })
+}
+
+/// Returns the zone of an entry or of an executor.
+fn zone(i: usize) -> &'static str {
+    ZONES[i % ZONES.len()]
 }
 
 /// Starts a role with settings that are written to the folder.
@@ -171,7 +189,7 @@
     callers: &Arc<Relay>,
 ) -> Process {
     let name = format!("entry-{i}");
-    let settings = json!({ "process": process(&name, store), "zone": "mid-a", "callers": ANY_PORT,
+    let settings = json!({ "process": process(&name, store), "zone": zone(i), "callers": ANY_PORT,
         "readiness": ANY_PORT, "links": ANY_PORT, "advertised_links": links.addr().to_string() });
     let relays = vec![("links", Arc::clone(links)), ("callers", Arc::clone(callers))];
     start(dir, "direct-entry", &name, &settings, relays)
--- a/crates/emulator/src/relay.rs
+++ b/crates/emulator/src/relay.rs
@@ -31,6 +31,9 @@
         pub delay_ms: u64,
         /// Whether bytes, and the end of the connection, wait until this fault is cleared.
         pub is_held: bool,
+        /// Time between what was held up, milliseconds: after a loss, a sender has one segment under
+        /// way until that is acknowledged.
+        pub gap_ms: u64,
         /// Bandwidth, bytes a second; unlimited without it.
         pub bytes_per_s: Option<u32>,
     }
@@ -218,12 +221,18 @@
     };
     let write = async {
         let mut condition = condition;
+        let (mut released, mut gap) = (None, Duration::ZERO);
         while let Some((due, bytes)) = under_way.recv().await {
             sleep_until(due).await;
+            if released.is_some_and(|at| due < at) {
+                sleep(gap).await;
+            }
             while current().is_held {
+                gap = Duration::from_millis(current().gap_ms);
                 if condition.changed().await.is_err() {
                     return;
                 }
+                released = Some(Instant::now());
             }
             let is_written = if bytes.is_empty() {
                 tx.shutdown().await.is_ok()
