--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! - `SOAK_BUSY`: threads that keep processors busy.
 //! - `SOAK_LATE_ENDS=1`: requests, and the ends of their channels behind them, may be under way for
 //!   longer than callers take to submit again.
+//! - `SOAK_PROGRAM`: another build of the program.
 //! - `SOAK_LOGS`: an existing folder for the decision lines of the processes.
 
 mod caller;
--- a/crates/ebonycroft/tests/soak/process.rs
+++ b/crates/ebonycroft/tests/soak/process.rs
@@ -70,7 +70,9 @@
 /// Starts a role and directs the relays to the addresses in its `start` line. A thread reads the
 /// lines after it, and writes them to a file in the folder `SOAK_LOGS`, if that is set.
 fn spawn(role: &'static str, settings: &Path, relays: &[(&'static str, Arc<Relay>)]) -> Child {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ebonycroft"))
+    let program = env::var("SOAK_PROGRAM");
+    let program = program.as_deref().unwrap_or(env!("CARGO_BIN_EXE_ebonycroft"));
+    let mut child = Command::new(program)
         .args([role, "--config"])
         .arg(settings)
         .stdout(Stdio::piped())
