--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -1,7 +1,7 @@
 //! Ends of runs, and the outcomes that are reported to their entries.
 
 use crate::{
-    AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, TaskId,
+    AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, SettledBy, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -38,20 +38,16 @@
             }
             (RunOutcome::Terminated, _) => AttemptOutcome::Lost,
         };
-        self.finish(task, outcome, effects);
+        self.finish(task, outcome, SettledBy::ListedEnd, effects);
     }
 
-    /// Settles the runs that are missing from a list and whose start, or whose stop, was
-    /// acknowledged before the list was requested: the list would contain them if they still
-    /// existed.
+    /// Settles the runs that are missing from a list if their start was acknowledged before the
+    /// list was requested, or their stop early enough for the run to have ended: the list would
+    /// contain them if they still existed.
     pub(crate) fn settle_absent(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
-        let listed = |task: &TaskId, number: u32| {
-            list.running.iter().any(|row| &row.task == task && row.run == number)
-                || list.unnumbered.contains(task)
-        };
         let mut absent = Vec::new();
         for (task, run) in &self.runs {
-            if listed(task, run.number) {
+            if list.contains(task, run.number) {
                 continue;
             }
             match run.phase {
@@ -59,7 +55,7 @@
                     absent.push((task.clone(), AttemptOutcome::Lost));
                 }
                 Phase::Stopping { acked_ms: Some(acked_ms), report }
-                    if list.sent_ms >= acked_ms =>
+                    if self.is_ended_without_row(acked_ms, list) =>
                 {
                     let outcome = match report {
                         StopReport::Stopped => AttemptOutcome::Stopped,
@@ -71,7 +67,7 @@
             }
         }
         for (task, outcome) in absent {
-            self.finish(&task, outcome, effects);
+            self.finish(&task, outcome, SettledBy::Absence, effects);
         }
     }
 
@@ -116,6 +112,7 @@
     pub(crate) fn settle_all(
         &mut self,
         outcome: AttemptOutcome,
+        by: SettledBy,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let is_held = |run: &Run| run.phase == Phase::Held;
@@ -123,7 +120,7 @@
             self.runs.iter().map(|(task, run)| (task.clone(), is_held(run))).collect();
         for (task, is_held) in tasks {
             let outcome = if is_held { AttemptOutcome::NotStarted } else { outcome };
-            self.finish(&task, outcome, effects);
+            self.finish(&task, outcome, by, effects);
         }
     }
 
@@ -132,6 +129,7 @@
         &mut self,
         task: &TaskId,
         outcome: AttemptOutcome,
+        by: SettledBy,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(run) = self.runs.shift_remove(task) else { return };
@@ -140,7 +138,7 @@
         if self.run_numbers.len() > MAX_RUN_NUMBERS {
             self.run_numbers.shift_remove_index(0);
         }
-        self.settle(task, run.attempt, outcome, effects);
+        self.settle(task, run.attempt, outcome, by, effects);
         if let Some((key, _)) = run.attempt {
             effects.push(SupervisorEffect::Report(key));
         }
@@ -152,6 +150,7 @@
         task: &TaskId,
         attempt: Option<(SessionKey, AttemptId)>,
         outcome: AttemptOutcome,
+        by: SettledBy,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         if let Some((key, id)) = attempt
@@ -159,6 +158,6 @@
         {
             session.record_outcome(id, outcome);
         }
-        effects.push(SupervisorEffect::Settled(task.clone(), attempt.map(|(_, id)| id), outcome));
+        effects.push(SupervisorEffect::Settled { task: task.clone(), attempt, outcome, by });
     }
 }
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -1,7 +1,7 @@
 //! Stops of runs.
 
 use crate::{
-    AttemptId, SessionKey, TaskId,
+    AttemptId, RunList, SessionKey, StopCause, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -18,21 +18,22 @@
         let mut effects = Vec::new();
         // The entry sends a stop as soon as it no longer wants the attempts.
         let wanted_ms = self.session_mut(key).map_or(0, |session| session.proven_ms);
-        self.stop_attempts(key, wanted_ms, |id| ids.contains(&id), &mut effects);
+        let is_selected = |id| ids.contains(&id);
+        self.stop_attempts(key, wanted_ms, StopCause::Requested, is_selected, &mut effects);
         effects
     }
 
     /// Sends a stop again whose answer is overdue; the earlier call may still be answered.
     pub fn on_stop_overdue(&mut self, task: &TaskId, number: u32) -> Vec<SupervisorEffect> {
         if self.is_stop_pending(task, number) {
-            self.send_stop(task, number).into_iter().collect()
+            self.send_stop(task, number, StopCause::Repeated).into_iter().collect()
         } else {
             Vec::new()
         }
     }
 
-    /// Applies the result of one call of a stop; an unacknowledged stop is sent again. A run that
-    /// the agent started counts as ended only when a later list does not contain it.
+    /// Applies the result of one call of a stop; an unacknowledged stop is sent again. A run counts
+    /// as ended only when a list shows it: see [`Supervisor::is_ended_without_row`].
     pub fn on_stop_result(
         &mut self,
         task: &TaskId,
@@ -50,13 +51,15 @@
         if !is_acknowledged {
             return self.on_stop_overdue(task, number);
         }
-        self.orphaned_runs.shift_remove(&run_key);
+        if let Some(acked_ms) = self.orphaned_runs.get_mut(&run_key) {
+            acked_ms.get_or_insert(now_ms);
+        }
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return Vec::new();
         };
         match &mut run.phase {
             Phase::Stopping { acked_ms, report } => {
-                // A list is proof from the first acknowledgement on.
+                // The time to end counts from the first acknowledgement.
                 acked_ms.get_or_insert(now_ms);
                 match report {
                     StopReport::Stopped => Vec::new(),
@@ -67,28 +70,73 @@
         }
     }
 
+    /// Returns whether a run whose stop was acknowledged at `acked_ms` has ended if a list contains
+    /// no row of it: an upstream may list a run neither as running nor as ended while it ends.
+    pub(crate) fn is_ended_without_row(&self, acked_ms: u64, list: &RunList) -> bool {
+        list.sent_ms >= acked_ms + self.timing.stop_ms
+    }
+
+    /// Stops the runs of a list that the agent did not start, and removes those that have ended.
+    pub(crate) fn stop_orphans(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
+        let mut ended = Vec::new();
+        for (run_key, acked_ms) in &self.orphaned_runs {
+            let (task, number) = run_key;
+            if !list.contains(task, *number)
+                && acked_ms.is_some_and(|ms| self.is_ended_without_row(ms, list))
+            {
+                ended.push(run_key.clone());
+            }
+        }
+        for run_key in ended {
+            self.orphaned_runs.shift_remove(&run_key);
+        }
+        for row in &list.running {
+            let is_known = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
+            let run_key = (row.task.clone(), row.run);
+            let acked_ms = self.orphaned_runs.get(&run_key).copied();
+            // A stop that has had its time and did not end the run is sent again.
+            let is_stopped = acked_ms
+                .is_some_and(|acked| acked.is_none_or(|ms| !self.is_ended_without_row(ms, list)));
+            if !is_known && !is_stopped {
+                self.orphaned_runs.insert(run_key, None);
+                let cause = if acked_ms.is_none() { StopCause::Found } else { StopCause::Repeated };
+                effects.extend(self.send_stop(&row.task, row.run, cause));
+            }
+        }
+    }
+
     /// Returns whether a run is to be stopped and no stop has been acknowledged.
     fn is_stop_pending(&self, task: &TaskId, number: u32) -> bool {
-        self.orphaned_runs.contains(&(task.clone(), number))
+        self.orphaned_runs.get(&(task.clone(), number)) == Some(&None)
             || self.runs.get(task).is_some_and(|run| {
                 run.number == number && matches!(run.phase, Phase::Stopping { acked_ms: None, .. })
             })
     }
 
     /// Sends a stop of a run unless enough calls of it are unanswered.
-    pub(crate) fn send_stop(&mut self, task: &TaskId, number: u32) -> Option<SupervisorEffect> {
+    pub(crate) fn send_stop(
+        &mut self,
+        task: &TaskId,
+        number: u32,
+        cause: StopCause,
+    ) -> Option<SupervisorEffect> {
         let open = self.open_stops.entry((task.clone(), number)).or_insert(0);
         if *open >= MAX_OPEN_STOPS {
             return None;
         }
         *open += 1;
-        Some(SupervisorEffect::Stop(task.clone(), number))
+        Some(SupervisorEffect::Stop(task.clone(), number, cause))
     }
 
     /// Stops all runs of a session.
-    pub(crate) fn stop_session(&mut self, key: SessionKey, effects: &mut Vec<SupervisorEffect>) {
+    pub(crate) fn stop_session(
+        &mut self,
+        key: SessionKey,
+        cause: StopCause,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
         let proven_ms = self.session_mut(key).map_or(0, |session| session.proven_ms);
-        self.stop_attempts(key, proven_ms, |_| true, effects);
+        self.stop_attempts(key, proven_ms, cause, |_| true, effects);
     }
 
     /// Stops the runs of a session whose attempts are selected by id; their entry wanted them until
@@ -97,6 +145,7 @@
         &mut self,
         key: SessionKey,
         wanted_ms: u64,
+        cause: StopCause,
         is_selected: impl Fn(AttemptId) -> bool,
         effects: &mut Vec<SupervisorEffect>,
     ) {
@@ -107,7 +156,7 @@
             tasks.push(task.clone());
         }
         for task in tasks {
-            self.stop_run(&task, StopReport::Stopped, effects);
+            self.stop_run(&task, StopReport::Stopped, cause, effects);
         }
     }
 
@@ -116,6 +165,7 @@
         &mut self,
         task: &TaskId,
         report: StopReport,
+        cause: StopCause,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(run) = self.runs.get_mut(task) else { return };
@@ -124,6 +174,6 @@
         }
         run.phase = Phase::Stopping { acked_ms: None, report };
         let number = run.number;
-        effects.extend(self.send_stop(task, number));
+        effects.extend(self.send_stop(task, number, cause));
     }
 }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -49,6 +49,7 @@
     log_settings::LogSettings,
     platform_fake::{
         FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, LogServer, RunLedger, StoppedRun,
+        StoppingRuns,
     },
     processor::{Capacity, Processor},
     relay::{PathFault, Relay, RelayFaults},
