Add tests with processes of callers whose end is held up while they submit again

A caller submits a job on a path that is prompt, gives up and closes its connection; the end of the connection is under way for longer than the caller takes to submit the job again (1,300 ms), so the second entry starts it while the first entry's run goes on. Nothing that one entry knows tells which submission is the later one.

The tests: two entries, two agents, a relay that holds the direction from the caller to the first entry once the job runs. The job comes again 1,300 ms after the close on a new connection, on one that has just carried an answer, and on a new one with the end released 200 ms later. No overlap in the executors' record, a 2xx answer that says succeeded.

--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -1,6 +1,7 @@
 //! The roles for direct jobs as processes of their own, and the lines that they write.
 
 mod blocked_output;
+mod caller_path;
 mod cancels;
 mod crashed_executor;
 mod decisions;
@@ -9,6 +10,7 @@
 mod fleet;
 mod held_up_request;
 mod held_up_start;
+mod late_end;
 mod peers;
 mod reload;
 mod role;
