Claim each job by its id before it starts

A caller gives up early on a job at one entry and submits it again at another one after the resend time. The end of the first connection is under way for longer than that, so the first entry goes on and the second one starts.

Cause: an entry decided by itself whether a submission may start. Neither the age of a request nor a wait for the end of its connection tells that another entry has the job. Class of the fault: one process decides by bounds on the delays of paths that have none.

Change: an entry claims a job, by queue and id, at the agent that rendezvous hashing of the job over the connected agents chooses, and nothing of the job starts before the answer. A claim of a job that another entry has waits; that entry is asked, renews its claim while it has the job or a run that is being stopped, and reports the end. Success, failure and cancelling are shared with the waiting submission; after any other end, or when the holder has been silent until its runs have ended, the next claim is granted. A job that waits is never refused as not run. Claims are soft state: renewed while a job lasts, moved when their agent goes, forgotten after 5.3 s. An unanswered claim lets its job start after claim_wait_ms (100 ms) and some checks, so that a paused process reads the answer first; such an agent is passed over until it reports.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -7,6 +7,7 @@
     dispatcher::{
         Dispatcher, JobKey,
         agent_view::AgentView,
+        claims::JobClaim,
         job_state::{JobState, StepState},
     },
 };
@@ -63,6 +64,7 @@
             has_run: false,
             waiters: vec![key],
             held_waiters: Vec::new(),
+            claim: JobClaim::default(),
             job,
         }
     }
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -17,6 +17,8 @@
     /// handshake that was held up may be of an agent that has ended since.
     pub(crate) announced: Option<u64>,
     pub(crate) is_connected: bool,
+    /// Whether it has left a claim unanswered and has not reported since.
+    pub(crate) leaves_claims: bool,
     /// Whether the link is active, that is, the agent reports each change of its load.
     pub(crate) is_active: bool,
     pub(crate) last_heard_ms: u64,
@@ -43,6 +45,7 @@
             incarnation,
             announced: None,
             is_connected: true,
+            leaves_claims: false,
             is_active: false,
             last_heard_ms: now_ms,
             awaited_since_ms: now_ms,
@@ -67,6 +70,7 @@
     /// first report.
     pub(crate) fn on_connected(&mut self, now_ms: u64) {
         self.is_connected = true;
+        self.leaves_claims = false;
         self.is_active = false;
         self.last_heard_ms = now_ms;
         self.awaited_since_ms = now_ms;
@@ -81,6 +85,7 @@
     pub(crate) fn on_report(&mut self, load: Load, now_ms: u64) {
         self.last_heard_ms = now_ms;
         self.awaited_since_ms = now_ms;
+        self.leaves_claims = false;
         self.load = load;
         while self.unacknowledged.front().is_some_and(|(number, _)| *number <= load.batches_seen) {
             self.unacknowledged.pop_front();
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -49,12 +49,7 @@
         }
         self.update_health(&attempt, outcome, now_ms, effects);
         let Some(state) = self.jobs.get_mut(&attempt.job) else {
-            if let Some(count) = self.stopping_jobs.get_mut(&attempt.job_name) {
-                *count -= 1;
-                if *count == 0 {
-                    self.stopping_jobs.swap_remove(&attempt.job_name);
-                }
-            }
+            self.on_stopped_attempt(&attempt.job_name, effects);
             return;
         };
         state.outstanding -= 1;
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -58,23 +58,25 @@
             JobOutcome::Cancelled => WithdrawalCause::Cancelled,
             _ => WithdrawalCause::Answered,
         };
-        for waiter in self.remove_job(key, cause, effects) {
+        for waiter in self.remove_job(key, cause, Some(outcome), effects) {
             effects.push(DispatcherEffect::Answer(waiter, outcome));
         }
     }
 
-    /// Removes a job and stops its outstanding attempts. Returns the submissions that wait for it.
+    /// Removes a job, which has an outcome unless nobody waits for it, and stops its outstanding
+    /// attempts. Returns the submissions that wait for it.
     pub(crate) fn remove_job(
         &mut self,
         key: JobKey,
         cause: WithdrawalCause,
+        outcome: Option<JobOutcome>,
         effects: &mut Vec<DispatcherEffect>,
     ) -> Vec<JobKey> {
         let Some(state) = self.jobs.swap_remove(&key) else { return Vec::new() };
         self.queue.remove(&state.queue_place(key));
         self.by_name.swap_remove(state.name());
+        self.end_claim(key, &state, outcome, effects);
         if state.outstanding > 0 {
-            *self.stopping_jobs.entry(state.name().clone()).or_insert(0) += state.outstanding;
             let mut stops: IndexMap<AgentKey, Vec<AttemptId>> = IndexMap::new();
             for (id, attempt) in self.attempts.iter().filter(|(_, attempt)| attempt.job == key) {
                 stops.entry(attempt.agent).or_default().push(*id);
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     DirectJob, JobName,
-    dispatcher::{AgentKey, JobKey},
+    dispatcher::{AgentKey, JobKey, claims::JobClaim},
 };
 
 /// Time before the caller's timeout at which an unfinished job is answered, milliseconds.
@@ -57,6 +57,7 @@
     pub(crate) waiters: Vec<JobKey>,
     /// Those of them whose callers may have gone; the job starts for one of the others only.
     pub(crate) held_waiters: Vec<JobKey>,
+    pub(crate) claim: JobClaim,
 }
 
 impl JobState {
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_outcomes;
 mod backlog;
 mod caller_age;
+mod claims;
 mod containment;
 mod contention;
 mod crash_ledger;
@@ -32,6 +33,7 @@
         agent_view::AgentView,
         backlog::Backlog,
         caller_age::CallerAges,
+        claims::StoppingJob,
         containment::Containment,
         contention::Contention,
         crash_ledger::{CrashLedger, Suspicion},
@@ -101,6 +103,31 @@
             /// Why it counts as lost.
             cause: LossCause,
         },
+        /// Reports for the log that another entry has a job; it waits for the end of that one.
+        ClaimContested {
+            /// Id of the job.
+            job: Arc<str>,
+            /// The agent that keeps the claims.
+            agent: AgentKey,
+            /// Time since the claim was sent, milliseconds.
+            after_ms: u64,
+        },
+        /// Reports for the log that a job starts although its claim was not answered.
+        ClaimUnanswered {
+            /// Id of the job.
+            job: Arc<str>,
+            /// The agent that keeps the claims.
+            agent: AgentKey,
+            /// Time since the claim was sent, milliseconds.
+            waited_ms: u64,
+        },
+        /// Reports for the log that another entry claims a job of this one, which goes on.
+        ClaimAsked {
+            /// Id of the job.
+            job: Arc<str>,
+            /// The agent that keeps the claims.
+            agent: AgentKey,
+        },
     }
 
     /// Why an entry no longer wants the attempts of a job.
@@ -190,9 +217,9 @@
     /// Jobs with tasks to start, by [`JobState::queue_place`].
     queue: BTreeSet<(bool, u8, JobKey)>,
     attempts: IndexMap<AttemptId, OutstandingAttempt>,
-    /// Number of outstanding attempts of answered jobs. A resubmitted job with such a name does not
-    /// start before these have ended, so that no task runs twice at a time.
-    stopping_jobs: IndexMap<JobName, u32>,
+    /// Answered jobs with outstanding attempts. A resubmitted job with such a name does not start
+    /// before these have ended, so that no task runs twice at a time.
+    stopping_jobs: IndexMap<JobName, StoppingJob>,
     kinds: IndexMap<Arc<str>, KindRatio>,
     returns: ReturnSchedule,
     backlog: Backlog,
@@ -293,7 +320,10 @@
         self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
-        (key, self.dispatch_queued(now_ms))
+        let mut effects = Vec::new();
+        self.claim(key, now_ms, &mut effects);
+        effects.extend(self.dispatch_queued(now_ms));
+        (key, effects)
     }
 
     /// Withdraws a submission whose caller no longer waits. The job is stopped and removed with its
@@ -310,7 +340,7 @@
             return Vec::new();
         }
         let mut effects = Vec::new();
-        self.remove_job(first, WithdrawalCause::ClientGone, &mut effects);
+        self.remove_job(first, WithdrawalCause::ClientGone, None, &mut effects);
         effects.extend(self.dispatch_queued(now_ms));
         effects
     }
@@ -349,7 +379,9 @@
         let view = &mut self.agents[index];
         view.on_connected(now_ms);
         view.announced = Some(hello.incarnation).filter(|number| *number != view.incarnation);
-        if view.announced.is_some() {
+        let is_announced = view.announced.is_some();
+        self.claim_at(key, now_ms, &mut effects);
+        if is_announced {
             return (key, UnsettledAttempts::default(), effects);
         }
         self.activate_at_rest(key, now_ms, &mut effects);
@@ -422,6 +454,7 @@
         for (id, outcome) in report.outcomes {
             self.settle(id, outcome, now_ms, &mut effects);
         }
+        self.apply_claim_news(key, &report.claims, now_ms, &mut effects);
         effects.extend(self.dispatch_queued(now_ms));
         effects
     }
@@ -450,6 +483,7 @@
             self.answer_at_deadline(key, now_ms, &mut effects);
         }
         self.close_silent(now_ms, &mut effects);
+        self.tend_claims(now_ms, &mut effects);
         self.adjust_links(now_ms, &mut effects);
         effects.extend(self.dispatch_queued(now_ms));
         effects
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -41,6 +41,7 @@
             // A job whose time has run out is answered by the next `tick`; its caller may already
             // have resubmitted it.
             if state.is_held()
+                || state.claim.is_open()
                 || self.stopping_jobs.contains_key(state.name())
                 || state.is_expired(now_ms)
                 || self.is_withheld(state)
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -2,6 +2,17 @@
 
 use types::Resources;
 
+types::wire! {
+    /// Identity of a job: callers of different queues may choose the same id.
+    #[derive(Eq, Hash)]
+    pub struct JobName {
+        /// Queue of the job, which is also its kind.
+        pub queue: Arc<str>,
+        /// Job id, chosen by the caller.
+        pub id: Arc<str>,
+    }
+}
+
 types::plain! {
     /// One step of a direct job: identical tasks that may run concurrently.
     pub struct JobStep {
@@ -21,15 +32,6 @@
         pub max_per_upstream: Option<u32>,
     }
 
-    /// Identity of a job: callers of different queues may choose the same id.
-    #[derive(Eq, Hash)]
-    pub struct JobName {
-        /// Queue of the job, which is also its kind.
-        pub queue: Arc<str>,
-        /// Job id, chosen by the caller.
-        pub id: Arc<str>,
-    }
-
     /// A job whose submission is answered with its outcome.
     pub struct DirectJob {
         /// Job id, chosen by the caller; unique within the queue.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 //! process to carry out. Neither does I/O, reads a clock or draws random numbers. Times are
 //! milliseconds on a monotonic clock that includes time spent suspended.
 
+mod claim;
 mod dispatcher;
 mod fencing;
 mod job;
@@ -19,6 +20,7 @@
 mod upstream;
 
 pub use crate::{
+    claim::{Claim, ClaimEnd, ClaimId, ClaimNews},
     dispatcher::{
         Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, LossCause,
         PoolCapacity, WithdrawalCause,
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -4,7 +4,7 @@
 
 use types::Resources;
 
-use crate::{JobName, TaskId, Upstream};
+use crate::{Claim, ClaimEnd, ClaimId, ClaimNews, JobName, TaskId, Upstream};
 
 types::identifier! {
     /// Identifies an attempt of a task; unique within the entry's incarnation.
@@ -98,6 +98,10 @@
         Start(AttemptBatch),
         /// Stops these attempts, or prevents their start.
         Stop(Vec<AttemptId>),
+        /// Claims a job, or renews the claim.
+        Claim(Claim),
+        /// Ends a claim that is contested.
+        EndClaim(ClaimId, ClaimEnd),
         /// Heartbeat; lists the entries that the sender knows, or none if these have not changed.
         #[serde(rename = "Alive")]
         Heartbeat(Vec<SocketAddr>),
@@ -185,6 +189,8 @@
         pub outcomes: Vec<(AttemptId, AttemptOutcome)>,
         /// Crashes of the upstream since the last report, also those that concern other entries.
         pub crashes: Vec<CrashNotice>,
+        /// News about claims of this entry.
+        pub claims: Vec<ClaimNews>,
     }
 }
 
--- /dev/null
+++ b/crates/direct/src/supervisor/claims.rs
@@ -0,0 +1,207 @@
+//! Claims of jobs that this agent keeps for the entries.
+//!
+//! Load pattern: each job is claimed once, and nearly all claims are granted at once and forgotten
+//! some seconds later. Only if two entries claim the same job, the one that has it is asked.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::{
+    Claim, ClaimEnd, ClaimId, ClaimNews, JobName, SessionKey,
+    supervisor::{Supervisor, SupervisorEffect},
+};
+
+types::plain! {
+    /// Claim of one entry.
+    #[derive(Copy, Eq)]
+    struct Claimant {
+        session: SessionKey,
+        id: ClaimId,
+        /// Time of the claim or of its last renewal, milliseconds.
+        renewed_ms: u64,
+    }
+
+    /// Claims of one job: the first one is granted, and the others wait.
+    #[derive(Default)]
+    struct JobClaims {
+        claimants: VecDeque<Claimant>,
+        /// Time at which the holder was asked last, milliseconds.
+        asked_ms: u64,
+    }
+
+    /// The claims of all jobs, in the order in which they were granted or renewed last.
+    #[derive(Default)]
+    pub(crate) struct Claims {
+        jobs: IndexMap<JobName, JobClaims>,
+    }
+}
+
+impl JobClaims {
+    fn is_contested(&self) -> bool {
+        self.claimants.len() > 1
+    }
+}
+
+impl Supervisor {
+    /// Handles a claim, which is granted unless another entry has claimed the job and may still have
+    /// it.
+    pub fn on_claim(
+        &mut self,
+        key: SessionKey,
+        claim: &Claim,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        let job = self.claims.jobs.entry(claim.job.clone()).or_default();
+        let is_expired = !job.is_contested()
+            && job.claimants.front().is_some_and(|holder| {
+                now_ms.saturating_sub(holder.renewed_ms) >= self.timing.claim_ttl_ms()
+            });
+        if is_expired {
+            job.claimants.clear();
+        }
+        let claimant = Claimant { session: key, id: claim.id, renewed_ms: now_ms };
+        let known = job.claimants.iter_mut().find(|known| known.session == key);
+        // An entry starts a job again only when its earlier runs have ended, so its new claim may
+        // replace the one before.
+        let known_id = known.map(|known| std::mem::replace(known, claimant).id);
+        if known_id.is_none() {
+            job.claimants.push_back(claimant);
+        }
+        let is_renewal = known_id == Some(claim.id);
+        let (holder, is_contested) = (job.claimants[0], job.is_contested());
+        if holder.session == key {
+            self.tell(key, ClaimNews::Granted(claim.id), &mut effects);
+            if is_contested && !is_renewal {
+                self.tell(key, ClaimNews::Asked(claim.id), &mut effects);
+            }
+            return effects;
+        }
+        self.tell(key, ClaimNews::Contested(claim.id), &mut effects);
+        if known_id.is_none() {
+            self.ask(&claim.job, now_ms, &mut effects);
+            let (job, holder) = (claim.job.clone(), holder.session);
+            effects.push(SupervisorEffect::ClaimContested { job, holder, claimant: key });
+        }
+        effects
+    }
+
+    /// Handles the end of a claim. If the job has ended with it, the other claimants get its
+    /// outcome; otherwise the next one gets the job.
+    pub fn on_claim_end(
+        &mut self,
+        key: SessionKey,
+        id: ClaimId,
+        end: ClaimEnd,
+        now_ms: u64,
+    ) -> Vec<SupervisorEffect> {
+        let mut effects = Vec::new();
+        let is_ended = |claimant: &Claimant| claimant.session == key && claimant.id == id;
+        let found = self.claims.jobs.iter().find_map(|(name, job)| {
+            let place = job.claimants.iter().position(is_ended)?;
+            Some((name.clone(), place))
+        });
+        let Some((name, place)) = found else { return effects };
+        if place > 0 {
+            if let Some(job) = self.claims.jobs.get_mut(&name) {
+                job.claimants.remove(place);
+            }
+            return effects;
+        }
+        match end {
+            ClaimEnd::Released => self.pass_on(&name, Some(end), now_ms, &mut effects),
+            ClaimEnd::Succeeded | ClaimEnd::Failed | ClaimEnd::Cancelled => {
+                let job = self.claims.jobs.swap_remove(&name).unwrap_or_default();
+                for waiting in job.claimants.into_iter().skip(1) {
+                    self.tell(waiting.session, ClaimNews::Shared(waiting.id, end), &mut effects);
+                }
+                let end = Some(end);
+                effects.push(SupervisorEffect::ClaimEnded { job: name, holder: key, end });
+            }
+        }
+        effects
+    }
+
+    /// Passes contested claims on whose holders have been silent until their runs have ended, and
+    /// forgets claims that were not renewed.
+    pub(crate) fn expire_claims(&mut self, now_ms: u64, effects: &mut Vec<SupervisorEffect>) {
+        let (lost_after_ms, _) = self.timing.contested_claim_ms();
+        let ttl_ms = self.timing.claim_ttl_ms();
+        let mut lost = Vec::new();
+        self.claims.jobs.retain(|name, job| {
+            let Some(holder) = job.claimants.front() else { return false };
+            if !job.is_contested() {
+                return now_ms.saturating_sub(holder.renewed_ms) < ttl_ms;
+            }
+            let heard_ms = holder.renewed_ms.max(job.asked_ms);
+            if now_ms.saturating_sub(heard_ms) >= lost_after_ms {
+                lost.push(name.clone());
+            }
+            true
+        });
+        for name in lost {
+            self.pass_on(&name, None, now_ms, effects);
+        }
+    }
+
+    /// Grants a job to the claimant that has waited longest.
+    fn pass_on(
+        &mut self,
+        name: &JobName,
+        end: Option<ClaimEnd>,
+        now_ms: u64,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
+        let Some(job) = self.claims.jobs.get_mut(name) else { return };
+        let Some(holder) = job.claimants.pop_front() else { return };
+        let (next, is_contested) = (job.claimants.front().copied(), job.is_contested());
+        effects.push(SupervisorEffect::ClaimEnded {
+            job: name.clone(),
+            holder: holder.session,
+            end,
+        });
+        match next {
+            Some(next) => {
+                self.tell(next.session, ClaimNews::Granted(next.id), effects);
+                if is_contested {
+                    self.ask(name, now_ms, effects);
+                }
+            }
+            None => {
+                self.claims.jobs.swap_remove(name);
+            }
+        }
+    }
+
+    /// Asks the holder of a contested claim to renew it and to report its end.
+    fn ask(&mut self, name: &JobName, now_ms: u64, effects: &mut Vec<SupervisorEffect>) {
+        let Some(job) = self.claims.jobs.get_mut(name) else { return };
+        job.asked_ms = now_ms;
+        let Some(holder) = job.claimants.front().copied() else { return };
+        self.tell(holder.session, ClaimNews::Asked(holder.id), effects);
+    }
+
+    /// Repeats what an entry must know of contested claims: it may have been lost with an earlier
+    /// connection.
+    pub(crate) fn repeat_claim_news(&mut self, key: SessionKey) {
+        let contested = self.claims.jobs.values().filter(|job| job.is_contested());
+        let news: Vec<ClaimNews> = contested
+            .filter_map(|job| {
+                let place = job.claimants.iter().position(|claimant| claimant.session == key)?;
+                let id = job.claimants[place].id;
+                Some(if place == 0 { ClaimNews::Asked(id) } else { ClaimNews::Contested(id) })
+            })
+            .collect();
+        if let Some(session) = self.session_mut(key) {
+            session.unsent_claims = news;
+        }
+    }
+
+    fn tell(&mut self, key: SessionKey, news: ClaimNews, effects: &mut Vec<SupervisorEffect>) {
+        if let Some(session) = self.session_mut(key) {
+            session.unsent_claims.push(news);
+            effects.push(SupervisorEffect::Report(key));
+        }
+    }
+}
--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{AttemptId, AttemptOutcome, Crash, TaskId};
+use crate::{AttemptId, AttemptOutcome, ClaimEnd, Crash, JobName, TaskId};
 
 types::identifier! {
     /// Identifies the session with one incarnation of an entry at this agent.
@@ -92,6 +92,24 @@
         Report(SessionKey),
         /// Opens the agent: all runs of earlier agents have ended, so it may connect to entries.
         Open,
+        /// Reports for the log that an entry claims a job that another one has.
+        ClaimContested {
+            /// The job.
+            job: JobName,
+            /// Session of the entry that has it.
+            holder: SessionKey,
+            /// Session of the entry that claims it.
+            claimant: SessionKey,
+        },
+        /// Reports for the log that a contested claim has ended.
+        ClaimEnded {
+            /// The job.
+            job: JobName,
+            /// Session of the entry that had it.
+            holder: SessionKey,
+            /// How it ended; `None` if the entry was silent until its runs had ended.
+            end: Option<ClaimEnd>,
+        },
         /// Reports a crash of the upstream for the log.
         Crashed(Crash),
         /// Reports a settled attempt for the log.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -1,6 +1,7 @@
 //! The agent's side of direct jobs: guards the capacity of one upstream, follows its runs and stops
 //! those that no entry needs any more.
 
+mod claims;
 mod crashes;
 mod isolation;
 mod lease_record;
@@ -27,6 +28,7 @@
     AttemptId, AttemptOutcome, Load, Report, TaskId, Timing, UnsettledAttempts, Upstream,
     UpstreamState,
     supervisor::{
+        claims::Claims,
         crashes::Crashes,
         isolation::Isolation,
         lease_record::LeaseRecord,
@@ -81,6 +83,7 @@
     response_monitor: ResponseMonitor,
     crashes: Crashes,
     isolation: Option<Isolation>,
+    claims: Claims,
     start_timer: StartTimer,
 }
 
@@ -108,6 +111,7 @@
             response_monitor: ResponseMonitor::default(),
             crashes: Crashes::default(),
             isolation: None,
+            claims: Claims::default(),
             start_timer: StartTimer::default(),
         }
     }
@@ -297,6 +301,7 @@
                 session.unsent.push((*id, outcome));
             }
         }
+        self.repeat_claim_news(key);
         effects.push(SupervisorEffect::Report(key));
         (key, effects)
     }
@@ -423,6 +428,7 @@
             session.is_connected
                 || now_ms.saturating_sub(session.last_heard_ms) < SESSION_RETENTION_MS
         });
+        self.expire_claims(now_ms, &mut effects);
         self.announce_refusal(now_ms, &mut effects);
         self.advance_isolation(now_ms, &mut effects);
         let is_past_lease = now_ms >= self.leases.last_ms() + self.timing.lease_end_ms();
@@ -453,9 +459,10 @@
         let session = self.session_mut(key).filter(|session| session.is_connected)?;
         let outcomes = std::mem::take(&mut session.unsent);
         let crashes = std::mem::take(&mut session.unsent_crashes);
+        let claims = std::mem::take(&mut session.unsent_claims);
         let (batches_seen, switches_seen) = (session.batches_seen, session.switches_seen);
         let load = Load { free, batches_seen, switches_seen, is_open };
-        Some(Report { upstream, load, outcomes, crashes })
+        Some(Report { upstream, load, outcomes, crashes, claims })
     }
 
     /// Returns the capacity that no run occupies.
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -1,6 +1,8 @@
 use std::collections::VecDeque;
 
-use crate::{AttemptId, AttemptOutcome, CrashNotice, supervisor::sent_reports::SentReports};
+use crate::{
+    AttemptId, AttemptOutcome, ClaimNews, CrashNotice, supervisor::sent_reports::SentReports,
+};
 
 /// Maximum number of outcomes kept for an entry that reconnects: twice the number of tasks that an
 /// upstream of 64 cores completes in the duration of a session.
@@ -30,6 +32,8 @@
     pub(crate) unsent: Vec<(AttemptId, AttemptOutcome)>,
     /// News about crashes that is not sent yet.
     pub(crate) unsent_crashes: Vec<CrashNotice>,
+    /// News about claims that is not sent yet.
+    pub(crate) unsent_claims: Vec<ClaimNews>,
     /// Latest outcomes, sent or not, the oldest first.
     recent: VecDeque<(AttemptId, AttemptOutcome)>,
 }
@@ -47,6 +51,7 @@
             switches_seen: 0,
             unsent: Vec::new(),
             unsent_crashes: Vec::new(),
+            unsent_claims: Vec::new(),
             recent: VecDeque::new(),
         }
     }
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -28,6 +28,9 @@
         /// Time for which a job whose request may have been held up is held: if its caller has gone,
         /// the end of the connection follows the request within a round trip.
         pub end_wait_ms: u64,
+        /// Time that an entry waits for the answer to a claim before the job starts without one: a
+        /// period of the processor quota of an agent that has used it up.
+        pub claim_wait_ms: u64,
         /// Timeout of a call to an upstream.
         pub call_ms: u64,
         /// Gap between two readings of the clock that counts as a suspension of the process.
@@ -47,6 +50,7 @@
             standby_heartbeat_ms: 3_000,
             standby_silence_ms: 8_000,
             end_wait_ms: 10,
+            claim_wait_ms: 100,
             call_ms: 100,
             suspension_ms: 400,
         }
@@ -139,6 +143,23 @@
         self.resend_ms
     }
 
+    /// Returns the time after which a claim that is not renewed is forgotten, milliseconds.
+    pub fn claim_ttl_ms(&self) -> u64 {
+        2 * self.claim_renewal_ms() + self.claim_wait_ms
+    }
+
+    /// Returns the period in which an entry renews the claim of a job that has not ended,
+    /// milliseconds: rarely, because most jobs end within it.
+    pub fn claim_renewal_ms(&self) -> u64 {
+        2 * self.resend_ms
+    }
+
+    /// Returns the time after which the runs of a holder that does not renew a contested claim have
+    /// ended, milliseconds, and the period in which the holder renews it.
+    pub fn contested_claim_ms(&self) -> (u64, u64) {
+        (self.lost_after_ms(), self.heartbeat_ms)
+    }
+
     /// Checks that the runs of a failed entry end before its callers resubmit their jobs.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/direct/tests/claims.rs
@@ -0,0 +1,262 @@
+//! Claims of jobs: a job that two entries have is run by one of them.
+
+mod common;
+
+use common::{attempts, claims_in, cores, job, report, upstream};
+use direct::{
+    AgentHello, AgentKey, AttemptOutcome, Claim, ClaimEnd, ClaimId, ClaimNews, Dispatcher,
+    DispatcherEffect, JobKey, JobName, JobOutcome, Report, SessionKey, Supervisor,
+    SupervisorEffect, Timing, ToAgent, UnsettledAttempts,
+};
+
+const DONE: AttemptOutcome = AttemptOutcome::Done { run_ms: 100 };
+
+fn connect(entry: &mut Dispatcher, agent: &str, now_ms: u64) -> AgentKey {
+    let hello = AgentHello { agent: agent.into(), incarnation: 1, entries: Vec::new() };
+    let (key, ..) = entry.on_agent_hello(&hello, now_ms);
+    entry.on_report(key, report(Some(upstream(agent, 1)), cores(8), 0), now_ms);
+    key
+}
+
+fn entry(agents: &[&str]) -> (Dispatcher, Vec<AgentKey>) {
+    let mut entry = Dispatcher::new(Timing::default(), "mid-a".into(), 1);
+    let keys = agents.iter().map(|agent| connect(&mut entry, agent, 0)).collect();
+    (entry, keys)
+}
+
+/// Submits a job; returns its key, the agent that keeps its claim and the claim's id.
+fn submit(entry: &mut Dispatcher, id: &str, now_ms: u64) -> (JobKey, AgentKey, ClaimId) {
+    let (key, effects) = entry.submit(job(id, 1), now_ms);
+    assert!(attempts(&effects).is_empty(), "a task starts before the claim is granted");
+    let [(keeper, claim)] = &claims_in(&effects)[..] else { panic!("one claim is sent") };
+    (key, *keeper, claim.id)
+}
+
+fn ends(effects: &[DispatcherEffect]) -> Vec<(AgentKey, ClaimEnd)> {
+    let end = |effect: &DispatcherEffect| match effect {
+        DispatcherEffect::Send(agent, ToAgent::EndClaim(_, end)) => Some((*agent, *end)),
+        _ => None,
+    };
+    effects.iter().filter_map(end).collect()
+}
+
+fn outcomes(effects: &[DispatcherEffect]) -> Vec<JobOutcome> {
+    let outcome = |effect: &DispatcherEffect| match effect {
+        DispatcherEffect::Answer(_, outcome) => Some(*outcome),
+        _ => None,
+    };
+    effects.iter().filter_map(outcome).collect()
+}
+
+/// Guards against two entries that keep the claims of a job at different agents.
+#[test]
+fn entries_choose_the_same_agent_whatever_the_order_of_connections() {
+    let agents = ["a", "b", "c", "d", "e"];
+    let (mut one, _) = entry(&agents);
+    let mut reversed = agents;
+    reversed.reverse();
+    let (mut two, _) = entry(&reversed);
+    let mut chosen = Vec::new();
+    for n in 0..40 {
+        let id = format!("j{n}");
+        let (_, first, _) = submit(&mut one, &id, 1);
+        let (_, second, _) = submit(&mut two, &id, 1);
+        let name = one.agent_name(first).map(ToString::to_string);
+        assert_eq!(name, two.agent_name(second).map(ToString::to_string), "{id}");
+        chosen.push(name);
+    }
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen.len(), agents.len(), "some agent keeps no claims");
+}
+
+/// Guards against a job that never starts because the agent that keeps its claim does not answer.
+#[test]
+fn a_job_starts_when_its_claim_stays_unanswered_and_the_next_one_is_claimed_elsewhere() {
+    let (mut entry, agents) = entry(&["a", "b"]);
+    let (_, silent, _) = submit(&mut entry, "j", 10);
+    let other = agents.into_iter().find(|agent| *agent != silent).unwrap();
+    let wait_ms = Timing::default().claim_wait_ms;
+    let mut started = Vec::new();
+    for now_ms in (22..=10 + wait_ms + 12).step_by(12) {
+        entry.on_report(other, report(None, cores(8), 0), now_ms);
+        let effects = entry.tick(now_ms);
+        started.extend(attempts(&effects).into_iter().map(|_| now_ms));
+    }
+    assert_eq!(started.len(), 1);
+    assert!(started[0] >= 10 + wait_ms);
+    for n in 0..8 {
+        let (_, keeper, _) = submit(&mut entry, &format!("k{n}"), 200);
+        assert_eq!(keeper, other);
+    }
+}
+
+/// Guards against a start without an answer that has arrived but is not read yet, because the process
+/// has just resumed.
+#[test]
+fn a_check_after_a_pause_does_not_count_a_claim_as_unanswered() {
+    let (mut entry, _) = entry(&["a"]);
+    let (_, keeper, id) = submit(&mut entry, "j", 10);
+    assert!(attempts(&entry.tick(380)).is_empty());
+    assert!(attempts(&entry.on_claims(keeper, &[ClaimNews::Contested(id)], 380)).is_empty());
+    for now_ms in (392..900).step_by(12) {
+        entry.on_report(keeper, report(None, cores(8), 0), now_ms);
+        assert!(attempts(&entry.tick(now_ms)).is_empty(), "it starts at {now_ms} ms");
+    }
+    assert_eq!(attempts(&entry.on_claims(keeper, &[ClaimNews::Granted(id)], 900)).len(), 1);
+}
+
+/// Guards against a refusal that says that a job has not run while another entry runs it.
+#[test]
+fn a_contested_job_is_not_refused_as_not_run() {
+    let (mut entry, _) = entry(&["a"]);
+    let (_, keeper, id) = submit(&mut entry, "j", 0);
+    entry.on_claims(keeper, &[ClaimNews::Contested(id)], 1);
+    let mut answers = Vec::new();
+    for now_ms in (12..1_600).step_by(12) {
+        entry.on_report(keeper, report(None, cores(8), 0), now_ms);
+        answers.extend(outcomes(&entry.tick(now_ms)));
+    }
+    assert_eq!(answers, [JobOutcome::TimedOut]);
+}
+
+types::cases! {
+    fn a_waiting_job_shares_the_outcome_of_the_other_entry(end: ClaimEnd, expected: JobOutcome) {
+        let (mut entry, _) = entry(&["a"]);
+        let (_, keeper, id) = submit(&mut entry, "j", 0);
+        entry.on_claims(keeper, &[ClaimNews::Contested(id)], 1);
+        let effects = entry.on_claims(keeper, &[ClaimNews::Shared(id, end)], 300);
+        assert_eq!(outcomes(&effects), [expected]);
+        assert!(attempts(&effects).is_empty());
+    }
+    success_is_shared: (ClaimEnd::Succeeded, JobOutcome::Succeeded),
+    failure_is_shared: (ClaimEnd::Failed, JobOutcome::Failed),
+    cancelling_is_shared: (ClaimEnd::Cancelled, JobOutcome::Cancelled),
+}
+
+/// Guards against an end of a claim that is reported while a run of its job is still being stopped.
+#[test]
+fn a_claim_ends_only_when_the_runs_of_its_job_have_been_stopped() {
+    let (mut entry, _) = entry(&["a"]);
+    let (key, keeper, id) = submit(&mut entry, "j", 0);
+    let started = attempts(&entry.on_claims(keeper, &[ClaimNews::Granted(id)], 1));
+    let [(_, attempt)] = started[..] else { panic!("the task starts") };
+    let effects = entry.on_claims(keeper, &[ClaimNews::Asked(id)], 500);
+    assert_eq!(claims_in(&effects).len(), 1, "the claim is renewed at once");
+    assert_eq!(ends(&entry.cancel(key, 510)), []);
+    let renewals = claims_in(&entry.tick(510 + Timing::default().contested_claim_ms().1));
+    assert_eq!(renewals.len(), 1, "the claim is renewed while the run is being stopped");
+    let outcomes = vec![(attempt, AttemptOutcome::Stopped)];
+    let effects = entry.on_report(keeper, Report { outcomes, ..report(None, cores(8), 1) }, 560);
+    assert_eq!(ends(&effects), [(keeper, ClaimEnd::Released)]);
+}
+
+/// Guards against a second run of a job that has just succeeded at the entry that had it.
+#[test]
+fn an_asked_entry_reports_the_success_of_its_job() {
+    let (mut entry, _) = entry(&["a"]);
+    let (_, keeper, id) = submit(&mut entry, "j", 0);
+    let started = attempts(&entry.on_claims(keeper, &[ClaimNews::Granted(id)], 1));
+    entry.on_claims(keeper, &[ClaimNews::Asked(id)], 50);
+    let outcomes = vec![(started[0].1, DONE)];
+    let effects = entry.on_report(keeper, Report { outcomes, ..report(None, cores(8), 1) }, 100);
+    assert_eq!(ends(&effects), [(keeper, ClaimEnd::Succeeded)]);
+    let effects = entry.on_claims(keeper, &[ClaimNews::Asked(id)], 150);
+    assert_eq!(ends(&effects), [(keeper, ClaimEnd::Released)], "it has the job no longer");
+}
+
+/// Guards against claims that are kept only by an agent that has gone.
+#[test]
+fn claims_move_when_their_agent_goes_and_when_a_better_one_comes() {
+    let (mut entry, agents) = entry(&["a", "b"]);
+    let (_, first, id) = submit(&mut entry, "j", 0);
+    let other = agents.into_iter().find(|agent| *agent != first).unwrap();
+    entry.on_claims(first, &[ClaimNews::Granted(id)], 1);
+    entry.on_disconnected(first);
+    let moved = claims_in(&entry.tick(20));
+    assert_eq!(moved.iter().map(|(agent, _)| *agent).collect::<Vec<_>>(), [other]);
+    let name = entry.agent_name(first).unwrap().to_string();
+    let hello = AgentHello { agent: name.into(), incarnation: 1, entries: Vec::new() };
+    let (_, _, effects) = entry.on_agent_hello(&hello, 40);
+    let back = claims_in(&effects);
+    assert_eq!(
+        back.iter().map(|(agent, claim)| (*agent, claim.id)).collect::<Vec<_>>(),
+        [(first, id)]
+    );
+}
+
+/// An agent with two sessions.
+fn agent() -> (Supervisor, SessionKey, SessionKey) {
+    let mut agent = Supervisor::new(Timing::default(), 0);
+    let none = UnsettledAttempts::default();
+    let (one, _) = agent.on_entry_hello(&"e1".into(), 1, &none, 0, 0);
+    let (two, _) = agent.on_entry_hello(&"e2".into(), 1, &none, 0, 0);
+    (agent, one, two)
+}
+
+fn claim(id: u64) -> Claim {
+    Claim { id: ClaimId(id), job: JobName { queue: "scale".into(), id: "j".into() } }
+}
+
+fn news(agent: &mut Supervisor, session: SessionKey) -> Vec<ClaimNews> {
+    agent.report(session, false).expect("the session is connected").claims
+}
+
+/// Guards against a job that two entries have and both run.
+#[test]
+fn the_second_claim_of_a_job_waits_for_the_end_of_the_first() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 10);
+    assert_eq!(news(&mut agent, one), [ClaimNews::Granted(ClaimId(7))]);
+    let effects = agent.on_claim(two, &claim(3), 1_320);
+    assert!(effects.iter().any(|e| matches!(e, SupervisorEffect::ClaimContested { .. })));
+    assert_eq!(news(&mut agent, two), [ClaimNews::Contested(ClaimId(3))]);
+    assert_eq!(news(&mut agent, one), [ClaimNews::Asked(ClaimId(7))]);
+    // The renewals show that the first entry still has the job.
+    for now_ms in (1_400..6_000).step_by(200) {
+        agent.on_claim(one, &claim(7), now_ms);
+        agent.tick(now_ms);
+        assert_eq!(news(&mut agent, two), []);
+    }
+    agent.on_claim_end(one, ClaimId(7), ClaimEnd::Released, 6_000);
+    assert_eq!(news(&mut agent, two), [ClaimNews::Granted(ClaimId(3))]);
+}
+
+/// Guards against a job that waits for ever for an entry that has gone.
+#[test]
+fn a_claim_is_passed_on_when_its_holder_has_been_silent_until_its_runs_have_ended() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 10);
+    agent.on_claim(two, &claim(3), 1_000);
+    news(&mut agent, two);
+    let lost_after_ms = Timing::default().lost_after_ms();
+    agent.tick(1_000 + lost_after_ms - 1);
+    assert_eq!(news(&mut agent, two), []);
+    agent.tick(1_000 + lost_after_ms);
+    assert_eq!(news(&mut agent, two), [ClaimNews::Granted(ClaimId(3))]);
+}
+
+/// Guards against a question that was lost with a connection, so that the holder's silence counts as
+/// its end.
+#[test]
+fn an_entry_that_connects_again_is_asked_again() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 10);
+    agent.on_claim(two, &claim(3), 1_000);
+    news(&mut agent, one);
+    agent.on_disconnected(one);
+    agent.on_entry_hello(&"e1".into(), 1, &UnsettledAttempts::default(), 1_100, 1_100);
+    assert_eq!(news(&mut agent, one), [ClaimNews::Asked(ClaimId(7))]);
+}
+
+/// Guards against claims that are kept for ever.
+#[test]
+fn a_claim_that_is_not_renewed_is_forgotten() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 10);
+    let ttl_ms = Timing::default().claim_ttl_ms();
+    agent.on_claim(one, &claim(7), 1_000);
+    agent.tick(1_000 + ttl_ms - 1);
+    agent.on_claim(two, &claim(3), 1_000 + ttl_ms);
+    assert_eq!(news(&mut agent, two), [ClaimNews::Granted(ClaimId(3))]);
+}
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -10,8 +10,8 @@
 };
 
 use direct::{
-    AgentHello, AttemptBatch, AttemptOutcome, EntryHello, FencingToken, ListPosition, Report,
-    SessionKey, StopCause, Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
+    AgentHello, AttemptBatch, AttemptOutcome, ClaimEnd, EntryHello, FencingToken, ListPosition,
+    Report, SessionKey, StopCause, Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
 };
 use indexmap::IndexMap;
 use metrics::counter;
@@ -253,6 +253,8 @@
             }
             ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
             ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
+            ToAgent::Claim(claim) => supervisor.on_claim(key, &claim, now_ms),
+            ToAgent::EndClaim(id, end) => supervisor.on_claim_end(key, id, end, now_ms),
             ToAgent::Heartbeat(entries) => {
                 self.known_entries.add_all(&entries);
                 Vec::new()
@@ -357,6 +359,23 @@
                     let fields = [("token", json!(self.token()))];
                     self.events.emit(Level::Notable, "open", &fields);
                 }
+                SupervisorEffect::ClaimContested { job, holder, claimant } => {
+                    counter!("agent_claims_contested").increment(1);
+                    let fields = [
+                        ("job", json!(&*job.id)),
+                        ("holder", json!(self.entry_name(holder))),
+                        ("claimant", json!(self.entry_name(claimant))),
+                    ];
+                    self.events.emit(Level::Notable, "claim_contested", &fields);
+                }
+                SupervisorEffect::ClaimEnded { job, holder, end } => {
+                    let fields = [
+                        ("job", json!(&*job.id)),
+                        ("holder", json!(self.entry_name(holder))),
+                        ("end", json!(end.map_or("silent", ClaimEnd::name))),
+                    ];
+                    self.events.emit(Level::Notable, "claim_ended", &fields);
+                }
                 SupervisorEffect::Crashed(crash) => {
                     counter!("agent_crashes").increment(1);
                     let suspects = crash
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -405,6 +405,19 @@
                     }
                     self.emit_for_agent("presumed_lost", agent, &fields);
                 }
+                DispatcherEffect::ClaimContested { job, agent, after_ms } => {
+                    counter!("entry_claims_contested").increment(1);
+                    let fields = [("job", json!(&*job)), ("after_ms", json!(after_ms))];
+                    self.emit_for_agent("claim_contested", agent, &fields);
+                }
+                DispatcherEffect::ClaimUnanswered { job, agent, waited_ms } => {
+                    counter!("entry_claims_unanswered").increment(1);
+                    let fields = [("job", json!(&*job)), ("waited_ms", json!(waited_ms))];
+                    self.emit_for_agent("claim_unanswered", agent, &fields);
+                }
+                DispatcherEffect::ClaimAsked { job, agent } => {
+                    self.emit_for_agent("claim_asked", agent, &[("job", json!(&*job))]);
+                }
                 DispatcherEffect::EjectionChanged { agent, is_ejected } => {
                     let fields = [("agent", json!(&*agent)), ("is_ejected", json!(is_ejected))];
                     self.events.emit(Level::Notable, "upstream_judged", &fields);
