Let the simulation of links have several entries

The hosts, connections and the entry of held_up_links.rs move into common/simulation.rs, so that a simulation with two entries can use them. New there: a link for each entry, agents that are killed and replaced, executors that take a time to end a stopped run and refuse old run numbers, answers, and starts beside a run of the task at the same executor, which count as overlaps.

The random numbers of held_up_links.rs are drawn in the same order.

--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -1,6 +1,8 @@
 #![allow(dead_code)]
 //! Builders for the tests of direct jobs.
 
+pub mod simulation;
+
 use std::sync::Arc;
 
 use direct::{
