--- a/crates/direct/src/claim.rs
+++ b/crates/direct/src/claim.rs
@@ -18,6 +18,8 @@
         pub id: ClaimId,
         /// The job.
         pub job: JobName,
+        /// Whether tasks of the job may run at this entry now.
+        pub is_running: bool,
     }
 
     /// News of an agent about a claim that it keeps.
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -138,6 +138,11 @@
         self.is_connected && self.load.is_open && is_ready
     }
 
+    /// Returns whether it can keep claims of jobs.
+    pub(crate) fn keeps_claims(&self) -> bool {
+        self.is_connected && !self.leaves_claims
+    }
+
     /// Returns whether at most one more task would fit beside a task with these needs.
     pub(crate) fn is_nearly_full(&self, need: Resources) -> bool {
         let left = self.free().saturating_sub(need).saturating_sub(need);
--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -13,7 +13,9 @@
 
 use crate::{
     Claim, ClaimEnd, ClaimId, ClaimNews, JobName, JobOutcome, ToAgent,
-    dispatcher::{AgentKey, Dispatcher, DispatcherEffect, JobKey, job_state::JobState},
+    dispatcher::{
+        AgentKey, Dispatcher, DispatcherEffect, JobKey, agent_view::AgentView, job_state::JobState,
+    },
 };
 
 /// Checks that a claim stays unanswered before its job starts without an answer: after a pause of
@@ -47,6 +49,8 @@
         /// Agent that keeps the claim.
         keeper: Option<AgentKey>,
         sent_ms: u64,
+        /// Whether another agent is to keep the claim as soon as it is granted.
+        is_moved: bool,
         /// Agents at which other entries have claimed the job.
         askers: Vec<AgentKey>,
     }
@@ -119,11 +123,7 @@
     ) {
         for item in news {
             match *item {
-                ClaimNews::Granted(id) => {
-                    if let Some(state) = self.open_claim(id, agent) {
-                        state.claim.progress = ClaimProgress::Settled;
-                    }
-                }
+                ClaimNews::Granted(id) => self.on_granted(id, agent, now_ms, effects),
                 ClaimNews::Contested(id) => self.on_contested(id, agent, now_ms, effects),
                 ClaimNews::Shared(id, end) => self.on_shared(id, agent, end, effects),
                 ClaimNews::Asked(id) => self.on_asked(id, agent, effects),
@@ -152,11 +152,13 @@
         let claim = &mut state.claim;
         claim.keeper = keeper;
         claim.sent_ms = now_ms;
+        claim.is_moved = false;
         claim.progress = if keeper.is_some() { progress } else { ClaimProgress::Unclaimed };
         // An agent whose question is open goes by the renewals, also if it is not the keeper.
         let others = claim.askers.iter().copied().filter(|agent| Some(*agent) != keeper);
         let agents: Vec<AgentKey> = keeper.into_iter().chain(others).collect();
-        let claim = Claim { id: claim_id(key), job: state.name().clone() };
+        let is_running = state.outstanding > 0;
+        let claim = Claim { id: claim_id(key), job: state.name().clone(), is_running };
         let message = ToAgent::Claim(claim);
         effects.extend(agents.into_iter().map(|to| DispatcherEffect::Send(to, message.clone())));
     }
@@ -165,7 +167,7 @@
     /// is passed over until it reports.
     fn keeper(&self, job: &JobName) -> Option<AgentKey> {
         let keyed = (0u32..).map(AgentKey).zip(&self.agents);
-        let able = keyed.filter(|(_, view)| view.is_connected && !view.leaves_claims);
+        let able = keyed.filter(|(_, view)| view.keeps_claims());
         able.max_by_key(|(key, view)| (weight(&view.name, job), Reverse(*key))).map(|(key, _)| key)
     }
 
@@ -184,14 +186,21 @@
                 keeper == agent || weight_of(agent, job) > weight_of(keeper, job)
             })
         };
-        let jobs = self.jobs.iter().filter(|(_, state)| !state.claim.is_open() && is_moved(state));
+        let jobs = self.jobs.iter().filter(|(_, state)| is_moved(state));
         let keys: Vec<JobKey> = jobs.map(|(key, _)| *key).collect();
         for key in keys {
-            let has_started = self.jobs.get(&key).is_some_and(JobState::may_have_run);
-            if has_started {
-                self.send_claim(key, ClaimProgress::Settled, now_ms, effects);
-            } else {
-                self.claim(key, now_ms, effects);
+            let Some(state) = self.jobs.get_mut(&key) else { continue };
+            match state.claim.progress {
+                // An agent that has just started knows nothing of the claims of other entries, so the
+                // one that has kept them until now decides.
+                ClaimProgress::Waiting { .. } => state.claim.is_moved = true,
+                ClaimProgress::Contested(_) => {}
+                ClaimProgress::Unclaimed if state.outstanding == 0 => {
+                    self.claim(key, now_ms, effects);
+                }
+                ClaimProgress::Unclaimed | ClaimProgress::Settled => {
+                    self.send_claim(key, ClaimProgress::Settled, now_ms, effects);
+                }
             }
         }
     }
@@ -221,7 +230,9 @@
                     let first_ms = *lost_ms.get_or_insert(now_ms);
                     if !is_lost {
                         *lost_ms = None;
-                    } else if now_ms.saturating_sub(first_ms) >= self.timing.silence_ms {
+                    } else if now_ms.saturating_sub(first_ms) >= self.timing.silence_ms
+                        && self.agents.iter().any(AgentView::keeps_claims)
+                    {
                         // By now the holder has noticed the loss too, and has moved its claim.
                         self.claim(key, now_ms, effects);
                     }
@@ -242,7 +253,8 @@
         for (name, job) in &mut self.stopping_jobs {
             if now_ms.saturating_sub(job.sent_ms) >= contested_renewal_ms {
                 job.sent_ms = now_ms;
-                let claim = ToAgent::Claim(Claim { id: job.id, job: name.clone() });
+                let claim = Claim { id: job.id, job: name.clone(), is_running: true };
+                let claim = ToAgent::Claim(claim);
                 let sends = job.askers.iter().map(|to| DispatcherEffect::Send(*to, claim.clone()));
                 effects.extend(sends);
             }
@@ -271,6 +283,20 @@
         Some(state).filter(|state| state.claim.is_open() && state.claim.keeper == Some(agent))
     }
 
+    fn on_granted(
+        &mut self,
+        id: ClaimId,
+        agent: AgentKey,
+        now_ms: u64,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
+        let Some(state) = self.open_claim(id, agent) else { return };
+        state.claim.progress = ClaimProgress::Settled;
+        if state.claim.is_moved {
+            self.send_claim(JobKey(id.0), ClaimProgress::Settled, now_ms, effects);
+        }
+    }
+
     fn on_contested(
         &mut self,
         id: ClaimId,
@@ -314,10 +340,10 @@
     fn on_asked(&mut self, id: ClaimId, agent: AgentKey, effects: &mut Vec<DispatcherEffect>) {
         let key = JobKey(id.0);
         let stopping = self.stopping_jobs.iter_mut().find(|(_, job)| job.id == id);
-        let (name, askers) = if let Some(state) = self.jobs.get_mut(&key) {
-            (state.name.clone(), &mut state.claim.askers)
+        let (name, askers, is_running) = if let Some(state) = self.jobs.get_mut(&key) {
+            (state.name.clone(), &mut state.claim.askers, state.outstanding > 0)
         } else if let Some((name, job)) = stopping {
-            (name.clone(), &mut job.askers)
+            (name.clone(), &mut job.askers, true)
         } else {
             let end = ToAgent::EndClaim(id, ClaimEnd::Released);
             effects.push(DispatcherEffect::Send(agent, end));
@@ -328,7 +354,7 @@
             let job = Arc::clone(&name.id);
             effects.push(DispatcherEffect::ClaimAsked { job, agent });
         }
-        let claim = ToAgent::Claim(Claim { id, job: name });
+        let claim = ToAgent::Claim(Claim { id, job: name, is_running });
         effects.push(DispatcherEffect::Send(agent, claim));
     }
 
--- a/crates/direct/src/supervisor/claims.rs
+++ b/crates/direct/src/supervisor/claims.rs
@@ -20,6 +20,7 @@
         id: ClaimId,
         /// Time of the claim or of its last renewal, milliseconds.
         renewed_ms: u64,
+        is_running: bool,
     }
 
     /// Claims of one job: the first one is granted, and the others wait.
@@ -34,6 +35,15 @@
     #[derive(Default)]
     pub(crate) struct Claims {
         jobs: IndexMap<JobName, JobClaims>,
+        /// Time of the first handshake of an entry, milliseconds.
+        first_hello_ms: Option<u64>,
+        is_answering: bool,
+    }
+}
+
+impl Claims {
+    pub(crate) fn on_hello(&mut self, now_ms: u64) {
+        self.first_hello_ms.get_or_insert(now_ms);
     }
 }
 
@@ -61,15 +71,32 @@
         if is_expired {
             job.claimants.clear();
         }
-        let claimant = Claimant { session: key, id: claim.id, renewed_ms: now_ms };
+        let claimant = Claimant {
+            session: key,
+            id: claim.id,
+            renewed_ms: now_ms,
+            is_running: claim.is_running,
+        };
         let known = job.claimants.iter_mut().find(|known| known.session == key);
-        // An entry starts a job again only when its earlier runs have ended, so its new claim may
-        // replace the one before.
-        let known_id = known.map(|known| std::mem::replace(known, claimant).id);
+        // An entry starts a job again only when its earlier runs have ended, so its new claim
+        // replaces the one before, which it may still renew.
+        let known_id = known.map(|known| {
+            let id = known.id;
+            *known = Claimant { id: id.max(claim.id), ..claimant };
+            id
+        });
+        if !self.claims.is_answering {
+            if known_id.is_none() && claim.is_running {
+                job.claimants.push_front(claimant);
+            } else if known_id.is_none() {
+                job.claimants.push_back(claimant);
+            }
+            return effects;
+        }
         if known_id.is_none() {
             job.claimants.push_back(claimant);
         }
-        let is_renewal = known_id == Some(claim.id);
+        let is_renewal = known_id.is_some_and(|id| id >= claim.id);
         let (holder, is_contested) = (job.claimants[0], job.is_contested());
         if holder.session == key {
             self.tell(key, ClaimNews::Granted(claim.id), &mut effects);
@@ -87,6 +114,12 @@
         effects
     }
 
+    /// Returns whether claims are answered: a process that has just started first learns which jobs
+    /// the entries have.
+    pub fn answers_claims(&self) -> bool {
+        self.claims.is_answering
+    }
+
     /// Handles the end of a claim. If the job has ended with it, the other claimants get its
     /// outcome; otherwise the next one gets the job.
     pub fn on_claim_end(
@@ -123,9 +156,30 @@
         effects
     }
 
+    /// Answers the claims that came while the process had just started.
+    fn begin_answering(&mut self, now_ms: u64, effects: &mut Vec<SupervisorEffect>) {
+        self.claims.is_answering = true;
+        let jobs: Vec<(JobName, JobClaims)> =
+            self.claims.jobs.iter().map(|(name, job)| (name.clone(), job.clone())).collect();
+        for (name, job) in jobs {
+            for (place, claimant) in job.claimants.iter().enumerate() {
+                let answer = if place == 0 { ClaimNews::Granted } else { ClaimNews::Contested };
+                self.tell(claimant.session, answer(claimant.id), effects);
+            }
+            if job.is_contested() {
+                self.ask(&name, now_ms, effects);
+            }
+        }
+    }
+
     /// Passes contested claims on whose holders have been silent until their runs have ended, and
     /// forgets claims that were not renewed.
     pub(crate) fn expire_claims(&mut self, now_ms: u64, effects: &mut Vec<SupervisorEffect>) {
+        let grace_ms = self.timing.claim_grace_ms();
+        let is_known = self.claims.first_hello_ms.is_some_and(|ms| now_ms >= ms + grace_ms);
+        if !self.claims.is_answering && is_known {
+            self.begin_answering(now_ms, effects);
+        }
         let (lost_after_ms, _) = self.timing.contested_claim_ms();
         let ttl_ms = self.timing.claim_ttl_ms();
         let mut lost = Vec::new();
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -301,6 +301,7 @@
                 session.unsent.push((*id, outcome));
             }
         }
+        self.claims.on_hello(now_ms);
         self.repeat_claim_news(key);
         effects.push(SupervisorEffect::Report(key));
         (key, effects)
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -154,6 +154,13 @@
         2 * self.resend_ms
     }
 
+    /// Returns the time for which an agent that has just connected answers no claims, milliseconds:
+    /// within it, the other entries connect and claim the jobs that they have. Shorter than the wait
+    /// for an answer.
+    pub fn claim_grace_ms(&self) -> u64 {
+        self.claim_wait_ms / 2
+    }
+
     /// Returns the time after which the runs of a holder that does not renew a contested claim have
     /// ended, milliseconds, and the period in which the holder renews it.
     pub fn contested_claim_ms(&self) -> (u64, u64) {
--- a/crates/direct/tests/claims.rs
+++ b/crates/direct/tests/claims.rs
@@ -191,11 +191,13 @@
     let none = UnsettledAttempts::default();
     let (one, _) = agent.on_entry_hello(&"e1".into(), 1, &none, 0, 0);
     let (two, _) = agent.on_entry_hello(&"e2".into(), 1, &none, 0, 0);
+    agent.tick(Timing::default().claim_grace_ms());
     (agent, one, two)
 }
 
 fn claim(id: u64) -> Claim {
-    Claim { id: ClaimId(id), job: JobName { queue: "scale".into(), id: "j".into() } }
+    let job = JobName { queue: "scale".into(), id: "j".into() };
+    Claim { id: ClaimId(id), job, is_running: false }
 }
 
 fn news(agent: &mut Supervisor, session: SessionKey) -> Vec<ClaimNews> {
@@ -206,7 +208,7 @@
 #[test]
 fn the_second_claim_of_a_job_waits_for_the_end_of_the_first() {
     let (mut agent, one, two) = agent();
-    agent.on_claim(one, &claim(7), 10);
+    agent.on_claim(one, &claim(7), 60);
     assert_eq!(news(&mut agent, one), [ClaimNews::Granted(ClaimId(7))]);
     let effects = agent.on_claim(two, &claim(3), 1_320);
     assert!(effects.iter().any(|e| matches!(e, SupervisorEffect::ClaimContested { .. })));
@@ -226,7 +228,7 @@
 #[test]
 fn a_claim_is_passed_on_when_its_holder_has_been_silent_until_its_runs_have_ended() {
     let (mut agent, one, two) = agent();
-    agent.on_claim(one, &claim(7), 10);
+    agent.on_claim(one, &claim(7), 60);
     agent.on_claim(two, &claim(3), 1_000);
     news(&mut agent, two);
     let lost_after_ms = Timing::default().lost_after_ms();
@@ -241,7 +243,7 @@
 #[test]
 fn an_entry_that_connects_again_is_asked_again() {
     let (mut agent, one, two) = agent();
-    agent.on_claim(one, &claim(7), 10);
+    agent.on_claim(one, &claim(7), 60);
     agent.on_claim(two, &claim(3), 1_000);
     news(&mut agent, one);
     agent.on_disconnected(one);
@@ -253,10 +255,29 @@
 #[test]
 fn a_claim_that_is_not_renewed_is_forgotten() {
     let (mut agent, one, two) = agent();
-    agent.on_claim(one, &claim(7), 10);
+    agent.on_claim(one, &claim(7), 60);
     let ttl_ms = Timing::default().claim_ttl_ms();
     agent.on_claim(one, &claim(7), 1_000);
     agent.tick(1_000 + ttl_ms - 1);
     agent.on_claim(two, &claim(3), 1_000 + ttl_ms);
     assert_eq!(news(&mut agent, two), [ClaimNews::Granted(ClaimId(3))]);
 }
+
+/// Guards against a grant by an agent that has just started and does not know yet that another entry
+/// has the job.
+#[test]
+fn an_agent_that_has_just_started_waits_for_the_entries_that_have_jobs() {
+    let mut agent = Supervisor::new(Timing::default(), 0);
+    let none = UnsettledAttempts::default();
+    let (one, _) = agent.on_entry_hello(&"e1".into(), 1, &none, 0, 0);
+    agent.on_claim(one, &claim(7), 1);
+    let (two, _) = agent.on_entry_hello(&"e2".into(), 1, &none, 20, 20);
+    agent.on_claim(two, &Claim { is_running: true, ..claim(3) }, 21);
+    assert_eq!(news(&mut agent, one), []);
+    agent.tick(Timing::default().claim_grace_ms());
+    assert_eq!(news(&mut agent, one), [ClaimNews::Contested(ClaimId(7))]);
+    assert_eq!(
+        news(&mut agent, two),
+        [ClaimNews::Granted(ClaimId(3)), ClaimNews::Asked(ClaimId(3))]
+    );
+}
--- a/crates/direct/tests/fuzz_links.rs
+++ b/crates/direct/tests/fuzz_links.rs
@@ -95,9 +95,9 @@
 }
 
 fn claim() -> impl Strategy<Value = Claim> {
-    (0..6_u64, 0..3_u8).prop_map(|(id, job)| {
+    (0..6_u64, 0..3_u8, any::<bool>()).prop_map(|(id, job, is_running)| {
         let job = JobName { queue: "scale".into(), id: format!("j{job}").into() };
-        Claim { id: ClaimId(id), job }
+        Claim { id: ClaimId(id), job, is_running }
     })
 }
 
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -128,7 +128,8 @@
 
 async fn tick(state: Rc<AgentState>) {
     loop {
-        let period = if state.is_idle() { IDLE_TICK } else { BUSY_TICK };
+        let is_idle = state.is_idle() && state.answers_claims();
+        let period = if is_idle { IDLE_TICK } else { BUSY_TICK };
         state.loop_delay.set_timer(period);
         sleep(period).await;
         state.loop_delay.on_timer();
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -143,6 +143,11 @@
         self.supervisor.borrow().is_idle()
     }
 
+    /// Returns whether claims are answered, which needs some time after the start.
+    pub(crate) fn answers_claims(&self) -> bool {
+        self.supervisor.borrow().answers_claims()
+    }
+
     /// Returns whether the runs of an earlier agent have ended, so that entries may be dialled.
     pub(crate) fn is_open(&self) -> bool {
         self.is_open.get()
