Play a held-up request whose end trails it

Cause: nothing of a held job starts for end_wait_ms (10 ms), in which the end of its connection cancels it. An end that is further behind its request comes too late. The soak plays ends up to 6 ms behind their requests, or seconds late; what lies between was played by no test.

The test holds a request up until its caller has submitted the job at another entry, and lets the end follow 2,000 ms behind it, with a wait of 1,000 ms, so that no load of the machine decides it.

The steps that the other tests share are moved into a function of their own, with the same checks.

--- a/crates/ebonycroft/tests/direct_roles/held_up_request.rs
+++ b/crates/ebonycroft/tests/direct_roles/held_up_request.rs
@@ -27,6 +27,9 @@
 const END_WAIT_MS: u64 = 1_000;
 /// Resend time with which no request of a test can have been sent again.
 const LONG_RESEND_MS: u64 = 600_000;
+/// Time by which the end of a connection trails its request after a loss: longer than [`END_WAIT_MS`],
+/// and shorter than the run that it must not overlap.
+const TRAIL_MS: u64 = 2_000;
 /// Bandwidth of the released path: the end of the connection follows its request after some 5 ms.
 const BYTES_PER_S: u32 = 50_000;
 /// Time for which the caller waits for an answer, and pause before it sends the job again.
@@ -38,6 +41,8 @@
     _store: LogServer,
     ledger: RunLedger,
     relay: Relay,
+    /// Time between what the relay releases, milliseconds.
+    gap_ms: u64,
     entries: Vec<Role>,
     executors: Vec<(FakeExecutor, Role, JoinHandle<()>)>,
 }
@@ -86,7 +91,7 @@
         }
         let relay = Relay::start().await.expect("a relay starts");
         relay.set_target(entries[0].addr("callers"));
-        let mut system = Self { _store: store, ledger, relay, entries, executors };
+        let mut system = Self { _store: store, ledger, relay, gap_ms: 0, entries, executors };
         for entry in &mut system.entries {
             for _ in 0..system.executors.len() {
                 entry.next_line("upstream");
@@ -96,13 +101,25 @@
     }
 
     fn hold(&self, is_held: bool) {
-        let out = PathFault { is_held, bytes_per_s: Some(BYTES_PER_S), ..PathFault::default() };
+        let gap_ms = self.gap_ms;
+        let out = PathFault { is_held, gap_ms, bytes_per_s: Some(BYTES_PER_S), delay_ms: 0 };
         self.relay.set_faults(RelayFaults { out, back: PathFault::default() });
     }
 
     /// Sends a job on a path that holds it up, closes the connection, and sends it to the second
     /// entry. Releases the path while the second submission runs.
-    async fn resubmit_elsewhere(&mut self, mut stream: TcpStream) {
+    async fn resubmit_elsewhere(&mut self, stream: TcpStream) {
+        self.submit_twice(stream).await;
+        assert_eq!(self.ledger.count_runs(ID), 1, "a run started for a caller who had gone");
+        self.entries[0].signal(Signal::TERM);
+        // An end that is read together with its request leaves no line.
+        for line in self.entries[0].lines_about(ID) {
+            let is_held = line["event"] == "accepted" && line["is_held"] == true;
+            assert!(is_held || line["event"] == "client_gone", "{line}");
+        }
+    }
+
+    async fn submit_twice(&mut self, mut stream: TcpStream) {
         self.hold(true);
         stream.write_all(request(ID).as_bytes()).await.expect("the request can be sent");
         sleep(CALLER_TIMEOUT).await;
@@ -120,13 +137,6 @@
         let answer = call.await.expect("the call ends").expect("an answer comes");
         assert_eq!(answer.status(), StatusCode::OK);
         assert_eq!(self.ledger.overlaps(), Vec::<String>::new());
-        assert_eq!(self.ledger.count_runs(ID), 1, "a run started for a caller who had gone");
-        self.entries[0].signal(Signal::TERM);
-        // An end that is read together with its request leaves no line.
-        for line in self.entries[0].lines_about(ID) {
-            let is_held = line["event"] == "accepted" && line["is_held"] == true;
-            assert!(is_held || line["event"] == "client_gone", "{line}");
-        }
     }
 }
 
@@ -190,6 +200,26 @@
     .await;
 }
 
+/// Guards against a second run of a job whose request is read some time before the end of its
+/// connection: after a loss the sender has one segment under way until that is acknowledged, and the
+/// end may be lost again. The wait for the end is over by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_held_up_request_whose_end_trails_it_does_not_run_beside_its_resubmission() {
+    with_held_up_path(
+        "held-up-trailing-end",
+        json!({ "end_wait_ms": END_WAIT_MS }),
+        async |mut path| {
+            path.gap_ms = TRAIL_MS;
+            let stream = TcpStream::connect(path.relay.addr()).await.expect("the relay accepts");
+            path.submit_twice(stream).await;
+            // The end is read at last, and nothing of the job goes on.
+            path.entries[0].next_line("client_gone");
+            assert_eq!(path.ledger.overlaps(), Vec::<String>::new());
+        },
+    )
+    .await;
+}
+
 /// Guards against a wait of callers who have just read an answer and therefore cannot have sent their next
 /// job elsewhere yet.
 #[tokio::test(flavor = "multi_thread")]
