Log the end of a claim only if another entry waits for the job

Cause: a refused job now ends its claim, and the agent wrote claim_ended for each, although no other entry had claimed the job.

--- a/crates/direct/src/supervisor/claims.rs
+++ b/crates/direct/src/supervisor/claims.rs
@@ -170,11 +170,14 @@
             ClaimEnd::Released => self.pass_on(&name, Some(end), now_ms, &mut effects),
             ClaimEnd::Succeeded | ClaimEnd::Failed | ClaimEnd::Cancelled => {
                 let job = self.claims.jobs.swap_remove(&name).unwrap_or_default();
+                let is_contested = job.is_contested();
                 for waiting in job.claimants.into_iter().skip(1) {
                     self.tell(waiting.session, ClaimNews::Shared(waiting.id, end), &mut effects);
                 }
-                let end = Some(end);
-                effects.push(SupervisorEffect::ClaimEnded { job: name, holder: key, end });
+                if is_contested {
+                    let end = Some(end);
+                    effects.push(SupervisorEffect::ClaimEnded { job: name, holder: key, end });
+                }
             }
         }
         effects
@@ -249,21 +252,15 @@
         let Some(job) = self.claims.jobs.get_mut(name) else { return };
         let Some(holder) = job.claimants.pop_front() else { return };
         let (next, is_contested) = (job.claimants.front().copied(), job.is_contested());
-        effects.push(SupervisorEffect::ClaimEnded {
-            job: name.clone(),
-            holder: holder.session,
-            end,
-        });
-        match next {
-            Some(next) => {
-                self.tell(next.session, ClaimNews::Granted(next.id), effects);
-                if is_contested {
-                    self.ask(name, now_ms, effects);
-                }
-            }
-            None => {
-                self.claims.jobs.swap_remove(name);
-            }
+        let Some(next) = next else {
+            self.claims.jobs.swap_remove(name);
+            return;
+        };
+        let (job, holder) = (name.clone(), holder.session);
+        effects.push(SupervisorEffect::ClaimEnded { job, holder, end });
+        self.tell(next.session, ClaimNews::Granted(next.id), effects);
+        if is_contested {
+            self.ask(name, now_ms, effects);
         }
     }
 
