--- /dev/null
+++ b/crates/emulator/src/platform_fake/executor/runs.rs
@@ -0,0 +1,115 @@
+use std::{collections::BTreeMap, time::Instant};
+
+use serde_json::{Value, json};
+
+use super::{Shared, StoppingRuns, lock};
+
+/// The runs of an executor. Tasks are identified by name; a task may have several runs, whose
+/// numbers increase.
+#[derive(Debug, Default)]
+pub(super) struct RunTable {
+    /// Highest fencing token received; requests with a lower one are refused.
+    pub(super) fencing_token: u64,
+    /// Time on the executor's clock at which the lease expires, in milliseconds.
+    pub(super) lease_until: u64,
+    pub(super) running: BTreeMap<String, ActiveRun>,
+    /// Runs that are being stopped, by task.
+    pub(super) stopping: Vec<(String, StoppingRun)>,
+    /// Highest run number of each task; a start with this number or a lower one is refused.
+    pub(super) highest_run: BTreeMap<String, u64>,
+    /// Ended runs that the agent has not acknowledged: number of the end, task, run and outcome.
+    pub(super) ended: Vec<(u64, String, u64, &'static str)>,
+    pub(super) last_end_number: u64,
+    /// Highest number of an end that the agent has acknowledged.
+    pub(super) acknowledged: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct ActiveRun {
+    pub(super) run: u64,
+    pub(super) ledger_index: usize,
+    pub(super) ends_at: Instant,
+}
+
+#[derive(Debug)]
+pub(super) struct StoppingRun {
+    pub(super) run: u64,
+    pub(super) ledger_index: usize,
+    pub(super) stopped_at: Instant,
+}
+
+impl RunTable {
+    /// Removes all runs and returns their indices in the ledger.
+    pub(super) fn remove_all(&mut self) -> Vec<usize> {
+        let running = std::mem::take(&mut self.running).into_values().map(|run| run.ledger_index);
+        let stopping = std::mem::take(&mut self.stopping).into_iter();
+        running.chain(stopping.map(|(_, run)| run.ledger_index)).collect()
+    }
+}
+
+impl Shared {
+    /// Ends the runs that have completed, and every run when the lease has expired.
+    pub(super) fn advance(&self) {
+        let now = Instant::now();
+        let clock_ms = self.clock_ms();
+        let mut state = lock(&self.state);
+        let is_lease_expired = clock_ms >= state.lease_until;
+        let outcome = if lock(&self.faults).fails_all { "failed" } else { "done" };
+        let is_over = |run: &ActiveRun| is_lease_expired || run.ends_at <= now;
+        let names: Vec<String> = state
+            .running
+            .iter()
+            .filter(|(_, run)| is_over(run))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            let is_done = state.running.get(&name).is_some_and(|run| run.ends_at <= now);
+            let outcome = if is_done { outcome } else { "lapsed" };
+            let Some(run) = state.running.remove(&name) else { continue };
+            self.list_end(&mut state, name, run.run, outcome);
+            self.ledger.record_end(run.ledger_index, outcome == "done");
+        }
+        for (name, run) in std::mem::take(&mut state.stopping) {
+            if is_lease_expired || run.stopped_at <= now {
+                self.ledger.record_end_at(run.ledger_index, run.stopped_at.min(now), false);
+                self.list_end(&mut state, name, run.run, "stopped");
+            } else {
+                state.stopping.push((name, run));
+            }
+        }
+    }
+
+    pub(super) fn list_end(
+        &self,
+        state: &mut RunTable,
+        name: String,
+        run: u64,
+        outcome: &'static str,
+    ) {
+        state.last_end_number += 1;
+        state.ended.push((state.last_end_number, name, run, outcome));
+        self.run_ended.notify_waiters();
+    }
+
+    /// Returns the lists of running and of unacknowledged ended runs as a response body, and
+    /// whether the second has entries.
+    pub(super) fn run_list(&self, last_seen: u64) -> (Value, bool) {
+        let mut state = lock(&self.state);
+        state.acknowledged = state.acknowledged.max(last_seen);
+        let acknowledged = state.acknowledged;
+        state.ended.retain(|(number, ..)| *number > acknowledged);
+        let mut running: Vec<Value> =
+            state.running.iter().map(|(task, run)| json!([task, run.run, "", 0])).collect();
+        if lock(&self.faults).stopping_runs == StoppingRuns::Running {
+            running.extend(state.stopping.iter().map(|(task, run)| json!([task, run.run, "", 0])));
+        }
+        let ended: Vec<Value> = state
+            .ended
+            .iter()
+            .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
+            .collect();
+        let has_ended_runs = !ended.is_empty();
+        let body = json!({ "clockMs": self.clock_ms(), "born": self.lifetime().incarnation, "running": running, "ended": ended });
+        (body, has_ended_runs)
+    }
+}
