Record how runs end, and count the gaps after them by it

Overlaps show a bound that is broken, and not one that has nearly run out. The ledger now has the way in which each run ended, and the soak prints the smallest gap between a run that was not done and the next run of its task, and the number of gaps by length, apart by that way. An end that the system has read (stopped, failed) may be followed at once; a lapse may not.

--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -81,6 +81,7 @@
             ledger.count_runs(""),
         );
         println!("seed {seed}: overlaps by length, ms: {:?}", ledger.count_overlaps());
+        println!("seed {seed}: gaps after runs that were not done, smallest and by length, ms: {:?}", ledger.count_gaps());
         let overlaps = ledger.overlaps();
         assert!(overlaps.is_empty(), "seed {seed}: tasks ran twice at a time:\n{}", overlaps.join("\n"));
         assert!(ledger.max_concurrent_runs() <= SLOTS, "seed {seed}: an executor was over its capacity");
--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -25,7 +25,7 @@
     calls::{announce, poll_runs, run_start, run_stop},
     runs::{ActiveRun, RunTable},
 };
-use super::run_ledger::RunLedger;
+use super::run_ledger::{RunEnd, RunLedger};
 use crate::{connections::Connections, server::Server};
 
 pub use self::settings::{FakeExecutorFaults, FakeExecutorSettings, StoppingRuns};
@@ -141,7 +141,7 @@
     fn drop(&mut self) {
         self.advancing.abort();
         let runs = lock(&self.shared.state).remove_all();
-        runs.into_iter().for_each(|run| self.shared.ledger.record_end(run, false));
+        runs.into_iter().for_each(|run| self.shared.ledger.record_end(run, RunEnd::Crashed));
     }
 }
 
@@ -163,10 +163,10 @@
         // A repeated start does not run the task a second time.
         if !lock(&self.state).running.contains_key(task) {
             let index = self.ledger.record_start(task, &self.settings.id);
-            self.ledger.record_end(index, false);
+            self.ledger.record_end(index, RunEnd::Crashed);
         }
         let runs = std::mem::take(&mut *lock(&self.state)).remove_all();
-        runs.into_iter().for_each(|run| self.ledger.record_end(run, false));
+        runs.into_iter().for_each(|run| self.ledger.record_end(run, RunEnd::Crashed));
         {
             let mut lifetime = lock(&self.lifetime);
             lifetime.crashes += 1;
@@ -192,6 +192,11 @@
         u64::try_from(self.lifetime().start.elapsed().as_millis()).unwrap_or(u64::MAX) + 1
     }
 
+    /// Returns the instant from which the executor's clock shows this time, milliseconds.
+    fn instant_of(&self, clock_ms: u64) -> Instant {
+        self.lifetime().start + Duration::from_millis(clock_ms.saturating_sub(1))
+    }
+
     fn response(&self, status: StatusCode, reason: Option<&str>) -> Response {
         let mut body = json!({ "clockMs": self.clock_ms(), "born": self.lifetime().incarnation });
         if let Some(reason) = reason {
--- a/crates/emulator/src/platform_fake/executor/calls.rs
+++ b/crates/emulator/src/platform_fake/executor/calls.rs
@@ -23,6 +23,7 @@
     MAX_LEASE, Shared, lock,
     runs::{ActiveRun, StoppingRun},
 };
+use crate::platform_fake::run_ledger::RunEnd;
 
 /// Period of the heartbeats.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(50);
@@ -82,7 +83,8 @@
         let stopped_at = Instant::now() + Duration::from_millis(stop_ms);
         shared.ledger.record_stop(run.ledger_index);
         let ActiveRun { run, ledger_index, .. } = run;
-        state.stopping.push((task, StoppingRun { run, ledger_index, stopped_at }));
+        let end = RunEnd::Stopped;
+        state.stopping.push((task, StoppingRun { run, ledger_index, stopped_at, end }));
     }
     drop(state);
     shared.advance();
--- a/crates/emulator/src/platform_fake/mod.rs
+++ b/crates/emulator/src/platform_fake/mod.rs
@@ -8,5 +8,5 @@
 pub use crate::platform_fake::{
     executor::{FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, StoppingRuns},
     log_server::LogServer,
-    run_ledger::{RunLedger, StoppedRun},
+    run_ledger::{RunEnd, RunLedger, StoppedRun},
 };
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -1,11 +1,15 @@
 //! The fake executor's stops, called as an agent calls it.
 
-use emulator::{FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, RunLedger, StoppingRuns};
+use emulator::{
+    FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, RunEnd, RunLedger, StoppingRuns,
+};
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
 
 /// Longer than every test: the run or its stop lasts.
 const LASTING_MS: u64 = 60_000;
+/// Longest lease that the executor grants.
+const LEASE_MS: u64 = 1_000;
 const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
 
 struct Called {
@@ -98,3 +102,26 @@
     assert_eq!(called.ledger.count_runs(TASK), 0);
     assert_eq!(called.start_run(4).await.0, StatusCode::OK);
 }
+
+types::cases! {
+    fn gaps_are_counted_by_the_end_of_the_earlier_run(is_stopped: bool, end: RunEnd, name: &str) {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let called = Called::start(50, StoppingRuns::Running).await;
+            called.start_run(1).await;
+            if is_stopped {
+                assert_eq!(called.stop_run(1).await, StatusCode::OK);
+            }
+            // Each request renews the lease, so it lapses during one.
+            let (_, ended) = called.lists(2 * LEASE_MS).await;
+            assert_eq!(ended, json!([[1, TASK, 1, name, ""]]));
+            assert_eq!(called.ledger.count_gaps().len(), 0);
+            called.start_run(2).await;
+            let gaps = called.ledger.count_gaps();
+            assert_eq!(gaps.keys().collect::<Vec<_>>(), [&end]);
+            assert_eq!(gaps[&end].1.values().sum::<usize>(), 1);
+        });
+    }
+    stopped: (true, RunEnd::Stopped, "stopped"),
+    lapsed: (false, RunEnd::Lapsed, "lapsed"),
+}
