Let the fake executor have a slow clock and late lapses

The platform's page allows that an executor's clock is 2% slow, and says that everything is killed when the lease expires. FakeExecutor::set_clock plays the first, and a lapse that is carried out late, which the page doesn't allow, to measure the margin. A run whose lapse is late goes on even if the lease is extended meanwhile, until the lag is over.

--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -28,7 +28,9 @@
 use super::run_ledger::{RunEnd, RunLedger};
 use crate::{connections::Connections, server::Server};
 
-pub use self::settings::{FakeExecutorFaults, FakeExecutorSettings, StoppingRuns};
+pub use self::settings::{
+    FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, StoppingRuns,
+};
 
 /// Longest lease that an executor grants; a later deadline is shortened to it.
 const MAX_LEASE: Duration = Duration::from_millis(1_000);
@@ -56,6 +58,7 @@
     ledger: RunLedger,
     state: Mutex<RunTable>,
     faults: Mutex<FakeExecutorFaults>,
+    clock: Mutex<FakeExecutorClock>,
     /// Number of starts and stops so far.
     orders: AtomicU64,
     run_ended: Notify,
@@ -96,6 +99,7 @@
             ledger,
             state: Mutex::default(),
             faults: Mutex::default(),
+            clock: Mutex::default(),
             orders: AtomicU64::new(0),
             run_ended: Notify::new(),
         });
@@ -135,6 +139,11 @@
     pub fn set_faults(&self, faults: FakeExecutorFaults) {
         *lock(&self.shared.faults) = faults;
     }
+
+    /// Replaces the treatment of time. To be called before the first start, since the clock jumps.
+    pub fn set_clock(&self, clock: FakeExecutorClock) {
+        *lock(&self.shared.clock) = clock;
+    }
 }
 
 impl Drop for FakeExecutor {
@@ -189,12 +198,15 @@
 
     /// Returns the time on the executor's clock in milliseconds, which starts at 1.
     fn clock_ms(&self) -> u64 {
-        u64::try_from(self.lifetime().start.elapsed().as_millis()).unwrap_or(u64::MAX) + 1
+        let elapsed_ms = u64::try_from(self.lifetime().start.elapsed().as_millis());
+        elapsed_ms.unwrap_or(0) * (100 - lock(&self.clock).slow_percent) / 100 + 1
     }
 
     /// Returns the instant from which the executor's clock shows this time, milliseconds.
     fn instant_of(&self, clock_ms: u64) -> Instant {
-        self.lifetime().start + Duration::from_millis(clock_ms.saturating_sub(1))
+        let speed_percent = 100 - lock(&self.clock).slow_percent;
+        let elapsed_ms = (clock_ms.saturating_sub(1) * 100).div_ceil(speed_percent);
+        self.lifetime().start + Duration::from_millis(elapsed_ms)
     }
 
     fn response(&self, status: StatusCode, reason: Option<&str>) -> Response {
--- a/crates/emulator/src/platform_fake/executor/runs.rs
+++ b/crates/emulator/src/platform_fake/executor/runs.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, time::Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use serde_json::{Value, json};
 
@@ -14,7 +17,7 @@
     /// Time on the executor's clock at which the lease expires, in milliseconds.
     pub(super) lease_until: u64,
     pub(super) running: BTreeMap<String, ActiveRun>,
-    /// Runs that are being stopped, by task.
+    /// Runs that are being stopped, or whose lapse is late, by task.
     pub(super) stopping: Vec<(String, StoppingRun)>,
     /// Highest run number of each task; a start with this number or a lower one is refused.
     pub(super) highest_run: BTreeMap<String, u64>,
@@ -55,6 +58,7 @@
         let now = Instant::now();
         let mut state = lock(&self.state);
         let lease_end = self.instant_of(state.lease_until);
+        let lapse_at = lease_end + Duration::from_millis(lock(&self.clock).lapse_lag_ms);
         let end = if lock(&self.faults).fails_all { RunEnd::Failed } else { RunEnd::Done };
         for (task, run) in std::mem::take(&mut state.running) {
             if run.ends_at <= now.min(lease_end) {
@@ -62,7 +66,7 @@
             } else if lease_end <= now {
                 let ActiveRun { run, ledger_index, .. } = run;
                 let end = RunEnd::Lapsed;
-                let run = StoppingRun { run, ledger_index, stopped_at: lease_end, end };
+                let run = StoppingRun { run, ledger_index, stopped_at: lapse_at, end };
                 state.stopping.push((task, run));
             } else {
                 state.running.insert(task, run);
@@ -70,7 +74,7 @@
         }
         for (task, run) in std::mem::take(&mut state.stopping) {
             let is_lapsed = lease_end <= now;
-            let ends_at = if is_lapsed { run.stopped_at.min(lease_end) } else { run.stopped_at };
+            let ends_at = if is_lapsed { run.stopped_at.min(lapse_at) } else { run.stopped_at };
             if ends_at <= now {
                 // The check may be late; the executor that it plays is not.
                 self.end_run(&mut state, task, (run.run, run.ledger_index), ends_at, run.end);
--- a/crates/emulator/src/platform_fake/executor/settings.rs
+++ b/crates/emulator/src/platform_fake/executor/settings.rs
@@ -14,6 +14,16 @@
         pub run_ms: u64,
     }
 
+    /// How a [`FakeExecutor`] measures time.
+    #[derive(Copy, Eq, Default)]
+    pub struct FakeExecutorClock {
+        /// By how much its clock is slower than real time, percent; less than 100.
+        pub slow_percent: u64,
+        /// Time from the end of the lease until its runs have ended, milliseconds. The platform
+        /// promises none.
+        pub lapse_lag_ms: u64,
+    }
+
     /// Faults of a [`FakeExecutor`].
     #[derive(Copy, Eq, Default)]
     pub struct FakeExecutorFaults {
--- a/crates/emulator/src/platform_fake/mod.rs
+++ b/crates/emulator/src/platform_fake/mod.rs
@@ -6,7 +6,9 @@
 mod run_ledger;
 
 pub use crate::platform_fake::{
-    executor::{FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, StoppingRuns},
+    executor::{
+        FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, StoppingRuns,
+    },
     log_server::LogServer,
     run_ledger::{RunEnd, RunLedger, StoppedRun},
 };
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -1,7 +1,10 @@
 //! The fake executor's stops, called as an agent calls it.
 
+use std::time::Instant;
+
 use emulator::{
-    FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, RunEnd, RunLedger, StoppingRuns,
+    FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, RunEnd, RunLedger,
+    StoppingRuns,
 };
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
@@ -125,3 +128,20 @@
     stopped: (true, RunEnd::Stopped, "stopped"),
     lapsed: (false, RunEnd::Lapsed, "lapsed"),
 }
+
+#[tokio::test]
+async fn a_lapse_that_is_late_lets_the_run_go_on() {
+    let start = Instant::now();
+    let called = Called::start(0, StoppingRuns::Running).await;
+    called.executor.set_clock(FakeExecutorClock { slow_percent: 50, lapse_lag_ms: LASTING_MS });
+    let (_, body) = called.start_run(1).await;
+    let started_ms = body["clockMs"].as_u64().unwrap();
+    let clock_ms = async || {
+        let body = json!({ "task": "", "run": 1, "fencingToken": 1 });
+        called.call("run-stop", body).await.1["clockMs"].as_u64().unwrap()
+    };
+    while clock_ms().await <= started_ms + LEASE_MS {}
+    assert!(u128::from(clock_ms().await) <= start.elapsed().as_millis() / 2 + 1);
+    assert_eq!(called.lists(0).await, (json!([[TASK, 1, "", 0]]), json!([])));
+    assert_eq!(called.ledger.running(), 1);
+}
