Let the soak's executors take the platform's time to stop, and have slow clocks

The fake executors ended every stopped run at once, so the soak could not see an overlap with a run that is being stopped.

--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -66,6 +66,9 @@
 const UNTIL_RESUBMISSION_MS: [u64; 3] = [0, 1_300, 2_800];
 
 const FREEZE_MS: Range<u64> = 200..6_000;
+/// Time that executors take to end a stopped run, unless `SOAK_STOP_MS` states it: the platform's
+/// `stopTimeoutMs`.
+const STOP_MS: u64 = 50;
 
 /// Injects several sequences of random faults at the same time. Returns the number of faults of
 /// each kind.
@@ -86,7 +89,7 @@
         *sums.entry(fault).or_insert(0) += count;
     }
     // A sequence may have replaced the faults of another one in the middle.
-    system.executors.iter().for_each(|executor| executor.set_faults(FakeExecutorFaults::default()));
+    system.executors.iter().for_each(|executor| executor.set_faults(no_faults()));
     system.store.faults().clear();
     network::clear(system);
     sums
@@ -124,39 +127,38 @@
                 end(random_process(system, &mut rng), Signal::TERM, Duration::ZERO).await;
             }
             Fault::UnresponsiveExecutor => {
-                let faults = FakeExecutorFaults { is_unresponsive: true, ..Default::default() };
+                let faults = FakeExecutorFaults { is_unresponsive: true, ..no_faults() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::LateStarts => {
                 let late_starts = rng.random_range(1..6);
-                let faults = FakeExecutorFaults { late_starts, ..Default::default() };
+                let faults = FakeExecutorFaults { late_starts, ..no_faults() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::LateOrders => {
                 let late_percent = rng.random_range(20..60);
-                let late = FakeExecutorFaults { late_percent, ..Default::default() };
+                let late = FakeExecutorFaults { late_percent, ..no_faults() };
                 system.executors.iter().for_each(|executor| executor.set_faults(late));
                 sleep(duration / 2).await;
                 // Stops that get no answer matter most when an entry is lost.
                 let entry = &system.entries[rng.random_range(0..system.entries.len())];
                 end(entry, Signal::KILL, duration).await;
                 sleep(duration).await;
-                let none = FakeExecutorFaults::default();
+                let none = no_faults();
                 system.executors.iter().for_each(|executor| executor.set_faults(none));
             }
             Fault::FailingExecutor => {
-                let faults = FakeExecutorFaults { fails_all: true, ..Default::default() };
+                let faults = FakeExecutorFaults { fails_all: true, ..no_faults() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::DeadlyTasks => {
-                let faults =
-                    FakeExecutorFaults { crashed_by: Some(DEADLY_CALLER), ..Default::default() };
+                let faults = FakeExecutorFaults { crashed_by: Some(DEADLY_CALLER), ..no_faults() };
                 system.executors.iter().for_each(|executor| executor.set_faults(faults));
                 sleep(duration / 2).await;
                 // The process that knows of the crashes is lost in the middle of them.
                 end(random_process(system, &mut rng), Signal::KILL, Duration::ZERO).await;
                 sleep(duration / 2).await;
-                let none = FakeExecutorFaults::default();
+                let none = no_faults();
                 system.executors.iter().for_each(|executor| executor.set_faults(none));
             }
             Fault::StoreOutage => {
@@ -198,6 +200,11 @@
     counts
 }
 
+/// Returns the faults of an executor at which none is injected.
+pub(crate) fn no_faults() -> FakeExecutorFaults {
+    FakeExecutorFaults { stop_ms: env_number("SOAK_STOP_MS", STOP_MS), ..Default::default() }
+}
+
 fn lock(process: &Mutex<Process>) -> MutexGuard<'_, Process> {
     process.lock().expect("no holder of the lock panics")
 }
@@ -237,5 +244,5 @@
     let executor = &system.executors[rng.random_range(0..system.executors.len())];
     executor.set_faults(faults);
     sleep(duration).await;
-    executor.set_faults(FakeExecutorFaults::default());
+    executor.set_faults(no_faults());
 }
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -5,6 +5,10 @@
 //! - `SOAK_PROCESSES`, `SOAK_CALLERS`: entries and agents together, and callers for each agent.
 //! - `SOAK_FAULTS`: how many faults may overlap, besides those of callers' paths.
 //! - `SOAK_BUSY`: threads that keep processors busy.
+//! - `SOAK_STOP_MS`: how long executors take to end a stopped run.
+//! - `SOAK_SLOW_PERCENT`: by how much the clock of every second executor is slow.
+//! - `SOAK_LAPSE_LAG_MS`: how late executors at most end runs whose lease has expired. The platform
+//!   promises that they are never late, so the default is 0; overlaps with more show the margin.
 //! - `SOAK_LATE_ENDS=1`: requests, and the ends of their channels behind them, may be under way for
 //!   longer than callers take to submit again.
 //! - `SOAK_PROGRAM`: another build of the program.
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -8,12 +8,15 @@
     time::Duration,
 };
 
-use emulator::{FakeExecutor, FakeExecutorSettings, LogServer, LogSettings, Relay, RunLedger};
+use emulator::{
+    FakeExecutor, FakeExecutorClock, FakeExecutorSettings, LogServer, LogSettings, Relay, RunLedger,
+};
 use serde_json::json;
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::{
     caller::{self, QUEUES, Queue},
+    env_number, faults,
     process::Process,
 };
 
@@ -31,6 +34,8 @@
 pub(crate) const SLOTS: usize = (MILLI_CORES / TASK_MILLI_CORES) as usize;
 /// Run time of a task that names none, milliseconds.
 const TASK_MS: u64 = 120;
+/// By how much an executor's clock may be slow on the platform, percent.
+const SLOW_PERCENT: u64 = 2;
 /// Time limit for the system to serve jobs again; it only ends a test that hangs.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -87,6 +92,8 @@
             };
             let executor = FakeExecutor::start(settings, ledger.clone()).await;
             let executor = executor.expect("an executor starts");
+            executor.set_clock(clock(i as u64));
+            executor.set_faults(faults::no_faults());
             let relay = start_relay(Some(executor.addr())).await;
             let control = start_relay(None).await;
             heartbeats.push(executor.announce(control.addr()));
@@ -151,6 +158,13 @@
     json!({ "version": version, "services": [{ "name": "kitchen" }], "routes": routes })
 }
 
+/// Returns the clock of an executor: every second one is slow, and their lags are spread.
+fn clock(i: u64) -> FakeExecutorClock {
+    let slow_percent = env_number("SOAK_SLOW_PERCENT", SLOW_PERCENT) * (i % 2);
+    let lapse_lag_ms = env_number("SOAK_LAPSE_LAG_MS", 0) * (i % 5) / 4;
+    FakeExecutorClock { slow_percent, lapse_lag_ms }
+}
+
 /// Returns the zone of an entry or of an executor.
 fn zone(i: usize) -> &'static str {
     ZONES[i % ZONES.len()]
