Let the soak end processes at once, and give them little processor time

A quarter of the kills end all agents, and a quarter all entries and agents, at once. The fault Starve suspends a process again and again for up to 4 s, so that it runs for 2 to 25 ms of each tenth of a second, beside the other faults.

--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -22,12 +22,13 @@
     system::{System, config},
 };
 
-/// Fault of a process (killed, frozen for a time or stopped by a signal), of an executor or of the
-/// store, of the network, or a change of the configuration.
+/// Fault of processes (killed, frozen for a time, short of processor time or stopped by a signal),
+/// of an executor or of the store, of the network, or a change of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Fault {
     Kill,
     Freeze,
+    Starve,
     Stop,
     UnresponsiveExecutor,
     LateStarts,
@@ -43,9 +44,10 @@
 }
 
 /// All faults, each with the same probability. Besides, one sequence has only those of callers.
-const ALL: [Fault; 14] = [
+const ALL: [Fault; 15] = [
     Fault::Kill,
     Fault::Freeze,
+    Fault::Starve,
     Fault::Stop,
     Fault::UnresponsiveExecutor,
     Fault::LateStarts,
@@ -66,6 +68,10 @@
 const UNTIL_RESUBMISSION_MS: [u64; 3] = [0, 1_300, 2_800];
 
 const FREEZE_MS: Range<u64> = 200..6_000;
+/// Period in which a process that is short of processor time runs once, and for how long,
+/// milliseconds.
+const STARVE_PERIOD_MS: u64 = 100;
+const STARVED_RUN_MS: Range<u64> = 2..26;
 /// Time that executors take to end a stopped run, unless `SOAK_STOP_MS` states it: the platform's
 /// `stopTimeoutMs`.
 const STOP_MS: u64 = 50;
@@ -115,7 +121,13 @@
         match fault {
             Fault::Kill => {
                 let pause = if rng.random_bool(0.5) { Duration::ZERO } else { 2 * duration };
-                end(random_process(system, &mut rng), Signal::KILL, pause).await;
+                let processes: Vec<_> = match rng.random_range(0..4) {
+                    0 => system.agents.iter().collect(),
+                    1 => system.entries.iter().chain(&system.agents).collect(),
+                    _ => vec![random_process(system, &mut rng)],
+                };
+                let ends = processes.into_iter().map(|process| end(process, Signal::KILL, pause));
+                futures::future::join_all(ends).await;
             }
             Fault::Freeze => {
                 let process = random_process(system, &mut rng);
@@ -123,6 +135,10 @@
                 sleep(Duration::from_millis(rng.random_range(FREEZE_MS))).await;
                 lock(process).signal(Signal::CONT);
             }
+            Fault::Starve => {
+                let run_ms = rng.random_range(STARVED_RUN_MS);
+                starve(random_process(system, &mut rng), run_ms, 2 * duration).await;
+            }
             Fault::Stop => {
                 end(random_process(system, &mut rng), Signal::TERM, Duration::ZERO).await;
             }
@@ -215,6 +231,17 @@
     &processes[rng.random_range(0..processes.len())]
 }
 
+/// Suspends a process again and again for a time, so that it runs for `run_ms` of each period.
+async fn starve(process: &Mutex<Process>, run_ms: u64, length: Duration) {
+    let start = Instant::now();
+    while start.elapsed() < length {
+        lock(process).signal(Signal::STOP);
+        sleep(Duration::from_millis(STARVE_PERIOD_MS - run_ms)).await;
+        lock(process).signal(Signal::CONT);
+        sleep(Duration::from_millis(run_ms)).await;
+    }
+}
+
 /// Ends a process by a signal and starts it again after a pause, unless another sequence of faults
 /// has done so in the meantime.
 async fn end(process: &Mutex<Process>, signal: Signal, pause: Duration) {
