Count gaps apart by whether a list had the end before the next start

A start some ms after a run was stopped or has lapsed is fine if the system had read the end; only without that do bounds on times keep the two runs apart, so that the gap shows their margin.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -48,8 +48,8 @@
     log_faults::LogFaults,
     log_settings::LogSettings,
     platform_fake::{
-        FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, LogServer,
-        RunEnd, RunLedger, StoppedRun, StoppingRuns,
+        FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, Listing,
+        LogServer, RunEnd, RunLedger, StoppedRun, StoppingRuns,
     },
     processor::{Capacity, Processor},
     relay::{PathFault, Relay, RelayFaults},
--- a/crates/emulator/src/platform_fake/executor/runs.rs
+++ b/crates/emulator/src/platform_fake/executor/runs.rs
@@ -21,8 +21,8 @@
     pub(super) stopping: Vec<(String, StoppingRun)>,
     /// Highest run number of each task; a start with this number or a lower one is refused.
     pub(super) highest_run: BTreeMap<String, u64>,
-    /// Ended runs that the agent has not acknowledged: number of the end, task, run and outcome.
-    pub(super) ended: Vec<(u64, String, u64, &'static str)>,
+    /// Ended runs that the agent has not acknowledged.
+    pub(super) ended: Vec<EndedRun>,
     pub(super) last_end_number: u64,
     /// Highest number of an end that the agent has acknowledged.
     pub(super) acknowledged: u64,
@@ -43,6 +43,16 @@
     pub(super) end: RunEnd,
 }
 
+#[derive(Debug)]
+pub(super) struct EndedRun {
+    /// Number of the end.
+    number: u64,
+    task: String,
+    run: u64,
+    ledger_index: usize,
+    end: RunEnd,
+}
+
 impl RunTable {
     /// Removes all runs and returns their indices in the ledger.
     pub(super) fn remove_all(&mut self) -> Vec<usize> {
@@ -95,7 +105,8 @@
     ) {
         self.ledger.record_end_at(ledger_index, at, end);
         state.last_end_number += 1;
-        state.ended.push((state.last_end_number, task, run, end.name()));
+        let number = state.last_end_number;
+        state.ended.push(EndedRun { number, task, run, ledger_index, end });
         self.run_ended.notify_waiters();
     }
 
@@ -105,7 +116,8 @@
         let mut state = lock(&self.state);
         state.acknowledged = state.acknowledged.max(last_seen);
         let acknowledged = state.acknowledged;
-        state.ended.retain(|(number, ..)| *number > acknowledged);
+        state.ended.retain(|ended| ended.number > acknowledged);
+        state.ended.iter().for_each(|ended| self.ledger.record_listing(ended.ledger_index));
         let mut running: Vec<Value> =
             state.running.iter().map(|(task, run)| json!([task, run.run, "", 0])).collect();
         if lock(&self.faults).stopping_runs == StoppingRuns::Running {
@@ -114,7 +126,7 @@
         let ended: Vec<Value> = state
             .ended
             .iter()
-            .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
+            .map(|ended| json!([ended.number, ended.task, ended.run, ended.end.name(), ""]))
             .collect();
         let has_ended_runs = !ended.is_empty();
         let body = json!({ "clockMs": self.clock_ms(), "born": self.lifetime().incarnation, "running": running, "ended": ended });
--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -20,6 +20,7 @@
     stop: Option<Instant>,
     to: Option<Instant>,
     end: Option<RunEnd>,
+    listed: Option<Instant>,
 }
 
 /// How a run ended.
@@ -50,6 +51,15 @@
     }
 }
 
+/// Whether a list of the executor had the end of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Listing {
+    /// A list had it.
+    Listed,
+    /// None had it.
+    Unlisted,
+}
+
 /// Which of two overlapping runs, in the order of their starts, was first asked to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StoppedRun {
@@ -76,7 +86,15 @@
         let mut runs = self.lock();
         let (task, executor) = (task.to_owned(), executor.to_owned());
         let from = Instant::now();
-        runs.push(RecordedRun { task, executor, from, stop: None, to: None, end: None });
+        runs.push(RecordedRun {
+            task,
+            executor,
+            from,
+            stop: None,
+            to: None,
+            end: None,
+            listed: None,
+        });
         runs.len() - 1
     }
 
@@ -95,6 +113,11 @@
         runs[run].end.get_or_insert(end);
     }
 
+    /// Records that a list of the executor has the end of a run.
+    pub(crate) fn record_listing(&self, run: usize) {
+        self.lock()[run].listed.get_or_insert_with(Instant::now);
+    }
+
     /// Returns the number of runs of tasks whose name starts with `prefix`.
     pub fn count_runs(&self, prefix: &str) -> usize {
         self.lock().iter().filter(|run| run.task.starts_with(prefix)).count()
@@ -148,17 +171,23 @@
         counts
     }
 
-    /// Returns, by the way in which a run that was not done ended, the smallest gap between its end
-    /// and the start of the task's next run, and the number of gaps by their length as that of
-    /// overlaps.
-    pub fn count_gaps(&self) -> BTreeMap<RunEnd, (Duration, BTreeMap<u64, usize>)> {
+    /// Returns the smallest gap between the end of a run that was not done and the start of the
+    /// task's next run, and the number of gaps by their length as that of overlaps; both by the way
+    /// in which the run ended, and by whether a list had its end before the start. If none had,
+    /// only bounds on times keep the two runs apart.
+    pub fn count_gaps(&self) -> BTreeMap<(RunEnd, Listing), (Duration, BTreeMap<u64, usize>)> {
         let runs = self.lock();
         let mut found = BTreeMap::new();
         for pair in by_task(&runs).values().flat_map(|runs| runs.windows(2)) {
-            let [RecordedRun { to: Some(to), end: Some(end), .. }, later] = pair else { continue };
+            let [earlier @ RecordedRun { to: Some(to), end: Some(end), .. }, later] = pair else {
+                continue;
+            };
             let Some(gap) = later.from.checked_duration_since(*to) else { continue };
             if *end != RunEnd::Done {
-                let (smallest, counts) = found.entry(*end).or_insert((gap, BTreeMap::new()));
+                let is_listed = earlier.listed.is_some_and(|listed| listed <= later.from);
+                let listing = if is_listed { Listing::Listed } else { Listing::Unlisted };
+                let found = found.entry((*end, listing));
+                let (smallest, counts) = found.or_insert((gap, BTreeMap::new()));
                 *smallest = gap.min(*smallest);
                 *counts.entry(limit_ms(gap)).or_insert(0) += 1;
             }
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use emulator::{
-    FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, RunEnd, RunLedger,
-    StoppingRuns,
+    FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, Listing, RunEnd,
+    RunLedger, StoppingRuns,
 };
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
@@ -121,14 +121,25 @@
             assert_eq!(called.ledger.count_gaps().len(), 0);
             called.start_run(2).await;
             let gaps = called.ledger.count_gaps();
-            assert_eq!(gaps.keys().collect::<Vec<_>>(), [&end]);
-            assert_eq!(gaps[&end].1.values().sum::<usize>(), 1);
+            let cause = (end, Listing::Listed);
+            assert_eq!(gaps.keys().collect::<Vec<_>>(), [&cause]);
+            assert_eq!(gaps[&cause].1.values().sum::<usize>(), 1);
         });
     }
     stopped: (true, RunEnd::Stopped, "stopped"),
     lapsed: (false, RunEnd::Lapsed, "lapsed"),
 }
 
+#[tokio::test]
+async fn a_gap_before_any_list_has_the_end_is_counted_apart() {
+    let called = Called::start(0, StoppingRuns::Running).await;
+    called.start_run(1).await;
+    assert_eq!(called.stop_run(1).await, StatusCode::OK);
+    called.start_run(2).await;
+    let gaps = called.ledger.count_gaps();
+    assert_eq!(gaps.keys().collect::<Vec<_>>(), [&(RunEnd::Stopped, Listing::Unlisted)]);
+}
+
 #[tokio::test]
 async fn a_lapse_that_is_late_lets_the_run_go_on() {
     let start = Instant::now();
