--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -22,12 +22,13 @@
     system::{System, config},
 };
 
-/// Fault of a process (killed, frozen for a time or stopped by a signal), of an executor or of the
-/// store, of the network, or a change of the configuration.
+/// Fault of processes (killed, frozen for a time, short of processor time or stopped by a signal),
+/// of an executor or of the store, of the network, or a change of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Fault {
     Kill,
     Freeze,
+    Starve,
     Stop,
     UnresponsiveExecutor,
     LateStarts,
@@ -43,9 +44,10 @@
 }
 
 /// All faults, each with the same probability. Besides, one sequence has only those of callers.
-const ALL: [Fault; 14] = [
+const ALL: [Fault; 15] = [
     Fault::Kill,
     Fault::Freeze,
+    Fault::Starve,
     Fault::Stop,
     Fault::UnresponsiveExecutor,
     Fault::LateStarts,
@@ -66,6 +68,13 @@
 const UNTIL_RESUBMISSION_MS: [u64; 3] = [0, 1_300, 2_800];
 
 const FREEZE_MS: Range<u64> = 200..6_000;
+/// Period in which a process that is short of processor time runs once, and for how long,
+/// milliseconds.
+const STARVE_PERIOD_MS: u64 = 100;
+const STARVED_RUN_MS: Range<u64> = 2..26;
+/// Time that executors take to end a stopped run, unless `SOAK_STOP_MS` states it: the platform's
+/// `stopTimeoutMs`.
+const STOP_MS: u64 = 50;
 
 /// Injects several sequences of random faults at the same time. Returns the number of faults of
 /// each kind.
@@ -86,7 +95,7 @@
         *sums.entry(fault).or_insert(0) += count;
     }
     // A sequence may have replaced the faults of another one in the middle.
-    system.executors.iter().for_each(|executor| executor.set_faults(FakeExecutorFaults::default()));
+    system.executors.iter().for_each(|executor| executor.set_faults(no_faults()));
     system.store.faults().clear();
     network::clear(system);
     sums
@@ -112,7 +121,13 @@
         match fault {
             Fault::Kill => {
                 let pause = if rng.random_bool(0.5) { Duration::ZERO } else { 2 * duration };
-                end(random_process(system, &mut rng), Signal::KILL, pause).await;
+                let processes: Vec<_> = match rng.random_range(0..4) {
+                    0 => system.agents.iter().collect(),
+                    1 => system.entries.iter().chain(&system.agents).collect(),
+                    _ => vec![random_process(system, &mut rng)],
+                };
+                let ends = processes.into_iter().map(|process| end(process, Signal::KILL, pause));
+                futures::future::join_all(ends).await;
             }
             Fault::Freeze => {
                 let process = random_process(system, &mut rng);
@@ -120,43 +135,46 @@
                 sleep(Duration::from_millis(rng.random_range(FREEZE_MS))).await;
                 lock(process).signal(Signal::CONT);
             }
+            Fault::Starve => {
+                let run_ms = rng.random_range(STARVED_RUN_MS);
+                starve(random_process(system, &mut rng), run_ms, 2 * duration).await;
+            }
             Fault::Stop => {
                 end(random_process(system, &mut rng), Signal::TERM, Duration::ZERO).await;
             }
             Fault::UnresponsiveExecutor => {
-                let faults = FakeExecutorFaults { is_unresponsive: true, ..Default::default() };
+                let faults = FakeExecutorFaults { is_unresponsive: true, ..no_faults() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::LateStarts => {
                 let late_starts = rng.random_range(1..6);
-                let faults = FakeExecutorFaults { late_starts, ..Default::default() };
+                let faults = FakeExecutorFaults { late_starts, ..no_faults() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::LateOrders => {
                 let late_percent = rng.random_range(20..60);
-                let late = FakeExecutorFaults { late_percent, ..Default::default() };
+                let late = FakeExecutorFaults { late_percent, ..no_faults() };
                 system.executors.iter().for_each(|executor| executor.set_faults(late));
                 sleep(duration / 2).await;
                 // Stops that get no answer matter most when an entry is lost.
                 let entry = &system.entries[rng.random_range(0..system.entries.len())];
                 end(entry, Signal::KILL, duration).await;
                 sleep(duration).await;
-                let none = FakeExecutorFaults::default();
+                let none = no_faults();
                 system.executors.iter().for_each(|executor| executor.set_faults(none));
             }
             Fault::FailingExecutor => {
-                let faults = FakeExecutorFaults { fails_all: true, ..Default::default() };
+                let faults = FakeExecutorFaults { fails_all: true, ..no_faults() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::DeadlyTasks => {
-                let faults =
-                    FakeExecutorFaults { crashed_by: Some(DEADLY_CALLER), ..Default::default() };
+                let faults = FakeExecutorFaults { crashed_by: Some(DEADLY_CALLER), ..no_faults() };
                 system.executors.iter().for_each(|executor| executor.set_faults(faults));
                 sleep(duration / 2).await;
                 // The process that knows of the crashes is lost in the middle of them.
                 end(random_process(system, &mut rng), Signal::KILL, Duration::ZERO).await;
                 sleep(duration / 2).await;
-                let none = FakeExecutorFaults::default();
+                let none = no_faults();
                 system.executors.iter().for_each(|executor| executor.set_faults(none));
             }
             Fault::StoreOutage => {
@@ -198,6 +216,11 @@
     counts
 }
 
+/// Returns the faults of an executor at which none is injected.
+pub(crate) fn no_faults() -> FakeExecutorFaults {
+    FakeExecutorFaults { stop_ms: env_number("SOAK_STOP_MS", STOP_MS), ..Default::default() }
+}
+
 fn lock(process: &Mutex<Process>) -> MutexGuard<'_, Process> {
     process.lock().expect("no holder of the lock panics")
 }
@@ -208,6 +231,17 @@
     &processes[rng.random_range(0..processes.len())]
 }
 
+/// Suspends a process again and again for a time, so that it runs for `run_ms` of each period.
+async fn starve(process: &Mutex<Process>, run_ms: u64, length: Duration) {
+    let start = Instant::now();
+    while start.elapsed() < length {
+        lock(process).signal(Signal::STOP);
+        sleep(Duration::from_millis(STARVE_PERIOD_MS - run_ms)).await;
+        lock(process).signal(Signal::CONT);
+        sleep(Duration::from_millis(run_ms)).await;
+    }
+}
+
 /// Ends a process by a signal and starts it again after a pause, unless another sequence of faults
 /// has done so in the meantime.
 async fn end(process: &Mutex<Process>, signal: Signal, pause: Duration) {
@@ -237,5 +271,5 @@
     let executor = &system.executors[rng.random_range(0..system.executors.len())];
     executor.set_faults(faults);
     sleep(duration).await;
-    executor.set_faults(FakeExecutorFaults::default());
+    executor.set_faults(no_faults());
 }
