Let no run outlive the crash of a fake executor

A start that was handled in the moment of a crash came into the table of runs after the crash had emptied it, and the next incarnation had the run: the platform kills everything. A second deadly start at that moment crashed the executor again 300 ms later, after it was back. Now the crash resets the connections, marks the executor as down and empties the table under one lock, and calls look at the mark under that lock.

The fault is as old as the crashes of the fake, and no fault of the product.

--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -169,19 +169,26 @@
         if !crashed_by.is_some_and(|prefix| task.starts_with(prefix)) {
             return false;
         }
-        // A repeated start does not run the task a second time.
-        if !lock(&self.state).running.contains_key(task) {
-            let index = self.ledger.record_start(task, &self.settings.id);
-            self.ledger.record_end(index, RunEnd::Crashed);
-        }
-        let runs = std::mem::take(&mut *lock(&self.state)).remove_all();
-        runs.into_iter().for_each(|run| self.ledger.record_end(run, RunEnd::Crashed));
         {
-            let mut lifetime = lock(&self.lifetime);
-            lifetime.crashes += 1;
-            lifetime.is_down = true;
+            // A start that is under way waits for the lock, and does not outlive the crash.
+            let mut state = lock(&self.state);
+            {
+                let mut lifetime = lock(&self.lifetime);
+                if lifetime.is_down {
+                    return true;
+                }
+                lifetime.crashes += 1;
+                lifetime.is_down = true;
+            }
+            self.connections.set_dead(true);
+            // A repeated start does not run the task a second time.
+            if !state.running.contains_key(task) {
+                let index = self.ledger.record_start(task, &self.settings.id);
+                self.ledger.record_end(index, RunEnd::Crashed);
+            }
+            let runs = std::mem::take(&mut *state).remove_all();
+            runs.into_iter().for_each(|run| self.ledger.record_end(run, RunEnd::Crashed));
         }
-        self.connections.set_dead(true);
         let shared = Arc::clone(self);
         tokio::spawn(async move {
             sleep(CRASH_DOWN).await;
@@ -196,6 +203,12 @@
         true
     }
 
+    /// Returns the runs, unless the executor has crashed; then the connection has been reset.
+    fn live_runs(&self) -> Option<MutexGuard<'_, RunTable>> {
+        let state = lock(&self.state);
+        (!self.lifetime().is_down).then_some(state)
+    }
+
     /// Returns the time on the executor's clock in milliseconds, which starts at 1.
     fn clock_ms(&self) -> u64 {
         let elapsed_ms = u64::try_from(self.lifetime().start.elapsed().as_millis());
@@ -224,7 +237,9 @@
         let Some(task) = body.get("task").and_then(Value::as_str) else {
             return self.response(StatusCode::BAD_REQUEST, None);
         };
-        let mut state = lock(&self.state);
+        let Some(mut state) = self.live_runs() else {
+            return self.response(StatusCode::SERVICE_UNAVAILABLE, None);
+        };
         if int_field("fencingToken") < state.fencing_token {
             return self.response(StatusCode::CONFLICT, Some("fence"));
         }
--- a/crates/emulator/src/platform_fake/executor/calls.rs
+++ b/crates/emulator/src/platform_fake/executor/calls.rs
@@ -69,7 +69,9 @@
     shared.advance();
     let int_field = |field: &str| body.get(field).and_then(Value::as_u64).unwrap_or(0);
     let task = body.get("task").and_then(Value::as_str).unwrap_or("").to_owned();
-    let mut state = lock(&shared.state);
+    let Some(mut state) = shared.live_runs() else {
+        return shared.response(StatusCode::SERVICE_UNAVAILABLE, None);
+    };
     if int_field("fencingToken") < state.fencing_token {
         return shared.response(StatusCode::CONFLICT, Some("fence"));
     }
@@ -99,7 +101,9 @@
     shared.advance();
     let int_field = |field: &str| body.get(field).and_then(Value::as_u64).unwrap_or(0);
     {
-        let mut state = lock(&shared.state);
+        let Some(mut state) = shared.live_runs() else {
+            return shared.response(StatusCode::SERVICE_UNAVAILABLE, None);
+        };
         if int_field("fencingToken") < state.fencing_token {
             return shared.response(StatusCode::CONFLICT, Some("fence"));
         }
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -1,6 +1,6 @@
 //! The fake executor's stops, called as an agent calls it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use emulator::{
     FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, Listing, RunEnd,
@@ -156,3 +156,34 @@
     assert_eq!(called.lists(0).await, (json!([[TASK, 1, "", 0]]), json!([])));
     assert_eq!(called.ledger.running(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_start_beside_a_crash_outlives_it() {
+    let deadly = "5c0e7a21d94b36f9";
+    for _ in 0..6 {
+        let called = Called::start(0, StoppingRuns::Running).await;
+        let crashed_by = Some(deadly);
+        called.executor.set_faults(FakeExecutorFaults { crashed_by, ..Default::default() });
+        let born =
+            called.call("run-stop", json!({ "task": "", "run": 1 })).await.1["born"].as_u64();
+        let starts = (0..64).map(|i| {
+            let job = if i == 32 { deadly } else { "5c0e7a21d94b36f8" };
+            let body = json!({ "task": format!("{job}.0.0.{i}"), "run": 1, "spec": "",
+                "deadlineMs": LASTING_MS, "fencingToken": 1 });
+            let url = format!("http://{}/-/run-start", called.executor.addr());
+            let start = called.client.post(url).header("Content-Type", "application/json");
+            // One that is accepted during the crash gets neither a response nor a reset.
+            let start = start.timeout(Duration::from_secs(2));
+            tokio::spawn(start.body(body.to_string()).send())
+        });
+        let replies = futures::future::join_all(starts.collect::<Vec<_>>()).await;
+        let mut later = 0;
+        for reply in replies.into_iter().filter_map(|reply| reply.unwrap().ok()) {
+            let text = reply.text().await.unwrap_or_default();
+            let body: Value = serde_json::from_str(&text).unwrap_or_default();
+            later += usize::from(body["born"].as_u64() > born);
+        }
+        assert_eq!(called.executor.crashes(), 1);
+        assert_eq!((called.executor.running(), called.ledger.running()), (later, later));
+    }
+}
