--- a/crates/direct/tests/claims_beside_faults.rs
+++ b/crates/direct/tests/claims_beside_faults.rs
@@ -438,6 +438,26 @@
     assert!(!news.is_empty(), "the holder runs on, and is told nothing");
 }
 
+/// Guards against a run that goes on beside that of the entry that has the job, after an answer that comes
+/// late.
+#[test]
+fn a_contested_answer_that_comes_late_stops_what_was_started_without_it() {
+    let mut entry = Dispatcher::new(Timing::default(), "mid-a".into(), 1);
+    let hello = AgentHello { agent: "a".into(), incarnation: 1, entries: Vec::new() };
+    let (key, ..) = entry.on_agent_hello(&hello, 0);
+    entry.on_report(key, report(Some(upstream("a", 1)), cores(8), 0), 0);
+    let (_, effects) = entry.submit(job("j", 1), 10);
+    let id = claims_in(&effects)[0].1.id;
+    let mut started = Vec::new();
+    for now_ms in (22..166).step_by(12) {
+        started.extend(attempts(&entry.tick(now_ms)));
+    }
+    assert_eq!(started.len(), 1);
+    let effects = entry.on_claims(key, &[ClaimNews::Contested(id)], 170);
+    let is_stop = |e: &DispatcherEffect| matches!(e, DispatcherEffect::Send(_, ToAgent::Stop(_)));
+    assert!(effects.iter().any(is_stop), "the run goes on beside that of the holder");
+}
+
 /// Guards against a start without a wait when no agent answers claims.
 #[test]
 fn a_job_is_claimed_when_its_agents_answer_again() {
--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -111,7 +111,7 @@
 ) -> BTreeMap<Fault, usize> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut counts = BTreeMap::new();
-    let has_late_ends = env_number("SOAK_LATE_ENDS", 0) > 0;
+    let has_late_ends = env_number("SOAK_LATE_ENDS", 1) > 0;
     let start = Instant::now();
     while start.elapsed() < length {
         sleep(Duration::from_millis(rng.random_range(100..600))).await;
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -9,8 +9,8 @@
 //! - `SOAK_SLOW_PERCENT`: by how much the clock of every second executor is slow.
 //! - `SOAK_LAPSE_LAG_MS`: how late executors at most end runs whose lease has expired. The platform
 //!   promises that they are never late, so the default is 0; overlaps with more show the margin.
-//! - `SOAK_LATE_ENDS=1`: requests, and the ends of their channels behind them, may be under way for
-//!   longer than callers take to submit again.
+//! - `SOAK_LATE_ENDS`: 0 keeps requests, and the ends of their channels behind them, from being under
+//!   way for longer than callers take to submit again.
 //! - `SOAK_PROGRAM`: another build of the program.
 //! - `SOAK_LOGS`: an existing folder for the decision lines of the processes.
 
