--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -123,6 +123,12 @@
         self.lock().iter().filter(|run| run.task.starts_with(prefix)).count()
     }
 
+    /// Returns the number of runs of tasks whose name starts with `prefix` that were asked to stop.
+    pub fn count_stops(&self, prefix: &str) -> usize {
+        let is_stopped = |run: &&RecordedRun| run.task.starts_with(prefix) && run.stop.is_some();
+        self.lock().iter().filter(is_stopped).count()
+    }
+
     /// Returns the number of runs that have not ended.
     pub fn running(&self) -> usize {
         self.lock().iter().filter(|run| run.to.is_none()).count()
