Open an agent only when stops of earlier agents have had their time

Callers saw a task run twice for up to 50 ms beside an agent that was replaced twice. Cause: a new agent opened on its first empty list. An executor may list a run that is being stopped neither as running nor as ended, so the list is also empty while a run ends that an earlier agent had stopped just before its own end; the entries settled the attempts as agent_replaced and started the tasks elsewhere.

The new agent keeps no state over the restart and can't know of such stops, so it takes a bound from its own first answered call: from then on the executor has seen its fencing token and carries out no order of an earlier agent. Only a list that was requested stop_ms, and 100 ms for an executor that is late, after that answer can open the agent. A row without a readable run number keeps it closed, too, for at most 1.3 s.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -6,6 +6,7 @@
 mod isolation;
 mod lease_record;
 mod messages;
+mod orphans;
 mod response_monitor;
 mod run;
 mod run_outcomes;
@@ -71,6 +72,8 @@
     /// Whether all runs of earlier agents have ended; no attempts are accepted before.
     is_open: bool,
     is_leaving: bool,
+    /// Time of the first answer of the upstream, milliseconds.
+    controlled_ms: Option<u64>,
     /// Runs at the upstream that this agent did not start, for example those of an earlier agent,
     /// with the time at which their stop was acknowledged, milliseconds. The number is that of the
     /// run.
@@ -103,6 +106,7 @@
             next_session: 0,
             is_open: false,
             is_leaving: false,
+            controlled_ms: None,
             orphaned_runs: IndexMap::new(),
             open_stops: IndexMap::new(),
             // An earlier agent may have granted a lease until now.
@@ -368,8 +372,8 @@
     }
 
     /// Applies a run list of the upstream: settles runs that have ended or are missing, and stops
-    /// runs that the agent did not start. The agent opens once the upstream lists no run and all
-    /// of these have ended.
+    /// runs that the agent did not start. The agent opens once the list shows that no run of an
+    /// earlier agent is left.
     pub fn on_run_list(&mut self, list: &RunList) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
         if self.is_of_earlier_incarnation(list) {
@@ -380,12 +384,13 @@
         }
         effects.extend(self.on_outage_end(list.incarnation));
         self.check_incarnation(list, &mut effects);
+        self.controlled_ms.get_or_insert(list.received_ms);
         for (task, number, run_outcome) in &list.ended {
             self.on_run_end(task, *number, *run_outcome, list.received_ms, &mut effects);
         }
         self.settle_absent(list, &mut effects);
         self.stop_orphans(list, &mut effects);
-        if !self.is_open && list.running.is_empty() && self.orphaned_runs.is_empty() {
+        if !self.is_open && self.shows_no_orphan(list) {
             self.is_open = true;
             effects.push(SupervisorEffect::Open);
         }
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -76,35 +76,6 @@
         list.sent_ms >= acked_ms + self.timing.stop_ms
     }
 
-    /// Stops the runs of a list that the agent did not start, and removes those that have ended.
-    pub(crate) fn stop_orphans(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
-        let mut ended = Vec::new();
-        for (run_key, acked_ms) in &self.orphaned_runs {
-            let (task, number) = run_key;
-            if !list.contains(task, *number)
-                && acked_ms.is_some_and(|ms| self.is_ended_without_row(ms, list))
-            {
-                ended.push(run_key.clone());
-            }
-        }
-        for run_key in ended {
-            self.orphaned_runs.shift_remove(&run_key);
-        }
-        for row in &list.running {
-            let is_known = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
-            let run_key = (row.task.clone(), row.run);
-            let acked_ms = self.orphaned_runs.get(&run_key).copied();
-            // A stop that has had its time and did not end the run is sent again.
-            let is_stopped = acked_ms
-                .is_some_and(|acked| acked.is_none_or(|ms| !self.is_ended_without_row(ms, list)));
-            if !is_known && !is_stopped {
-                self.orphaned_runs.insert(run_key, None);
-                let cause = if acked_ms.is_none() { StopCause::Found } else { StopCause::Repeated };
-                effects.extend(self.send_stop(&row.task, row.run, cause));
-            }
-        }
-    }
-
     /// Returns whether a run is to be stopped and no stop has been acknowledged.
     fn is_stop_pending(&self, task: &TaskId, number: u32) -> bool {
         self.orphaned_runs.get(&(task.clone(), number)) == Some(&None)
--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -15,6 +15,9 @@
         pub session_ms: u64,
         /// Time that an upstream needs to stop a run, as the platform specifies it.
         pub stop_ms: u64,
+        /// Time by which an upstream on a busy machine may exceed `stop_ms`: a period of the quota of
+        /// a process that has used up its processor time.
+        pub upstream_delay_ms: u64,
         /// Time after which a caller resubmits an unanswered job, as the platform specifies it.
         pub resend_ms: u64,
         /// Heartbeat period on an active link without other messages.
@@ -44,6 +47,7 @@
             lease_ms: 1_000,
             session_ms: 900,
             stop_ms: 50,
+            upstream_delay_ms: 100,
             resend_ms: 1_300,
             heartbeat_ms: 200,
             silence_ms: 550,
@@ -143,6 +147,19 @@
         self.resend_ms
     }
 
+    /// Returns the time after the acknowledgement of a stop from which the run has ended if nothing is
+    /// known of it, milliseconds.
+    pub fn stop_end_ms(&self) -> u64 {
+        self.stop_ms + self.upstream_delay_ms
+    }
+
+    /// Returns the time after which a run counts as ended that the lists of its upstream omit without
+    /// having shown its end, milliseconds. An upstream may omit a run while it ends, so this is only
+    /// for ends that are lost or cannot be decoded.
+    pub fn missing_after_ms(&self) -> u64 {
+        self.lost_after_ms()
+    }
+
     /// Returns the time after which a claim that is not renewed is forgotten, milliseconds.
     pub fn claim_ttl_ms(&self) -> u64 {
         2 * self.claim_renewal_ms() + self.claim_wait_ms
--- a/crates/direct/tests/capacity.rs
+++ b/crates/direct/tests/capacity.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use common::{attempts, batch, cores, hear, job, report, run_list, step, submit, task, upstream};
+use common::{
+    attempts, batch, cores, hear, job, open, report, run_list, step, submit, task, upstream,
+};
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, DirectJob, Dispatcher, DispatcherEffect,
     JobOutcome, RefusalReason, SessionKey, StartResult, Supervisor, SupervisorEffect, Timing,
@@ -14,7 +16,7 @@
 fn agent() -> (Supervisor, SessionKey) {
     let mut supervisor = Supervisor::new(Timing::default(), 0);
     supervisor.on_heartbeat(upstream("u", 1), 1, 0);
-    supervisor.on_run_list(&run_list(1, &[]));
+    open(&mut supervisor);
     let (entry, _) =
         supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2, 2);
     supervisor.report(entry, true);
--- a/crates/direct/tests/crashes.rs
+++ b/crates/direct/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{attempts, batch, cores, hear, job, report, run_list, submit, task, upstream};
+use common::{attempts, batch, cores, hear, job, open, report, run_list, submit, task, upstream};
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, Crash, CrashNotice, Dispatcher,
     DispatcherEffect, JobOutcome, SessionKey, StartResult, Supervisor, SupervisorEffect, Suspect,
@@ -20,7 +20,7 @@
     fn new() -> Self {
         let mut supervisor = Supervisor::new(Timing::default(), 0);
         supervisor.on_heartbeat(upstream("u", 1), 1, 0);
-        supervisor.on_run_list(&run_list(1, &[]));
+        open(&mut supervisor);
         let (entry, _) =
             supervisor.on_entry_hello(&Arc::from("e1"), 1, &UnsettledAttempts::default(), 2, 2);
         supervisor.report(entry, true);
--- a/crates/direct/tests/message_age.rs
+++ b/crates/direct/tests/message_age.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use common::{batch, cores, run_list, task, upstream};
+use common::{batch, cores, open, task, upstream};
 use direct::{
     AttemptId, AttemptOutcome, SessionKey, StartResult, StopCause, Supervisor, SupervisorEffect,
     Timing, UnsettledAttempts,
@@ -17,7 +17,7 @@
 fn agent() -> (Supervisor, SessionKey) {
     let mut supervisor = Supervisor::new(Timing::default(), 0);
     supervisor.on_heartbeat(upstream("u", 1), 1, 1);
-    supervisor.on_run_list(&run_list(1, &[]));
+    open(&mut supervisor);
     let none = UnsettledAttempts::default();
     let (key, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, HELLO_MS, 12);
     (supervisor, key)
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -19,6 +19,8 @@
 const BUSY_POLL_WAIT_MS: u64 = 80;
 /// How long a poll waits while a stop is pending, milliseconds.
 const STOP_WAIT_MS: u64 = 30;
+/// Shortest pause between polls that may show that the agent can open.
+const OPENING_PAUSE: Duration = Duration::from_millis(10);
 /// Pause after a failed poll.
 const FAILED_PAUSE: Duration = Duration::from_millis(40);
 /// Pause after a poll whose connection broke: the next one shows whether the upstream still exists.
@@ -31,6 +33,9 @@
 /// Polls the upstream's runs, for ever; each poll also extends the lease of the runs.
 pub(crate) async fn poll_runs(state: Rc<AgentState>) {
     loop {
+        if let Some(pause) = state.opening_pause() {
+            sleep(pause.max(OPENING_PAUSE)).await;
+        }
         let sent_ms = clock::now_ms();
         // A poll that waits would delay the news that the upstream responds again.
         let wait_ms = match (state.is_open(), state.has_pending_stop()) {
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -153,6 +153,16 @@
         self.is_open.get()
     }
 
+    /// Returns the time until a poll can show that the agent can open; `None` if polls are needed for
+    /// other reasons.
+    pub(crate) fn opening_pause(&self) -> Option<Duration> {
+        if self.is_open() || self.has_pending_stop() {
+            return None;
+        }
+        let list_ms = self.supervisor.borrow().opening_list_ms()?;
+        Some(Duration::from_millis(list_ms.saturating_sub(clock::now_ms())))
+    }
+
     pub(crate) fn has_pending_stop(&self) -> bool {
         self.supervisor.borrow().has_pending_stop()
     }
