Take a run for ended when its end is listed, not when it is in no list

Cause: a run that the lists of its executor omit passed for ended, stop_ms after the acknowledgement of its stop, or at once if nobody had stopped it. Executors may omit a run while it ends, and a busy one ends it later than it promises: the bound kept the two runs apart by 0 ms. A run whose lease had expired and that was still being ended counted as lost by the first list without it.

Now a run that the executor has confirmed, by the answer to its start or by a row of a list, has ended when a list shows its end, when another life of the executor has begun, or when the last lease of an unresponsive executor is over. Absence counts only after 1.3 s, for ends that are lost or can't be decoded. The same holds for runs that a new agent finds. A start that was never confirmed has no end to list; its stop gets 100 ms more. Because an end is listed once, a list that was overtaken must not bring its run back.

Tests of the supervisor that settled a run by its absence now wait for its end or for the 1.3 s, which is stricter.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -1,6 +1,7 @@
 //! The agent's side of direct jobs: guards the capacity of one upstream, follows its runs and stops
 //! those that no entry needs any more.
 
+mod absence;
 mod claims;
 mod crashes;
 mod isolation;
@@ -33,6 +34,7 @@
         crashes::Crashes,
         isolation::Isolation,
         lease_record::LeaseRecord,
+        orphans::Orphan,
         response_monitor::ResponseMonitor,
         run::{Phase, Run},
         sent_reports::SentReports,
@@ -67,6 +69,8 @@
     runs: IndexMap<TaskId, Run>,
     /// Highest run number known for each ended task; the task's next run gets a higher one.
     run_numbers: IndexMap<TaskId, u32>,
+    /// Time at which the last list arrived that shows an end, milliseconds.
+    last_end_ms: u64,
     sessions: IndexMap<Arc<str>, (SessionKey, Session)>,
     next_session: u32,
     /// Whether all runs of earlier agents have ended; no attempts are accepted before.
@@ -74,10 +78,8 @@
     is_leaving: bool,
     /// Time of the first answer of the upstream, milliseconds.
     controlled_ms: Option<u64>,
-    /// Runs at the upstream that this agent did not start, for example those of an earlier agent,
-    /// with the time at which their stop was acknowledged, milliseconds. The number is that of the
-    /// run.
-    orphaned_runs: IndexMap<(TaskId, u32), Option<u64>>,
+    /// Runs at the upstream that this agent did not start. The number is that of the run.
+    orphans: IndexMap<(TaskId, u32), Orphan>,
     /// Number of unanswered stop calls for each run.
     open_stops: IndexMap<(TaskId, u32), u32>,
     leases: LeaseRecord,
@@ -102,12 +104,13 @@
             is_capacity_outdated: false,
             runs: IndexMap::new(),
             run_numbers: IndexMap::new(),
+            last_end_ms: 0,
             sessions: IndexMap::new(),
             next_session: 0,
             is_open: false,
             is_leaving: false,
             controlled_ms: None,
-            orphaned_runs: IndexMap::new(),
+            orphans: IndexMap::new(),
             open_stops: IndexMap::new(),
             // An earlier agent may have granted a lease until now.
             leases: LeaseRecord::new(now_ms),
@@ -147,7 +150,7 @@
 
     /// Returns whether a stop is pending, so that the next run list is needed soon.
     pub fn has_pending_stop(&self) -> bool {
-        !self.orphaned_runs.is_empty()
+        !self.orphans.is_empty()
             || self.runs.values().any(|run| matches!(run.phase, Phase::Stopping { .. }))
     }
 
@@ -441,7 +444,7 @@
         let is_past_lease = now_ms >= self.leases.last_ms() + self.timing.lease_end_ms();
         if self.response_monitor.is_unresponsive() && is_past_lease {
             self.settle_all(self.loss(), SettledBy::LeaseEnd, &mut effects);
-            self.orphaned_runs.clear();
+            self.orphans.clear();
             if !self.is_open {
                 self.is_open = true;
                 effects.push(SupervisorEffect::Open);
@@ -488,7 +491,7 @@
             && self.is_open
             && !self.is_leaving
             && !self.response_monitor.is_unresponsive()
-            && self.orphaned_runs.values().all(Option::is_some)
+            && self.orphans.values().all(|orphan| orphan.acked_ms.is_some())
             && !self.is_capacity_outdated
     }
 
--- a/crates/direct/src/supervisor/orphans.rs
+++ b/crates/direct/src/supervisor/orphans.rs
@@ -2,40 +2,55 @@
 //! ended.
 
 use crate::{
-    RunList, StopCause,
-    supervisor::{Supervisor, SupervisorEffect},
+    RunList, StopCause, TaskId,
+    supervisor::{Supervisor, SupervisorEffect, absence::Absence},
 };
 
+/// A run at the upstream that this agent did not start, for example one of an earlier agent. It is
+/// stopped.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Orphan {
+    /// Time at which its stop was acknowledged, milliseconds.
+    pub(crate) acked_ms: Option<u64>,
+    absence: Absence,
+}
+
 impl Supervisor {
-    /// Stops the runs of a list that the agent did not start, and removes those that have ended.
+    /// Stops the runs of a list that the agent did not start, and forgets those whose ends were lost.
     pub(crate) fn stop_orphans(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
-        let mut ended = Vec::new();
-        for (run_key, acked_ms) in &self.orphaned_runs {
-            let (task, number) = run_key;
-            if !list.contains(task, *number)
-                && acked_ms.is_some_and(|ms| self.is_ended_without_row(ms, list))
-            {
-                ended.push(run_key.clone());
+        let missing_after_ms = self.timing.missing_after_ms();
+        self.orphans.retain(|(task, number), orphan| {
+            if list.contains(task, *number) {
+                orphan.absence.end();
+                return true;
             }
-        }
-        for run_key in ended {
-            self.orphaned_runs.shift_remove(&run_key);
-        }
+            orphan.absence.record(list) < missing_after_ms
+        });
         for row in &list.running {
             let is_known = self.runs.get(&row.task).is_some_and(|run| run.number == row.run);
+            if is_known || self.is_outdated_row(list, &row.task, row.run) {
+                continue;
+            }
             let run_key = (row.task.clone(), row.run);
-            let acked_ms = self.orphaned_runs.get(&run_key).copied();
+            let known = self.orphans.get(&run_key).copied();
             // A stop that has had its time and did not end the run is sent again.
-            let is_stopped = acked_ms
-                .is_some_and(|acked| acked.is_none_or(|ms| !self.is_ended_without_row(ms, list)));
-            if !is_known && !is_stopped {
-                self.orphaned_runs.insert(run_key, None);
-                let cause = if acked_ms.is_none() { StopCause::Found } else { StopCause::Repeated };
+            let is_stopped = known.is_some_and(|orphan| {
+                orphan.acked_ms.is_none_or(|ms| list.sent_ms < ms + self.timing.stop_ms)
+            });
+            if !is_stopped {
+                self.orphans.insert(run_key, Orphan::default());
+                let cause = if known.is_none() { StopCause::Found } else { StopCause::Repeated };
                 effects.extend(self.send_stop(&row.task, row.run, cause));
             }
         }
     }
 
+    /// Returns whether a row is older than the end of its run: lists overtake each other.
+    fn is_outdated_row(&self, list: &RunList, task: &TaskId, number: u32) -> bool {
+        let has_ended = self.run_numbers.get(task).is_some_and(|ended| number <= *ended);
+        has_ended && list.sent_ms <= self.last_end_ms
+    }
+
     /// Returns the time from which a list can show that no run of an earlier agent is left,
     /// milliseconds; `None` before the first answer of the upstream. A list may omit a run that an
     /// earlier agent has stopped, for as long as it takes to end. From its first answer to this agent on,
@@ -51,7 +66,7 @@
         let missing_ms = self.controlled_ms.map(|ms| ms + self.timing.missing_after_ms());
         list.running.is_empty()
             && (list.unnumbered.is_empty() || is_requested_after(missing_ms))
-            && self.orphaned_runs.is_empty()
+            && self.orphans.is_empty()
             && is_requested_after(self.opening_list_ms())
     }
 }
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -2,7 +2,10 @@
 
 use types::Resources;
 
-use crate::{AttemptId, supervisor::SessionKey};
+use crate::{
+    AttemptId,
+    supervisor::{SessionKey, absence::Absence},
+};
 
 types::plain! {
     /// Phase of a run.
@@ -54,6 +57,9 @@
         /// Session and id of the attempt; `None` for a run that was found at the upstream.
         pub(crate) attempt: Option<(SessionKey, AttemptId)>,
         pub(crate) phase: Phase,
+        /// Whether the upstream has acknowledged the start or listed the run.
+        pub(crate) is_confirmed: bool,
+        pub(crate) absence: Absence,
         /// Last time at which the entry is known to have wanted the run, milliseconds; `None` while
         /// it still does, as far as is known.
         pub(crate) wanted_until_ms: Option<u64>,
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -23,7 +23,9 @@
         now_ms: u64,
         effects: &mut Vec<SupervisorEffect>,
     ) {
-        self.orphaned_runs.shift_remove(&(task.clone(), number));
+        self.orphans.shift_remove(&(task.clone(), number));
+        self.last_end_ms = self.last_end_ms.max(now_ms);
+        self.record_run_number(task, number);
         let Some(run) = self.runs.get(task).filter(|run| run.number == number) else {
             return;
         };
@@ -41,29 +43,36 @@
         self.finish(task, outcome, SettledBy::ListedEnd, effects);
     }
 
-    /// Settles the runs that are missing from a list if their start was acknowledged before the
-    /// list was requested, or their stop early enough for the run to have ended: the list would
-    /// contain them if they still existed.
+    /// Settles the runs that are missing from a list. A run that the upstream has confirmed has ended
+    /// when its end is listed: an upstream may omit a run while it ends, and may be late with that, so
+    /// absence shows its end only after the time in which all ends are listed. A start that was never
+    /// confirmed has no end to list; its stop must have had its time.
     pub(crate) fn settle_absent(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
         let mut absent = Vec::new();
-        for (task, run) in &self.runs {
+        for (task, run) in &mut self.runs {
             if list.contains(task, run.number) {
+                run.is_confirmed = true;
+                run.absence.end();
                 continue;
             }
-            match run.phase {
+            let (since_ms, outcome) = match run.phase {
                 Phase::Running { since_ms } if list.sent_ms > since_ms => {
-                    absent.push((task.clone(), AttemptOutcome::Lost));
+                    (since_ms, AttemptOutcome::Lost)
                 }
-                Phase::Stopping { acked_ms: Some(acked_ms), report }
-                    if self.is_ended_without_row(acked_ms, list) =>
-                {
-                    let outcome = match report {
-                        StopReport::Stopped => AttemptOutcome::Stopped,
-                        StopReport::NotStarted => AttemptOutcome::NotStarted,
-                    };
-                    absent.push((task.clone(), outcome));
-                }
-                _ => {}
+                Phase::Stopping { acked_ms: Some(acked_ms), report } => match report {
+                    StopReport::Stopped => (acked_ms, AttemptOutcome::Stopped),
+                    StopReport::NotStarted => (acked_ms, AttemptOutcome::NotStarted),
+                },
+                _ => continue,
+            };
+            let absent_ms = run.absence.record(list);
+            let has_ended = if run.is_confirmed {
+                absent_ms >= self.timing.missing_after_ms()
+            } else {
+                list.sent_ms >= since_ms + self.timing.stop_end_ms()
+            };
+            if has_ended {
+                absent.push((task.clone(), outcome));
             }
         }
         for (task, outcome) in absent {
@@ -83,6 +92,7 @@
         };
         if !is_outdated {
             self.answering = Some((incarnation, list.received_ms));
+            self.orphans.clear();
         }
         is_outdated
     }
@@ -133,17 +143,22 @@
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(run) = self.runs.shift_remove(task) else { return };
-        let number = self.run_numbers.entry(task.clone()).or_insert(0);
-        *number = run.number.max(*number);
-        if self.run_numbers.len() > MAX_RUN_NUMBERS {
-            self.run_numbers.shift_remove_index(0);
-        }
+        self.record_run_number(task, run.number);
         self.settle(task, run.attempt, outcome, by, effects);
         if let Some((key, _)) = run.attempt {
             effects.push(SupervisorEffect::Report(key));
         }
     }
 
+    /// Records that the run of a task with this number has ended.
+    fn record_run_number(&mut self, task: &TaskId, number: u32) {
+        let highest = self.run_numbers.entry(task.clone()).or_insert(0);
+        *highest = number.max(*highest);
+        if self.run_numbers.len() > MAX_RUN_NUMBERS {
+            self.run_numbers.shift_remove_index(0);
+        }
+    }
+
     /// Records the outcome of an attempt for its session and for the log.
     pub(crate) fn settle(
         &mut self,
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -6,6 +6,7 @@
     AttemptBatch, AttemptOutcome, SessionKey, SettledBy, StartResult, StartRun, StopCause, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
+        absence::Absence,
         run::{Phase, Run, StopReport},
     },
 };
@@ -50,6 +51,8 @@
                     payload: Arc::clone(&batch.payload),
                     accepted_ms: now_ms,
                     phase,
+                    is_confirmed: false,
+                    absence: Absence::default(),
                     wanted_until_ms: None,
                 };
                 self.runs.insert(task.clone(), run);
@@ -147,6 +150,7 @@
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return effects;
         };
+        run.is_confirmed |= result == StartResult::Started;
         let Phase::Starting { sends, open_calls } = &mut run.phase else {
             return effects;
         };
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -1,7 +1,7 @@
 //! Stops of runs.
 
 use crate::{
-    AttemptId, RunList, SessionKey, StopCause, TaskId,
+    AttemptId, SessionKey, StopCause, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -33,7 +33,7 @@
     }
 
     /// Applies the result of one call of a stop; an unacknowledged stop is sent again. A run counts
-    /// as ended only when a list shows it: see [`Supervisor::is_ended_without_row`].
+    /// as ended only when a list shows it: see [`Supervisor::settle_absent`].
     pub fn on_stop_result(
         &mut self,
         task: &TaskId,
@@ -51,8 +51,8 @@
         if !is_acknowledged {
             return self.on_stop_overdue(task, number);
         }
-        if let Some(acked_ms) = self.orphaned_runs.get_mut(&run_key) {
-            acked_ms.get_or_insert(now_ms);
+        if let Some(orphan) = self.orphans.get_mut(&run_key) {
+            orphan.acked_ms.get_or_insert(now_ms);
         }
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return Vec::new();
@@ -70,15 +70,10 @@
         }
     }
 
-    /// Returns whether a run whose stop was acknowledged at `acked_ms` has ended if a list contains
-    /// no row of it: an upstream may list a run neither as running nor as ended while it ends.
-    pub(crate) fn is_ended_without_row(&self, acked_ms: u64, list: &RunList) -> bool {
-        list.sent_ms >= acked_ms + self.timing.stop_ms
-    }
-
     /// Returns whether a run is to be stopped and no stop has been acknowledged.
     fn is_stop_pending(&self, task: &TaskId, number: u32) -> bool {
-        self.orphaned_runs.get(&(task.clone(), number)) == Some(&None)
+        let orphan = self.orphans.get(&(task.clone(), number));
+        orphan.is_some_and(|orphan| orphan.acked_ms.is_none())
             || self.runs.get(task).is_some_and(|run| {
                 run.number == number && matches!(run.phase, Phase::Stopping { acked_ms: None, .. })
             })
--- a/crates/direct/tests/capacity.rs
+++ b/crates/direct/tests/capacity.rs
@@ -9,8 +9,8 @@
 };
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, DirectJob, Dispatcher, DispatcherEffect,
-    JobOutcome, RefusalReason, SessionKey, StartResult, Supervisor, SupervisorEffect, Timing,
-    UnsettledAttempts, Upstream,
+    JobOutcome, RefusalReason, RunList, RunOutcome, SessionKey, StartResult, Supervisor,
+    SupervisorEffect, Timing, UnsettledAttempts, Upstream,
 };
 
 fn agent() -> (Supervisor, SessionKey) {
@@ -48,9 +48,10 @@
     let left = [3, 4, 5].map(|index| task("j", index));
     let left = [(&left[0], 1), (&left[1], 1), (&left[2], 1)];
     let end_ms = 120 + Timing::default().stop_ms;
-    agent.on_run_list(&run_list(end_ms - 1, &left));
-    assert_eq!(agent.free(), cores(0), "the stopped runs may take this time to end");
     agent.on_run_list(&run_list(end_ms, &left));
+    assert_eq!(agent.free(), cores(0), "the ends of the stopped runs are not listed yet");
+    let ended = (0..3).map(|index| (task("j", index), 1, RunOutcome::Terminated)).collect();
+    agent.on_run_list(&RunList { ended, ..run_list(end_ms, &left) });
     assert_eq!(agent.free(), cores(1));
     assert_eq!(starts(&agent.on_attempts(entry, &batch("k", &[8, 9], cores(1)), end_ms + 1)), 1);
     agent.on_heartbeat(of_capacity(8), 3, 200);
--- a/crates/direct/tests/causes.rs
+++ b/crates/direct/tests/causes.rs
@@ -159,6 +159,7 @@
     };
     let refused = agent.on_attempts(entry, &batch("j", &[2], cores(1)), 13);
     assert!(refused.contains(&settled(2, AttemptOutcome::NotStarted, SettledBy::Refusal)));
-    let absent = agent.on_run_list(&run_list(20, &[]));
+    agent.on_run_list(&run_list(20, &[]));
+    let absent = agent.on_run_list(&run_list(20 + Timing::default().missing_after_ms(), &[]));
     assert!(absent.contains(&settled(1, AttemptOutcome::Lost, SettledBy::Absence)), "{absent:?}");
 }
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -97,17 +97,17 @@
     agent.supervisor.on_stop_result(&t, 1, true, 60);
     agent.supervisor.on_run_list(&run_list(59, &[]));
     assert!(agent.outcomes().is_empty(), "a list from before the stop proves nothing");
-    let end_ms = 60 + Timing::default().stop_ms;
+    let end_ms = 60 + Timing::default().stop_end_ms();
     agent.supervisor.on_run_list(&run_list(end_ms - 1, &[]));
     assert!(agent.outcomes().is_empty(), "a run that has started takes this time to end");
     agent.supervisor.on_run_list(&run_list(end_ms, &[]));
     assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::NotStarted)]);
 }
 
-/// Guards against an agent that takes the acknowledgement of a stop for the end of the run: the entry
-/// started the task again beside it.
+/// Guards against an agent that takes the acknowledgement of a stop, or the time that the upstream
+/// promises for it, for the end of the run: the entry started the task again beside it.
 #[test]
-fn a_stopped_run_has_ended_when_its_end_is_listed_or_its_time_to_end_is_over() {
+fn a_stopped_run_has_ended_when_its_end_is_listed() {
     let stop_ms = Timing::default().stop_ms;
     let t = task("j", 0);
     let mut stopped = RunList { ended: Vec::new(), ..run_list(31, &[]) };
@@ -117,7 +117,8 @@
         (run_list(31, &[]), vec![]),
         (run_list(29 + stop_ms, &[]), vec![]),
         (listed, vec![]),
-        (run_list(30 + stop_ms, &[]), vec![(AttemptId(1), AttemptOutcome::Stopped)]),
+        (run_list(30 + stop_ms, &[]), vec![]),
+        (run_list(30 + 10 * stop_ms, &[]), vec![]),
         (stopped, vec![(AttemptId(1), AttemptOutcome::Stopped)]),
     ] {
         let mut agent = agent();
@@ -130,6 +131,39 @@
     }
 }
 
+/// Guards against an agent that takes a run for lost whose lease has expired and which the upstream
+/// omits from its lists while it ends: the entry started the task again beside it.
+#[test]
+fn a_run_that_is_in_no_list_has_ended_when_its_end_is_listed() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let t = task("j", 0);
+    agent.supervisor.on_start_result(&t, 1, StartResult::Started, 20);
+    agent.supervisor.on_run_list(&run_list(30, &[]));
+    agent.supervisor.on_run_list(&run_list(200, &[]));
+    assert!(agent.outcomes().is_empty());
+    let ended = vec![(t, 1, RunOutcome::Terminated)];
+    agent.supervisor.on_run_list(&RunList { ended, ..run_list(210, &[]) });
+    assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Lost)]);
+}
+
+/// Guards against a run that occupies its capacity for ever because its end was lost.
+#[test]
+fn a_run_whose_end_is_never_listed_is_lost_after_a_time() {
+    let missing_after_ms = Timing::default().missing_after_ms();
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let t = task("j", 0);
+    agent.supervisor.on_start_result(&t, 1, StartResult::Started, 20);
+    agent.supervisor.on_run_list(&run_list(30, &[]));
+    agent.supervisor.on_run_list(&run_list(100, &[(&t, 1)]));
+    agent.supervisor.on_run_list(&run_list(110, &[]));
+    agent.supervisor.on_run_list(&run_list(109 + missing_after_ms, &[]));
+    assert!(agent.outcomes().is_empty(), "it was listed at 100 ms");
+    agent.supervisor.on_run_list(&run_list(110 + missing_after_ms, &[]));
+    assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Lost)]);
+}
+
 #[test]
 fn a_start_whose_answer_is_overdue_is_sent_again_while_the_first_call_goes_on() {
     let mut agent = agent();
@@ -318,7 +352,8 @@
     supervisor.on_stop_result(&task("j", 0), 1, true, 4);
     let now_ms = supervisor.opening_list_ms().expect("the upstream has answered");
     assert_eq!(supervisor.lease_end_ms(now_ms), None);
-    supervisor.on_run_list(&run_list(now_ms, &[]));
+    let ended = vec![(task("j", 0), 1, RunOutcome::Terminated)];
+    supervisor.on_run_list(&RunList { ended, ..run_list(now_ms, &[]) });
     let none = UnsettledAttempts::default();
     let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, now_ms, now_ms);
     supervisor.on_attempts(entry, &batch("k", &[1], cores(1)), now_ms);
@@ -501,10 +536,15 @@
     let mut agent = agent();
     agent.starts("j", &[1], 1);
     agent.supervisor.on_start_result(&task("j", 0), 1, StartResult::Started, 20);
-    let list = RunList { unnumbered: vec![task("j", 0)], ..run_list(40, &[]) };
-    agent.supervisor.on_run_list(&list);
+    let missing_after_ms = Timing::default().missing_after_ms();
+    for sent_ms in [40, 40 + missing_after_ms] {
+        let list = RunList { unnumbered: vec![task("j", 0)], ..run_list(sent_ms, &[]) };
+        agent.supervisor.on_run_list(&list);
+        assert!(agent.outcomes().is_empty());
+    }
+    agent.supervisor.on_run_list(&run_list(50 + missing_after_ms, &[]));
     assert!(agent.outcomes().is_empty());
-    agent.supervisor.on_run_list(&run_list(50, &[]));
+    agent.supervisor.on_run_list(&run_list(50 + 2 * missing_after_ms, &[]));
     assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Lost)]);
 }
 
@@ -571,17 +611,19 @@
 /// Guards against a new agent that opens when the stop of an earlier agent's run is acknowledged: its
 /// entries started the task again beside the run that still ended.
 #[test]
-fn a_restarted_agent_opens_when_the_runs_that_it_stopped_have_had_their_time_to_end() {
+fn a_restarted_agent_opens_when_the_ends_of_the_runs_that_it_stopped_are_listed() {
     let mut supervisor = Supervisor::new(Timing::default(), 0);
     let found = task("old", 0);
     supervisor.on_run_list(&run_list(1, &[(&found, 3)]));
-    let end_ms = supervisor.opening_list_ms().expect("the upstream has answered");
-    supervisor.on_stop_result(&found, 3, true, end_ms - Timing::default().stop_ms);
-    for sent_ms in [6, end_ms - 1] {
+    supervisor.on_stop_result(&found, 3, true, 5);
+    let end_ms = 5 + Timing::default().stop_ms;
+    let list_ms = supervisor.opening_list_ms().expect("the upstream has answered");
+    for sent_ms in [6, end_ms, list_ms, 2 * list_ms] {
         let effects = supervisor.on_run_list(&run_list(sent_ms, &[]));
         assert!(!effects.contains(&SupervisorEffect::Open), "at {sent_ms} ms");
     }
-    let effects = supervisor.on_run_list(&run_list(end_ms, &[]));
+    let ended = vec![(found, 3, RunOutcome::Terminated)];
+    let effects = supervisor.on_run_list(&RunList { ended, ..run_list(2 * list_ms, &[]) });
     assert!(effects.contains(&SupervisorEffect::Open));
 }
 
@@ -612,6 +654,22 @@
     assert!(supervisor.on_run_list(&unreadable(end_ms)).contains(&SupervisorEffect::Open));
 }
 
+/// Guards against an upstream that gets no tasks because a list that was overtaken shows a run as
+/// running whose end is known.
+#[test]
+fn an_overtaken_list_does_not_bring_an_ended_run_back() {
+    let mut agent = agent();
+    agent.starts("j", &[1], 1);
+    let t = task("j", 0);
+    agent.supervisor.on_start_result(&t, 1, StartResult::Started, 20);
+    let ended = vec![(t.clone(), 1, RunOutcome::Done)];
+    agent.supervisor.on_run_list(&RunList { ended, ..run_list(30, &[]) });
+    assert!(stops(&agent.supervisor.on_run_list(&run_list(29, &[(&t, 1)]))).is_empty());
+    assert!(!agent.supervisor.has_pending_stop());
+    let effects = agent.supervisor.on_run_list(&run_list(40, &[(&t, 1)]));
+    assert_eq!(stops(&effects), [(t, 1)], "it does run");
+}
+
 #[test]
 fn a_stop_that_did_not_end_the_run_of_an_earlier_agent_is_sent_again() {
     let mut supervisor = Supervisor::new(Timing::default(), 0);
