Count runs that an agent found as occupying capacity until they have ended

An agent accepted attempts as soon as the stops of runs that it had not started were acknowledged. Such a run still takes its time to end and keeps its capacity until its end is listed, and the agent doesn't know its size, so the executor could get over its capacity. Attempts are refused until then. The test fails without the change and passes with it.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -491,7 +491,7 @@
             && self.is_open
             && !self.is_leaving
             && !self.response_monitor.is_unresponsive()
-            && self.orphans.values().all(|orphan| orphan.acked_ms.is_some())
+            && self.orphans.is_empty()
             && !self.is_capacity_outdated
     }
 
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -654,6 +654,20 @@
     assert!(supervisor.on_run_list(&unreadable(end_ms)).contains(&SupervisorEffect::Open));
 }
 
+/// Guards against a start beside a run that the agent did not start and that still ends: the upstream was
+/// over its capacity.
+#[test]
+fn a_run_that_was_found_occupies_capacity_until_its_end_is_listed() {
+    let mut agent = agent();
+    let found = task("old", 0);
+    agent.supervisor.on_run_list(&run_list(200, &[(&found, 3)]));
+    agent.supervisor.on_stop_result(&found, 3, true, 203);
+    assert!(agent.starts("j", &[1], 1).is_empty());
+    let ended = vec![(found, 3, RunOutcome::Terminated)];
+    agent.supervisor.on_run_list(&RunList { ended, ..run_list(210, &[]) });
+    assert_eq!(agent.starts("j", &[2], 1).len(), 1);
+}
+
 /// Guards against an upstream that gets no tasks because a list that was overtaken shows a run as
 /// running whose end is known.
 #[test]
