--- a/crates/direct/src/dispatcher/summary.rs
+++ b/crates/direct/src/dispatcher/summary.rs
@@ -71,6 +71,13 @@
         capacity
     }
 
+    /// Returns the incarnation of an agent that another one replaces, which has connected and not
+    /// reported yet; `None` if there is none.
+    pub fn replaced_incarnation(&self, key: AgentKey) -> Option<u64> {
+        let view = self.agents.get(key.0 as usize)?;
+        view.announced.map(|_| view.incarnation)
+    }
+
     /// Returns the name of an agent; `None` if the key is unknown.
     pub fn agent_name(&self, key: AgentKey) -> Option<&Arc<str>> {
         self.agents.get(key.0 as usize).map(|view| &view.name)
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -81,6 +81,7 @@
         let fields = [
             ("control", json!(settings.control.to_string())),
             ("upstream", json!(settings.upstream.to_string())),
+            ("incarnation", json!(state.incarnation())),
         ];
         state.events.emit(Level::Notable, "start", &fields);
         state.events.flush();
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -69,6 +69,19 @@
     is_open: Cell<bool>,
     /// Position in the upstream's list of ended runs.
     pub(crate) list_position: Cell<ListPosition>,
+    /// What the lines name of the time before the agent opens.
+    opening: Opening,
+}
+
+/// What an agent has seen of its executor before it opens.
+#[derive(Debug, Default)]
+struct Opening {
+    /// Arrival of the first list, milliseconds.
+    first_list_ms: Cell<Option<u64>>,
+    /// When the last list was requested, milliseconds.
+    list_sent_ms: Cell<Option<u64>>,
+    /// Runs that it did not start and has stopped.
+    found: Cell<u64>,
 }
 
 impl AgentState {
@@ -99,6 +112,7 @@
             is_resumed: Cell::new(false),
             is_open: Cell::new(false),
             list_position: Cell::default(),
+            opening: Opening::default(),
         }))
     }
 
@@ -157,6 +171,10 @@
         self.supervisor.borrow().has_pending_stop()
     }
 
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     pub(crate) fn token(&self) -> u64 {
         self.token.get().value()
     }
@@ -347,6 +365,7 @@
                 }
                 SupervisorEffect::Stop(task, run, cause) => {
                     if cause == StopCause::Found {
+                        self.opening.found.set(self.opening.found.get() + 1);
                         self.emit_for_run("found_run", &task, run, &[]);
                     }
                     spawn_local(executor_calls::stop(Rc::clone(self), task, run, cause));
@@ -361,8 +380,7 @@
                 }
                 SupervisorEffect::Open => {
                     self.is_open.set(true);
-                    let fields = [("token", json!(self.token()))];
-                    self.events.emit(Level::Notable, "open", &fields);
+                    self.emit_open();
                 }
                 SupervisorEffect::ClaimContested { job, holder, claimant } => {
                     counter!("agent_claims_contested").increment(1);
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -1,13 +1,13 @@
 //! Handling of the results of calls to the upstream on this machine.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use direct::{RunList, StartResult, StopCause, TaskId};
 use metrics::counter;
 use platform::{CallError, CallFailure};
 use serde_json::{Value, json};
 
-use crate::{agent::state::AgentState, events::Level};
+use crate::{agent::state::AgentState, clock, events::Level};
 
 /// Number of runs that the line about an unresponsive upstream lists.
 const MAX_LISTED_RUNS: usize = 6;
@@ -53,6 +53,9 @@
 
     pub(crate) fn on_run_list(self: &Rc<Self>, result: &RunList) {
         self.now_ms();
+        let opening = &self.opening;
+        opening.first_list_ms.set(opening.first_list_ms.get().or(Some(result.received_ms)));
+        opening.list_sent_ms.set(Some(result.sent_ms));
         let was_answering = self.supervisor.borrow().is_responsive();
         let effects = self.supervisor.borrow_mut().on_run_list(result);
         if !was_answering && self.supervisor.borrow().is_responsive() {
@@ -63,6 +66,20 @@
         self.apply(effects);
     }
 
+    /// Writes the line about the opening of the agent, with what it opened on.
+    pub(super) fn emit_open(&self) {
+        let now_ms = clock::now_ms();
+        let age_ms = |at_ms: &Cell<Option<u64>>| at_ms.get().map(|ms| now_ms.saturating_sub(ms));
+        let fields = [
+            ("token", json!(self.token())),
+            ("answered_ms", json!(age_ms(&self.opening.first_list_ms))),
+            ("list_age_ms", json!(age_ms(&self.opening.list_sent_ms))),
+            ("found", json!(self.opening.found.get())),
+        ];
+        self.events.emit(Level::Notable, "open", &fields);
+        self.events.flush_early();
+    }
+
     /// Records up to which sequence number ended runs were listed.
     pub(crate) fn record_last_ended(&self, incarnation: Option<u64>, last_ended_seq: Option<u64>) {
         let mut position = self.list_position.get();
@@ -133,6 +150,8 @@
     pub(crate) fn on_start_result(self: &Rc<Self>, task: &TaskId, run: u32, result: StartResult) {
         let now_ms = self.now_ms();
         let (event, level) = match result {
+            // A further start of a task is rare, and what an overlap is told by.
+            StartResult::Started if run > 1 => ("started", Level::Notable),
             StartResult::Started => ("started", Level::Routine),
             _ => ("not_started", Level::Notable),
         };
@@ -192,6 +211,10 @@
         ];
         all.extend(fields.iter().cloned());
         self.events.emit(Level::Notable, event, &all);
+        // An agent that is killed before it opens must not leave stops without a trace.
+        if !self.is_open() {
+            self.events.flush_early();
+        }
     }
 
     /// Sends a stop again whose answer is overdue.
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -302,6 +302,8 @@
         self.next_connection_id.set(id + 1);
         let (key, attempts, effects) = self.dispatcher.borrow_mut().on_agent_hello(hello, now_ms);
         let mut fields = vec![("incarnation", json!(hello.incarnation))];
+        let replaced = self.dispatcher.borrow().replaced_incarnation(key);
+        fields.extend(replaced.map(|incarnation| ("replaces", json!(incarnation))));
         fields.extend(events::unsettled_fields(&attempts));
         let reply = EntryHello {
             entry: self.name(),
@@ -362,6 +364,9 @@
     }
 
     fn apply(&self, effects: Vec<DispatcherEffect>) {
+        let is_loss =
+            |effect: &DispatcherEffect| matches!(effect, DispatcherEffect::PresumedLost { .. });
+        let has_losses = effects.iter().any(is_loss);
         for effect in effects {
             match effect {
                 DispatcherEffect::Send(agent, message) => self.send(agent, message),
@@ -424,6 +429,10 @@
                 }
             }
         }
+        // What may start a task beside its earlier run must outlast an entry that is killed now.
+        if has_losses {
+            self.events.flush_early();
+        }
     }
 
     /// Returns the addresses of the entries that this one connects to now.
@@ -461,7 +470,9 @@
                     json!(summary.as_ref().map(|summary| (summary.speed * 100.0).round() / 100.0)),
                 ),
             ];
-            self.events.emit(Level::Routine, "placed", &fields);
+            let is_first = batch.attempts.iter().all(|attempt| attempt.run <= 1);
+            let level = if is_first { Level::Routine } else { Level::Notable };
+            self.events.emit(level, "placed", &fields);
         }
         let result = match self.agents.borrow().get(&agent) {
             Some(connection) => connection.outbox.try_send(connection.progress.message(message)),
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -125,15 +125,33 @@
 
     /// Sends the lines to the writer; drops them when its queue is full.
     pub(crate) fn flush(&self) {
-        let Some(tx) = &self.tx else { return };
-        let mut state = self.state.borrow_mut();
-        if state.buf.is_empty() {
-            return;
-        }
-        let chunk = std::mem::take(&mut state.buf);
-        if let Err(TrySendError::Full(Chunk::Lines(chunk))) = tx.try_send(Chunk::Lines(chunk)) {
+        if let Some(chunk) = self.send_lines() {
             let lines = chunk.iter().filter(|b| **b == b'\n').count() as u64;
-            state.budget.record_dropped(UNREAD, lines);
+            self.state.borrow_mut().budget.record_dropped(UNREAD, lines);
+        }
+    }
+
+    /// Sends the lines to the writer before the next [`Events::flush`], for rare ones that must
+    /// outlast a process which is killed now. When the writer's queue is full, they stay for that.
+    pub(crate) fn flush_early(&self) {
+        if let Some(chunk) = self.send_lines() {
+            self.state.borrow_mut().buf = chunk;
+        }
+    }
+
+    /// Sends the lines to the writer; returns them when its queue is full.
+    fn send_lines(&self) -> Option<Vec<u8>> {
+        let tx = self.tx.as_ref()?;
+        let chunk = std::mem::take(&mut self.state.borrow_mut().buf);
+        if chunk.is_empty() {
+            return None;
+        }
+        match tx.try_send(Chunk::Lines(chunk)) {
+            Err(TrySendError::Full(Chunk::Lines(chunk))) => Some(chunk),
+            _ => None,
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
