Show the lines of agents at which a request was only placed

Cause: explain showed lines that don't name the request only of processes that have a line which does. An agent that was killed before its first flush has none, so its successor's start, fencing_token and open were left out. Lines of one process and one millisecond could change places.

Change: the agents that placed names belong to the request; lines of one millisecond stay in the order of the files.

--- a/crates/ebonycroft/src/commands/explain.rs
+++ b/crates/ebonycroft/src/commands/explain.rs
@@ -85,21 +85,23 @@
 fn explain(id: &str, all: &[Line]) -> String {
     let is_about_request =
         |line: &&Line| line.fields.get("job").and_then(Value::as_str) == Some(id);
-    let mut lines: Vec<Line> = all.iter().filter(is_about_request).cloned().collect();
-    if lines.is_empty() {
+    let own_lines: Vec<Line> = all.iter().filter(is_about_request).cloned().collect();
+    if own_lines.is_empty() {
         return format!(
             "no line names {id}: it was not accepted by these processes, or its lines were dropped\n"
         );
     }
-    let offsets = clock_offsets(&lines);
-    let (first, last) = span(&lines, &offsets);
+    let offsets = clock_offsets(&own_lines);
+    let (first, last) = span(&own_lines, &offsets);
     let is_context = |line: &&Line| {
         let Some(offset) = offsets.get(&line.process) else { return false };
         let at_ms = line.at_ms + offset;
         CONTEXT_EVENTS.contains(&line.event.as_str())
             && (first - CONTEXT_MS..=last + CONTEXT_MS).contains(&at_ms)
     };
-    lines.extend(all.iter().filter(is_context).cloned());
+    // In the order of the files, so that lines of a process within one millisecond keep theirs.
+    let is_shown = |line: &&Line| is_about_request(line) || is_context(line);
+    let mut lines: Vec<Line> = all.iter().filter(is_shown).cloned().collect();
     lines.sort_by_key(|line| line.at_ms + offsets.get(&line.process).copied().unwrap_or(0));
     let mut text = String::new();
     for line in &lines {
@@ -141,6 +143,11 @@
             placed_at.zip(first_line).map_or(0, |(placed_at, first)| (placed_at - first).max(0));
         offsets.insert(process.clone(), offset);
     }
+    // An agent that was killed may have no line about the request; its successor's tell of it.
+    let placements = lines.iter().filter(|line| line.event == "placed");
+    for agent in placements.filter_map(|line| line.fields.get("agent").and_then(Value::as_str)) {
+        offsets.entry(agent.to_owned()).or_insert(0);
+    }
     offsets
 }
 
--- a/crates/ebonycroft/tests/explain.rs
+++ b/crates/ebonycroft/tests/explain.rs
@@ -17,6 +17,11 @@
 {"at_ms":70014,"process":"entry-a","event":"withdrawn","job":"twice","agent":"agent-b","orders":[7],"cause":"client_gone"}
 {"at_ms":70031,"process":"entry-a","event":"late_loop","delay_ms":21}
 {"at_ms":71400,"process":"entry-a","event":"presumed_lost","job":"twice","task":"twice/0/0","agent":"agent-b","order":7,"cause":"silent"}
+{"at_ms":90000,"process":"entry-a","event":"accepted","job":"killed"}
+{"at_ms":90001,"process":"entry-a","event":"placed","job":"killed","agent":"agent-e","orders":[8],"run":1}
+{"at_ms":90005,"process":"entry-a","event":"agent_lost","agent":"agent-e","cause":"connection closed"}
+{"at_ms":90030,"process":"entry-a","event":"agent_connected","agent":"agent-e","incarnation":90010,"replaces":80000}
+{"at_ms":90031,"process":"entry-a","event":"presumed_lost","job":"killed","task":"killed/0/0","agent":"agent-e","order":8,"cause":"agent_replaced"}
 "#;
 /// The clock of the agent is 700 ms behind that of the entry in the first job, and right later.
 const AGENT: &str = r#"
@@ -30,6 +35,9 @@
 {"at_ms":70019,"process":"agent-b","event":"settled","job":"twice","task":"twice/0/0","order":7,"outcome":"stopped"}
 {"at_ms":70500,"process":"agent-b","event":"open","token":5}
 {"at_ms":70501,"process":"agent-b","event":"found_run","job":"twice","task":"twice/0/0","run":1}
+{"at_ms":90010,"process":"agent-e","event":"start","incarnation":90010}
+{"at_ms":90012,"process":"agent-e","event":"fencing_token","token":90011}
+{"at_ms":90012,"process":"agent-e","event":"open","token":90011,"answered_ms":0,"list_age_ms":1,"found":0}
 "#;
 
 fn explain(id: &str) -> String {
@@ -89,6 +97,17 @@
     assert!(text.contains("cause=\"requested\"") && text.contains("orders=[7]"), "{text}");
 }
 
+/// Guards against a trace without the agent that was killed before it had written a line about the job.
+#[test]
+fn lines_of_the_successor_of_an_agent_are_shown_that_left_none() {
+    let text = explain("killed");
+    let events = ["placed", "agent_lost", "start ", "fencing_token", "open ", "agent_connected"];
+    let events: Vec<_> = events.iter().chain(&["presumed_lost"]).collect();
+    let at: Vec<_> = events.iter().map(|event| text.find(**event)).collect();
+    assert!(at.iter().all(Option::is_some) && at.is_sorted(), "{text}");
+    assert!(text.contains("replaces=80000"), "{text}");
+}
+
 #[test]
 fn unknown_request_is_reported() {
     assert!(explain("j9").starts_with("no line names j9"));
