Trace a task that ran twice beside a replaced agent

A test with real processes replaces the agent of a running task twice and checks the output of explain by the id.

Evidence: the test passed alone, and failed in the first whole run of direct_roles: the first agent was killed within 50 ms of the start and its routine line started was lost.

--- a/crates/ebonycroft/tests/direct_roles/fleet.rs
+++ b/crates/ebonycroft/tests/direct_roles/fleet.rs
@@ -1,7 +1,7 @@
 //! Some entries and agents for direct jobs as processes, whose callers may close their channels and
 //! resubmit their jobs at another entry.
 
-use std::{fs, path::PathBuf, time::Duration};
+use std::{fs, path::PathBuf, process::Command, time::Duration};
 
 use emulator::{
     FakeExecutor, FakeExecutorFaults, FakeExecutorSettings, LogServer, LogSettings, RunLedger,
@@ -35,6 +35,8 @@
     pub(crate) ledger: RunLedger,
     pub(crate) entries: Vec<Role>,
     pub(crate) hosts: Vec<Host>,
+    /// Output of the agents that were replaced.
+    replaced_output: String,
 }
 
 /// A submission in progress. Dropped, it closes its channel.
@@ -71,8 +73,15 @@
             "maxAttempts": 2, "stretchFactor": 1.0, "targetCompletionMs": 60_000 }] }));
         let client = Client::builder().no_proxy().build().expect("a client can be built");
         let ledger = RunLedger::default();
-        let (running, hosts) = (Vec::new(), Vec::new());
-        let mut fleet = Self { dir, store, client, ledger, entries: running, hosts };
+        let mut fleet = Self {
+            dir,
+            store,
+            client,
+            ledger,
+            entries: Vec::new(),
+            hosts: Vec::new(),
+            replaced_output: String::new(),
+        };
         for index in 0..entries {
             let name = format!("entry-{index}");
             let settings = json!({ "process": fleet.process(&name), "zone": "a",
@@ -124,7 +133,7 @@
     /// Kills the agent of a host and starts the next one at once.
     pub(crate) fn replace_agent(&mut self, host: usize) {
         self.hosts[host].heartbeats.abort();
-        self.hosts[host].agent.kill();
+        self.replaced_output += &self.hosts[host].agent.kill_and_read();
         let executor = &self.hosts[host].executor;
         let agent = self.start_agent(&format!("host-{host}"), executor);
         let heartbeats = executor.announce(agent.addr("control"));
@@ -170,6 +179,22 @@
         }
     }
 
+    /// Kills all processes and returns what `ebonycroft explain` prints about a job from their lines.
+    pub(crate) fn explain(&mut self, job: &str) -> String {
+        let agents = self.hosts.iter_mut().map(|host| &mut host.agent);
+        let running: String =
+            self.entries.iter_mut().chain(agents).map(Role::kill_and_read).collect();
+        let path = self.dir.join("all.log");
+        fs::write(&path, running + &self.replaced_output).expect("a file can be written");
+        let output = Command::new(env!("CARGO_BIN_EXE_ebonycroft"))
+            .args(["explain", "--id", job])
+            .arg(&path)
+            .output()
+            .expect("the program runs");
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).expect("the output is text")
+    }
+
     /// Waits until nothing runs and returns the overlapping runs of tasks.
     pub(crate) async fn overlaps(&self) -> Vec<String> {
         self.until(|fleet| fleet.ledger.running() == 0).await;
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -13,6 +13,7 @@
 mod late_end;
 mod peers;
 mod reload;
+mod replaced_agents;
 mod role;
 mod stopped_runs;
 mod suspensions;
--- a/crates/ebonycroft/tests/direct_roles/role.rs
+++ b/crates/ebonycroft/tests/direct_roles/role.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Role {
     child: Child,
     output: BufReader<ChildStdout>,
+    /// The output that was read so far.
+    read: String,
     start: Value,
 }
 
@@ -45,7 +47,7 @@
             .spawn()
             .expect("the program starts");
         let output = BufReader::new(child.stdout.take().expect("its output is piped"));
-        let mut role = Self { child, output, start: Value::Null };
+        let mut role = Self { child, output, read: String::new(), start: Value::Null };
         role.start = role.next_line("start");
         role
     }
@@ -63,6 +65,7 @@
             let mut text = String::new();
             let length = self.output.read_line(&mut text).expect("the output can be read");
             assert!(length > 0, "the role ended without a line {event}");
+            self.read += &text;
             let line: Value = serde_json::from_str(&text).expect("a line is an object");
             if line["event"] == event {
                 return line;
@@ -83,6 +86,13 @@
         lines
     }
 
+    /// Kills the role and returns its whole output, without what `remaining_lines` has returned.
+    pub(crate) fn kill_and_read(&mut self) -> String {
+        self.kill();
+        self.output.read_to_string(&mut self.read).expect("the output can be read");
+        std::mem::take(&mut self.read)
+    }
+
     /// Kills the role and waits for its end.
     pub(crate) fn kill(&mut self) {
         // The process may have exited already.
