Stop what was started without an answer that says that another entry has the job

Cause: a job starts when agents leave its claim unanswered for claim_wait_ms. An answer that came later and said that another entry has the job was only noted: the runs of both entries went on.

Change: a claim keeps the agents without whose answers its job has started. If one of its agents then says that the job is contested, the entry stops the attempts (cause 'contested'), and the job waits for the other claim as if the answer had come in time. The attempts count as not wanted in the handshake, in case the stop is lost with its connection. Until they have ended, the entry renews its grants at agents where others wait, and releases none. Two entries that have both started may both stop; the order of their agents decides which one releases its grants, now whichever of the question and the answer comes first, and the other one starts again. A job that was withdrawn is never refused as not run.

--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -63,9 +63,12 @@
                 self.learn_run_time(&attempt, run_ms, now_ms);
                 if is_done {
                     self.answer(attempt.job, JobOutcome::Succeeded, effects);
-                } else if has_next {
+                    return;
+                }
+                if has_next {
                     self.queue.insert(place);
                 }
+                self.yield_claim(attempt.job, effects);
                 return;
             }
             AttemptOutcome::Failed => {
@@ -90,6 +93,7 @@
         let Some(state) = self.jobs.get_mut(&attempt.job) else { return };
         state.steps[usize::from(attempt.step)].pending.push(attempt.index);
         self.queue.insert(state.queue_place(attempt.job));
+        self.yield_claim(attempt.job, effects);
     }
 
     /// Updates the health of the upstream that an attempt was sent to. At most half of the
--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -165,6 +165,7 @@
             state.claim.is_settled &= connected > 0 || state.outstanding > 0;
             if state.claim.is_open() {
                 self.tend_open_claim(key, now_ms, effects);
+                self.renew_while_stopping(key, now_ms, effects);
                 continue;
             }
             let is_asked = !state.claim.askers.is_empty();
@@ -234,6 +235,8 @@
             let (job, agent) = (Arc::clone(&state.name().id), keeper.agent);
             effects.push(DispatcherEffect::ClaimUnanswered { job, agent, waited_ms });
         }
+        let Some(state) = self.jobs.get_mut(&key) else { return };
+        state.claim.start_unanswered();
         self.settle_claim(key, now_ms, effects);
     }
 
@@ -254,9 +257,11 @@
         effects: &mut Vec<DispatcherEffect>,
     ) {
         let Some(state) = self.jobs.get_mut(&JobKey(id.0)) else { return };
+        state.claim.unanswered.retain(|known| *known != agent);
         let Some(keeper) = state.claim.keeper_mut(agent) else { return };
         keeper.answer = Answer::Granted;
         if state.claim.is_open() && state.claim.is_granted() {
+            state.claim.unanswered.clear();
             self.settle_claim(JobKey(id.0), now_ms, effects);
         }
     }
@@ -270,9 +275,13 @@
     ) {
         let Some(state) = self.jobs.get_mut(&JobKey(id.0)) else { return };
         let was_contested = state.claim.is_contested();
+        if state.claim.unanswered.contains(&agent) && !state.claim.is_kept_by(agent) {
+            state.claim.keepers.push(Keeper { agent, answer: Answer::Waiting, lost_ms: None });
+        }
         let Some(keeper) = state.claim.keeper_mut(agent) else { return };
         keeper.answer = Answer::Contested;
-        if !state.claim.is_open() {
+        let is_late = state.claim.is_settled && !state.claim.unanswered.is_empty();
+        if !state.claim.is_open() && !is_late {
             return;
         }
         let after_ms = now_ms.saturating_sub(state.claim.sent_ms);
@@ -282,6 +291,10 @@
             let job = Arc::clone(&state.name().id);
             effects.push(DispatcherEffect::ClaimContested { job, agent, after_ms });
         }
+        if is_late {
+            self.withdraw(JobKey(id.0), effects);
+        }
+        self.yield_claim(JobKey(id.0), effects);
     }
 
     fn on_shared(
@@ -309,13 +322,7 @@
     fn on_asked(&mut self, id: ClaimId, agent: AgentKey, effects: &mut Vec<DispatcherEffect>) {
         let key = JobKey(id.0);
         if self.must_yield(key, agent) {
-            let Some(state) = self.jobs.get_mut(&key) else { return };
-            if let Some(keeper) = state.claim.keeper_mut(agent) {
-                keeper.answer = Answer::Waiting;
-            }
-            let end = ToAgent::EndClaim(id, ClaimEnd::Released);
-            effects.push(DispatcherEffect::Send(agent, end));
-            effects.push(DispatcherEffect::Send(agent, claim_message(key, state)));
+            self.release_to_others(key, agent, effects);
             return;
         }
         let stopping = self.stopping_jobs.iter_mut().find_map(|(name, job)| {
@@ -339,18 +346,6 @@
         effects.push(DispatcherEffect::Send(agent, claim));
     }
 
-    /// Returns whether a job leaves its grant of this agent to another entry: two entries that have
-    /// claimed the job at the same time wait for each other, and the choice that comes first decides.
-    fn must_yield(&self, key: JobKey, agent: AgentKey) -> bool {
-        let Some(state) = self.jobs.get(&key) else { return false };
-        let job_hash = job_hash(state.name());
-        let weight_of = |agent: AgentKey| weight(self.agents[agent.0 as usize].name_hash, job_hash);
-        let is_before = |keeper: &Keeper| {
-            keeper.answer == Answer::Contested && weight_of(keeper.agent) > weight_of(agent)
-        };
-        state.claim.is_open() && state.claim.keepers.iter().any(is_before)
-    }
-
     /// Ends the claim of a job that was removed with this outcome, as soon as no run of it is left.
     pub(crate) fn end_claim(
         &mut self,
@@ -403,7 +398,7 @@
 }
 
 /// Returns the message that claims a job, or renews the claim.
-fn claim_message(key: JobKey, state: &JobState) -> ToAgent {
+pub(crate) fn claim_message(key: JobKey, state: &JobState) -> ToAgent {
     let is_running = state.outstanding > 0;
     ToAgent::Claim(Claim { id: claim_id(key), job: state.name().clone(), is_running })
 }
--- a/crates/direct/src/dispatcher/job_claim.rs
+++ b/crates/direct/src/dispatcher/job_claim.rs
@@ -47,6 +47,8 @@
         pub(crate) is_moved: bool,
         /// Agents at which other entries have claimed the job.
         pub(crate) askers: Vec<AgentKey>,
+        /// Agents without whose answer the job has started, until they grant it.
+        pub(crate) unanswered: Vec<AgentKey>,
     }
 
     /// Claim of a job that has ended here, at the agents that are to be told.
@@ -91,6 +93,12 @@
             && self.keepers.iter().all(|keeper| keeper.answer == Answer::Granted)
     }
 
+    /// Notes the agents without whose answers the job starts.
+    pub(crate) fn start_unanswered(&mut self) {
+        let waiting = self.keepers.iter().filter(|keeper| keeper.answer == Answer::Waiting);
+        self.unanswered = waiting.map(|keeper| keeper.agent).collect();
+    }
+
     pub(crate) fn keeper_mut(&mut self, agent: AgentKey) -> Option<&mut Keeper> {
         self.keepers.iter_mut().find(|keeper| keeper.agent == agent)
     }
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -77,17 +77,31 @@
         self.by_name.swap_remove(state.name());
         self.end_claim(key, &state, outcome, effects);
         if state.outstanding > 0 {
-            let mut stops: IndexMap<AgentKey, Vec<AttemptId>> = IndexMap::new();
-            for (id, attempt) in self.attempts.iter().filter(|(_, attempt)| attempt.job == key) {
-                stops.entry(attempt.agent).or_default().push(*id);
-            }
-            for (agent, attempts) in stops {
-                let job = Arc::clone(&state.job.id);
-                let stop = ToAgent::Stop(attempts.clone());
-                effects.push(DispatcherEffect::Withdrawn { job, agent, attempts, cause });
-                effects.push(DispatcherEffect::Send(agent, stop));
-            }
+            self.stop_attempts(key, cause, effects);
         }
         state.waiters
     }
+
+    /// Stops the outstanding attempts of a job.
+    pub(crate) fn stop_attempts(
+        &mut self,
+        key: JobKey,
+        cause: WithdrawalCause,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
+        let mut stops: IndexMap<AgentKey, (Arc<str>, Vec<AttemptId>)> = IndexMap::new();
+        for (id, attempt) in &mut self.attempts {
+            if attempt.job != key {
+                continue;
+            }
+            attempt.is_withdrawn = true;
+            let name = || (Arc::clone(&attempt.job_name.id), Vec::new());
+            stops.entry(attempt.agent).or_insert_with(name).1.push(*id);
+        }
+        for (agent, (job, attempts)) in stops {
+            let stop = ToAgent::Stop(attempts.clone());
+            effects.push(DispatcherEffect::Withdrawn { job, agent, attempts, cause });
+            effects.push(DispatcherEffect::Send(agent, stop));
+        }
+    }
 }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_outcomes;
 mod backlog;
 mod caller_age;
+mod claim_contests;
 mod claims;
 mod containment;
 mod contention;
@@ -140,6 +141,8 @@
         ClientGone,
         /// A caller has cancelled the job.
         Cancelled,
+        /// Another entry has the job; its claim was answered only after the start.
+        Contested,
     }
 
     /// Why an entry settles an attempt as lost without a word of its agent.
@@ -177,6 +180,8 @@
     is_contest: bool,
     /// Whether its job was suspected of crashing upstreams when it was sent.
     is_suspect: bool,
+    /// Whether it was stopped although its job goes on.
+    is_withdrawn: bool,
 }
 
 impl OutstandingAttempt {
@@ -192,6 +197,7 @@
             Self::Answered => "answered",
             Self::ClientGone => "client_gone",
             Self::Cancelled => "cancelled",
+            Self::Contested => "contested",
         }
     }
 }
@@ -404,11 +410,12 @@
         effects.extend(self.presume_lost(key, LossCause::AgentReplaced, now_ms));
     }
 
-    /// Returns the attempts at an agent without an outcome, by whether their jobs are answered.
+    /// Returns the attempts at an agent without an outcome, by whether they are still wanted.
     fn unsettled_at(&self, key: AgentKey) -> UnsettledAttempts {
         let ids = self.agents[key.0 as usize].attempts.iter().copied();
         let is_wanted = |id: &AttemptId| {
-            self.attempts.get(id).is_some_and(|attempt| self.jobs.contains_key(&attempt.job))
+            let attempt = self.attempts.get(id).filter(|attempt| !attempt.is_withdrawn);
+            attempt.is_some_and(|attempt| self.jobs.contains_key(&attempt.job))
         };
         let (wanted, stopping) = ids.partition(is_wanted);
         UnsettledAttempts { wanted, stopping }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -240,6 +240,7 @@
                     agent,
                     is_contest,
                     is_suspect,
+                    is_withdrawn: false,
                 };
                 self.attempts.insert(id, attempt);
                 self.agents[agent.0 as usize].attempts.insert(id);
