Play callers who come again while both agents of their claims are replaced

No test replaced the two agents that keep a job's claims beside a late end.

Evidence: no task runs twice at 0 and 40 ms. At 200 ms 4 tasks (together) and 7 (in turn) run twice: a new agent answers claims 50 ms after its first entry has connected, whether or not the entry that has the job has connected by then. Apart from that, 11 of 270 callers are answered timed_out, all with the first job of a seed; not traced.

--- a/crates/direct/tests/common/simulation.rs
+++ b/crates/direct/tests/common/simulation.rs
@@ -97,6 +97,8 @@
     to_entry: Vec<Disruption>,
     connections: Vec<Connection>,
     dial_ms: u64,
+    /// Time from the opening of an agent until it dials the entry, milliseconds.
+    open_delay_ms: u64,
 }
 
 impl Link {
@@ -196,6 +198,11 @@
         self.apply(effects, now_ms);
     }
 
+    /// Sets the time from the opening of the next agent until it dials an entry.
+    pub fn delay_dial(&mut self, e: usize, open_delay_ms: u64) {
+        self.links[e].open_delay_ms = open_delay_ms;
+    }
+
     /// Closes the agent's side of its connection with an entry.
     fn close(&mut self, e: usize, now_ms: u64) {
         let Some(connection) = self.links[e].open_connection() else { return };
@@ -353,7 +360,12 @@
                     self.apply(effects, now_ms);
                 }
                 SupervisorEffect::Report(key) => self.report(key, now_ms),
-                SupervisorEffect::Open => self.is_open = true,
+                SupervisorEffect::Open => {
+                    self.is_open = true;
+                    for link in &mut self.links {
+                        link.dial_ms = now_ms + std::mem::take(&mut link.open_delay_ms);
+                    }
+                }
                 _ => {}
             }
         }
@@ -432,6 +444,8 @@
     /// Current connection of each agent: host and index.
     current: IndexMap<AgentKey, (usize, usize)>,
     pub answers: IndexMap<JobKey, JobOutcome>,
+    /// Hosts to which the jobs were claimed, by the ids of the jobs, the latest ones last.
+    pub claimed_at: IndexMap<Arc<str>, Vec<usize>>,
 }
 
 impl Entry {
@@ -442,6 +456,7 @@
             dispatcher: Dispatcher::new(Timing::default(), "mid-a".into(), seed),
             current: IndexMap::new(),
             answers: IndexMap::new(),
+            claimed_at: IndexMap::new(),
         }
     }
 
@@ -537,6 +552,10 @@
             match effect {
                 DispatcherEffect::Send(key, message) => {
                     if let Some(at) = self.current.get(&key).copied() {
+                        if let ToAgent::Claim(claim) = &message {
+                            let id = Arc::clone(&claim.job.id);
+                            self.claimed_at.entry(id).or_default().push(at.0);
+                        }
                         self.send(hosts, at, message, now_ms);
                     }
                 }
