Play restarts of agents beside executors that omit stopped runs in the soak

- SOAK_STOPPING: running or unlisted; by default half of the executors each.
- SOAK_STOP_LAG_MS: how much longer than promised a stop takes, spread over the executors as the lag of lapses is.
- SOAK_AGENT_RESTARTS, SOAK_RESTART_MS: sequences of kills (one or up to three agents, back at once, after a pause, or killed again within 50 ms of their start), of SIGTERMs and of suspensions of about a lease.
One by default.
- Each overlap is printed like the users' record, with the events of the processes in the two seconds before and, with SOAK_LOGS, the lines of its job; then the number in the record's shape.

--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -19,6 +19,7 @@
     caller::DEADLY_CALLER,
     env_number, network,
     process::Process,
+    restarts,
     system::{System, config},
 };
 
@@ -41,6 +42,11 @@
     Callers,
     ExecutorPath,
     StorePath,
+    KillAgents,
+    KillAgentsTwice,
+    PauseAgents,
+    StopAgents,
+    SuspendAgents,
 }
 
 /// All faults, each with the same probability. Besides, one sequence has only those of callers.
@@ -62,6 +68,22 @@
     Fault::StorePath,
 ];
 
+/// Faults of a sequence of restarts of agents. Most agents are back at once.
+const OF_AGENTS: [Fault; 7] = [
+    Fault::KillAgents,
+    Fault::KillAgents,
+    Fault::KillAgentsTwice,
+    Fault::KillAgentsTwice,
+    Fault::PauseAgents,
+    Fault::StopAgents,
+    Fault::SuspendAgents,
+];
+/// Mean time between the faults of a sequence, unless `SOAK_RESTART_MS` states it for restarts of
+/// agents, milliseconds.
+const MEAN_GAP_MS: u64 = 350;
+/// Number of the first sequence of restarts, with which its seed differs from all others.
+const FIRST_RESTARTS: u64 = 1_000;
+
 /// Length of a disturbance of callers, milliseconds: a part of which the second makes it end after
 /// the callers that give up early, or all callers, have submitted their jobs again.
 const CALLERS_MS: Range<u64> = 50..1_200;
@@ -72,12 +94,9 @@
 /// milliseconds.
 const STARVE_PERIOD_MS: u64 = 100;
 const STARVED_RUN_MS: Range<u64> = 2..26;
-/// Time that executors take to end a stopped run, unless `SOAK_STOP_MS` states it: the platform's
-/// `stopTimeoutMs`.
-const STOP_MS: u64 = 50;
 
-/// Injects several sequences of random faults at the same time. Returns the number of faults of
-/// each kind.
+/// Injects several sequences of random faults, and those of restarts of agents, at the same time.
+/// Returns the number of faults of each kind.
 pub(crate) async fn inject_all(
     system: &System,
     seed: u64,
@@ -85,17 +104,22 @@
     length: Duration,
 ) -> BTreeMap<Fault, usize> {
     let version = AtomicU64::new(1);
+    let restarts = FIRST_RESTARTS..FIRST_RESTARTS + env_number("SOAK_AGENT_RESTARTS", 1);
     let sequence = |n: u64| {
-        let kinds = if n == 0 { &[Fault::Callers][..] } else { &ALL };
-        inject(system, kinds, seed ^ (n << 40), length, &version)
+        let (kinds, gap_ms) = match n {
+            0 => (&[Fault::Callers][..], MEAN_GAP_MS),
+            FIRST_RESTARTS.. => (&OF_AGENTS[..], env_number("SOAK_RESTART_MS", MEAN_GAP_MS)),
+            _ => (&ALL[..], MEAN_GAP_MS),
+        };
+        inject(system, kinds, gap_ms, seed ^ (n << 40), length, &version)
     };
-    let counts = futures::future::join_all((0..=sequences).map(sequence)).await;
+    let counts = futures::future::join_all((0..=sequences).chain(restarts).map(sequence)).await;
     let mut sums = BTreeMap::new();
     for (fault, count) in counts.into_iter().flatten() {
         *sums.entry(fault).or_insert(0) += count;
     }
     // A sequence may have replaced the faults of another one in the middle.
-    system.executors.iter().for_each(|executor| executor.set_faults(no_faults()));
+    system.set_all_faults(FakeExecutorFaults::default());
     system.store.faults().clear();
     network::clear(system);
     sums
@@ -105,6 +129,7 @@
 async fn inject(
     system: &System,
     kinds: &[Fault],
+    mean_gap_ms: u64,
     seed: u64,
     length: Duration,
     version: &AtomicU64,
@@ -114,7 +139,8 @@
     let has_late_ends = env_number("SOAK_LATE_ENDS", 1) > 0;
     let start = Instant::now();
     while start.elapsed() < length {
-        sleep(Duration::from_millis(rng.random_range(100..600))).await;
+        let gap_ms = rng.random_range(mean_gap_ms * 2 / 7..mean_gap_ms * 12 / 7);
+        sleep(Duration::from_millis(gap_ms)).await;
         let fault = kinds[rng.random_range(0..kinds.len())];
         *counts.entry(fault).or_insert(0) += 1;
         let duration = Duration::from_millis(rng.random_range(50..2_000));
@@ -143,39 +169,38 @@
                 end(random_process(system, &mut rng), Signal::TERM, Duration::ZERO).await;
             }
             Fault::UnresponsiveExecutor => {
-                let faults = FakeExecutorFaults { is_unresponsive: true, ..no_faults() };
+                let faults = FakeExecutorFaults { is_unresponsive: true, ..Default::default() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::LateStarts => {
                 let late_starts = rng.random_range(1..6);
-                let faults = FakeExecutorFaults { late_starts, ..no_faults() };
+                let faults = FakeExecutorFaults { late_starts, ..Default::default() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::LateOrders => {
                 let late_percent = rng.random_range(20..60);
-                let late = FakeExecutorFaults { late_percent, ..no_faults() };
-                system.executors.iter().for_each(|executor| executor.set_faults(late));
+                let late = FakeExecutorFaults { late_percent, ..Default::default() };
+                system.set_all_faults(late);
                 sleep(duration / 2).await;
                 // Stops that get no answer matter most when an entry is lost.
                 let entry = &system.entries[rng.random_range(0..system.entries.len())];
                 end(entry, Signal::KILL, duration).await;
                 sleep(duration).await;
-                let none = no_faults();
-                system.executors.iter().for_each(|executor| executor.set_faults(none));
+                system.set_all_faults(FakeExecutorFaults::default());
             }
             Fault::FailingExecutor => {
-                let faults = FakeExecutorFaults { fails_all: true, ..no_faults() };
+                let faults = FakeExecutorFaults { fails_all: true, ..Default::default() };
                 inject_at_executor(system, &mut rng, faults, duration).await;
             }
             Fault::DeadlyTasks => {
-                let faults = FakeExecutorFaults { crashed_by: Some(DEADLY_CALLER), ..no_faults() };
-                system.executors.iter().for_each(|executor| executor.set_faults(faults));
+                let faults =
+                    FakeExecutorFaults { crashed_by: Some(DEADLY_CALLER), ..Default::default() };
+                system.set_all_faults(faults);
                 sleep(duration / 2).await;
                 // The process that knows of the crashes is lost in the middle of them.
                 end(random_process(system, &mut rng), Signal::KILL, Duration::ZERO).await;
                 sleep(duration / 2).await;
-                let none = no_faults();
-                system.executors.iter().for_each(|executor| executor.set_faults(none));
+                system.set_all_faults(FakeExecutorFaults::default());
             }
             Fault::StoreOutage => {
                 let silent = rng.random_bool(0.5);
@@ -211,17 +236,17 @@
                 let kind = network::Kind::any(&mut rng);
                 network::disturb(&system.store_relay, kind, duration, &mut rng).await;
             }
+            Fault::KillAgents
+            | Fault::KillAgentsTwice
+            | Fault::PauseAgents
+            | Fault::StopAgents
+            | Fault::SuspendAgents => restarts::of_agents(system, fault, &mut rng).await,
         }
     }
     counts
 }
 
-/// Returns the faults of an executor at which none is injected.
-pub(crate) fn no_faults() -> FakeExecutorFaults {
-    FakeExecutorFaults { stop_ms: env_number("SOAK_STOP_MS", STOP_MS), ..Default::default() }
-}
-
-fn lock(process: &Mutex<Process>) -> MutexGuard<'_, Process> {
+pub(crate) fn lock(process: &Mutex<Process>) -> MutexGuard<'_, Process> {
     process.lock().expect("no holder of the lock panics")
 }
 
@@ -244,7 +269,7 @@
 
 /// Ends a process by a signal and starts it again after a pause, unless another sequence of faults
 /// has done so in the meantime.
-async fn end(process: &Mutex<Process>, signal: Signal, pause: Duration) {
+pub(crate) async fn end(process: &Mutex<Process>, signal: Signal, pause: Duration) {
     let id = {
         let mut process = lock(process);
         process.signal(signal);
@@ -268,8 +293,8 @@
     faults: FakeExecutorFaults,
     duration: Duration,
 ) {
-    let executor = &system.executors[rng.random_range(0..system.executors.len())];
-    executor.set_faults(faults);
+    let executor = rng.random_range(0..system.executors.len());
+    system.set_faults(executor, faults);
     sleep(duration).await;
-    executor.set_faults(no_faults());
+    system.set_faults(executor, FakeExecutorFaults::default());
 }
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -4,21 +4,30 @@
 //! - `SOAK_SEED`, `SOAK_SECONDS`: the sequence of faults and its length.
 //! - `SOAK_PROCESSES`, `SOAK_CALLERS`: entries and agents together, and callers for each agent.
 //! - `SOAK_FAULTS`: how many faults may overlap, besides those of callers' paths.
+//! - `SOAK_AGENT_RESTARTS`, `SOAK_RESTART_MS`: sequences of restarts of single agents beside the faults,
+//!   and the mean time from one of a sequence to the next.
 //! - `SOAK_BUSY`: threads that keep processors busy.
 //! - `SOAK_STOP_MS`: how long executors take to end a stopped run.
+//! - `SOAK_STOP_LAG_MS`: how much longer than that they take at most. The platform promises no more than
+//!   `SOAK_STOP_MS`, so the default is 0; overlaps with more show the margin.
+//! - `SOAK_STOPPING`: `running` or `unlisted`, what the lists of executors show of a run until then. By
+//!   default half of the executors do the one and half the other.
 //! - `SOAK_SLOW_PERCENT`: by how much the clock of every second executor is slow.
 //! - `SOAK_LAPSE_LAG_MS`: how late executors at most end runs whose lease has expired. The platform
 //!   promises that they are never late, so the default is 0; overlaps with more show the margin.
 //! - `SOAK_LATE_ENDS`: 0 keeps requests, and the ends of their channels behind them, from being under
 //!   way for longer than callers take to submit again.
 //! - `SOAK_PROGRAM`: another build of the program.
-//! - `SOAK_LOGS`: an existing folder for the decision lines of the processes.
+//! - `SOAK_LOGS`: an existing folder for the decision lines of the processes. The lines of jobs that ran
+//!   twice at a time are printed too.
 
 mod caller;
 mod channel;
 mod faults;
 mod network;
+mod overlaps;
 mod process;
+mod restarts;
 mod system;
 
 use std::{
@@ -86,8 +95,8 @@
         );
         println!("seed {seed}: overlaps by length, ms: {:?}", ledger.count_overlaps());
         println!("seed {seed}: gaps after runs that were not done, smallest and by length, ms: {:?}", ledger.count_gaps());
-        let overlaps = ledger.overlaps();
-        assert!(overlaps.is_empty(), "seed {seed}: tasks ran twice at a time:\n{}", overlaps.join("\n"));
+        let overlaps = overlaps::report(&system);
+        assert!(overlaps.is_empty(), "seed {seed}: tasks ran twice at a time:\n{overlaps}");
         assert!(ledger.max_concurrent_runs() <= SLOTS, "seed {seed}: an executor was over its capacity");
         for job in &jobs {
             let runs = ledger.count_runs(&job.id);
--- /dev/null
+++ b/crates/ebonycroft/tests/soak/overlaps.rs
@@ -0,0 +1,165 @@
+//! What is known of tasks that ran twice at the same time, as in the users' record.
+
+use std::{
+    collections::BTreeSet,
+    env,
+    fmt::{self, Write},
+    fs,
+    path::Path,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use emulator::{RecordedRun, RunEnd};
+use serde_json::Value;
+
+use crate::{faults::lock, process::Event, system::System};
+
+/// How long before an overlap an event may have caused it.
+const CAUSE_BEFORE: Duration = Duration::from_secs(2);
+/// Number of jobs whose lines are printed.
+const MAX_LOGGED_JOBS: usize = 12;
+
+/// Two runs of a task, in the order of their starts.
+struct Overlap {
+    earlier: RecordedRun,
+    later: RecordedRun,
+    /// Events of all processes shortly before, with the names of the processes.
+    before: Vec<(Instant, String, Event)>,
+}
+
+/// Prints every overlap of the system, and the number of those in the shape of the record. Returns
+/// them as text, which is empty without any.
+pub(crate) fn report(system: &System) -> String {
+    let mut events = Vec::new();
+    for process in system.entries.iter().chain(&system.agents) {
+        let process = lock(process);
+        let name = process.name();
+        events.extend(process.events().iter().map(|(at, event)| (*at, name.clone(), *event)));
+    }
+    events.sort_unstable_by_key(|(at, ..)| *at);
+    let found = system.ledger.overlapping_runs().into_iter();
+    let mut found: Vec<Overlap> = found
+        .map(|[earlier, later]| {
+            let start = later.from;
+            let is_before = |(at, ..): &&(Instant, String, Event)| {
+                start.checked_duration_since(*at).is_some_and(|since| since <= CAUSE_BEFORE)
+            };
+            let before = events.iter().filter(is_before).cloned().collect();
+            Overlap { earlier, later, before }
+        })
+        .collect();
+    found.sort_unstable_by_key(|overlap| overlap.later.from);
+    let shaped: Vec<&Overlap> = found.iter().filter(|overlap| overlap.has_shape()).collect();
+    let is_twin = |overlap: &&&Overlap| shaped.iter().any(|other| overlap.is_twin(other));
+    println!(
+        "overlaps: {}; in the record's shape: {}, of these beside one of another job: {}",
+        found.len(),
+        shaped.len(),
+        shaped.iter().filter(is_twin).count()
+    );
+    let mut text = String::new();
+    for overlap in &found {
+        let twins = found.iter().filter(|other| overlap.is_twin(other)).count();
+        writeln!(text, "{overlap}\n  overlaps of other jobs at this moment: {twins}")
+            .expect("a string takes all");
+    }
+    if let Ok(dir) = env::var("SOAK_LOGS") {
+        let jobs: BTreeSet<&str> = found.iter().map(Overlap::job).take(MAX_LOGGED_JOBS).collect();
+        for job in jobs {
+            lines_of(Path::new(&dir), job)
+                .iter()
+                .for_each(|line| text.push_str(&format!("  {line}\n")));
+        }
+    }
+    text
+}
+
+impl Overlap {
+    fn job(&self) -> &str {
+        self.earlier.task.split('.').next().unwrap_or_default()
+    }
+
+    /// Returns whether the stopped run is the earlier one and was sent by an agent that has just
+    /// ended or resumed, and the later one was done without a stop.
+    fn has_shape(&self) -> bool {
+        let agent = agent_of(&self.earlier);
+        let is_cause = |(_, process, event): &(Instant, String, Event)| {
+            *process == agent && matches!(event, Event::Killed | Event::Ended | Event::Resumed)
+        };
+        let is_done = self.later.stop.is_none() && self.later.end == Some(RunEnd::Done);
+        self.earlier.stop.is_some() && is_done && self.before.iter().any(is_cause)
+    }
+
+    /// Returns whether the other overlap is one of another job at the same moment.
+    fn is_twin(&self, other: &Self) -> bool {
+        let is_other = self.job() != other.job();
+        is_other && self.later.from < other.end() && other.later.from < self.end()
+    }
+
+    fn end(&self) -> Instant {
+        let now = Instant::now();
+        self.earlier.to.unwrap_or(now).min(self.later.to.unwrap_or(now))
+    }
+}
+
+impl fmt::Display for Overlap {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let start = self.later.from;
+        let length = self.end().saturating_duration_since(start);
+        let shape = if self.has_shape() { ", in the record's shape" } else { "" };
+        write!(
+            f,
+            "{} for {} ms at {}{shape}",
+            self.earlier.task,
+            length.as_millis(),
+            unix_ms(start)
+        )?;
+        for run in [&self.earlier, &self.later] {
+            write!(f, "\n  {} {}: start {}", run.executor, agent_of(run), offset(start, run.from))?;
+            for (name, at) in [("stop", run.stop), ("end", run.to), ("listed", run.listed)] {
+                match at {
+                    Some(at) => write!(f, ", {name} {}", offset(start, at))?,
+                    None => write!(f, ", no {name}")?,
+                }
+            }
+            write!(f, ", {}", run.end.map_or("running", RunEnd::name))?;
+        }
+        write!(f, "\n  before:")?;
+        for (at, process, event) in &self.before {
+            write!(f, " {process} {event:?} {};", offset(start, *at))?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns the agent of the host at which a run was.
+fn agent_of(run: &RecordedRun) -> String {
+    run.executor.replace("executor", "agent")
+}
+
+/// Returns the milliseconds from one instant to another, with the sign.
+fn offset(from: Instant, to: Instant) -> String {
+    match to.checked_duration_since(from) {
+        Some(after) => format!("+{}", after.as_millis()),
+        None => format!("-{}", (from - to).as_millis()),
+    }
+}
+
+/// Returns the time of day of an instant, as in the lines of the processes.
+fn unix_ms(at: Instant) -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.saturating_sub(at.elapsed()).as_millis()
+}
+
+/// Returns the lines of all processes that name a job, in the order of their times.
+fn lines_of(dir: &Path, job: &str) -> Vec<String> {
+    let files = fs::read_dir(dir).into_iter().flatten().flatten();
+    let logs: Vec<_> = files.filter_map(|file| fs::read_to_string(file.path()).ok()).collect();
+    let lines = logs.iter().flat_map(|log| log.lines()).filter(|line| line.contains(job));
+    let mut lines: Vec<String> = lines.map(str::to_owned).collect();
+    let at_ms = |line: &String| {
+        serde_json::from_str::<Value>(line).ok().and_then(|line| line["at_ms"].as_u64())
+    };
+    lines.sort_by_key(at_ms);
+    lines
+}
--- a/crates/ebonycroft/tests/soak/process.rs
+++ b/crates/ebonycroft/tests/soak/process.rs
@@ -5,12 +5,26 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
+    time::Instant,
 };
 
 use emulator::Relay;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+/// What happened to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Event {
+    Started,
+    Killed,
+    /// It was sent SIGTERM.
+    Stopped,
+    /// It has ended by itself, after SIGTERM.
+    Ended,
+    Suspended,
+    Resumed,
+}
+
 /// A role of the program as a child process, started from a settings file. It binds other ports at
 /// each start, because another process may have taken the earlier ones; relays lead to them.
 pub(crate) struct Process {
@@ -19,6 +33,7 @@
     /// Relays to the addresses that the process binds, by the field of the `start` line.
     relays: Vec<(&'static str, Arc<Relay>)>,
     child: Child,
+    events: Vec<(Instant, Event)>,
 }
 
 impl Process {
@@ -30,7 +45,18 @@
         relays: Vec<(&'static str, Arc<Relay>)>,
     ) -> Self {
         let child = spawn(role, settings, &relays);
-        Self { role, settings: settings.to_owned(), relays, child }
+        let events = vec![(Instant::now(), Event::Started)];
+        Self { role, settings: settings.to_owned(), relays, child, events }
+    }
+
+    /// Returns the name of the process.
+    pub(crate) fn name(&self) -> String {
+        self.settings.file_stem().unwrap_or_default().to_string_lossy().into_owned()
+    }
+
+    /// Returns what has happened to the process, in this order.
+    pub(crate) fn events(&self) -> &[(Instant, Event)] {
+        &self.events
     }
 
     /// Returns the process id.
@@ -45,17 +71,33 @@
         }
         let id = i32::try_from(self.child.id()).expect("a process id is small");
         let pid = Pid::from_raw(id).expect("a process id is not 0");
+        self.events.push((Instant::now(), event_of(signal)));
         kill_process(pid, signal).expect("the process is there");
     }
 
     /// Returns whether the process has ended.
     pub(crate) fn has_ended(&mut self) -> bool {
-        self.child.try_wait().expect("the process can be waited for").is_some()
+        let has_ended = self.child.try_wait().expect("the process can be waited for").is_some();
+        let is_known = matches!(self.events.last(), Some((_, Event::Killed | Event::Ended)));
+        if has_ended && !is_known {
+            self.events.push((Instant::now(), Event::Ended));
+        }
+        has_ended
     }
 
     /// Starts the process again after its exit.
     pub(crate) fn restart(&mut self) {
         self.child = spawn(self.role, &self.settings, &self.relays);
+        self.events.push((Instant::now(), Event::Started));
+    }
+}
+
+fn event_of(signal: Signal) -> Event {
+    match signal {
+        Signal::KILL => Event::Killed,
+        Signal::STOP => Event::Suspended,
+        Signal::CONT => Event::Resumed,
+        _ => Event::Stopped,
     }
 }
 
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -1,7 +1,7 @@
 //! Entries and agents as child processes, with fakes of the executors and the store.
 
 use std::{
-    fs,
+    env, fs,
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{Arc, Mutex},
@@ -9,14 +9,15 @@
 };
 
 use emulator::{
-    FakeExecutor, FakeExecutorClock, FakeExecutorSettings, LogServer, LogSettings, Relay, RunLedger,
+    FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, LogServer,
+    LogSettings, Relay, RunLedger, StoppingRuns,
 };
 use serde_json::json;
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::{
     caller::{self, QUEUES, Queue},
-    env_number, faults,
+    env_number,
     process::Process,
 };
 
@@ -36,6 +37,9 @@
 const TASK_MS: u64 = 120;
 /// By how much an executor's clock may be slow on the platform, percent.
 const SLOW_PERCENT: u64 = 2;
+/// Time that executors take to end a stopped run, unless `SOAK_STOP_MS` states it: the platform's
+/// `stopTimeoutMs`.
+const STOP_MS: u64 = 50;
 /// Time limit for the system to serve jobs again; it only ends a test that hangs.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -93,7 +97,7 @@
             let executor = FakeExecutor::start(settings, ledger.clone()).await;
             let executor = executor.expect("an executor starts");
             executor.set_clock(clock(i as u64));
-            executor.set_faults(faults::no_faults());
+            executor.set_faults(with_stops(i, FakeExecutorFaults::default()));
             let relay = start_relay(Some(executor.addr())).await;
             let control = start_relay(None).await;
             heartbeats.push(executor.announce(control.addr()));
@@ -121,6 +125,16 @@
         system
     }
 
+    /// Replaces the faults of an executor, except for the way in which it stops runs.
+    pub(crate) fn set_faults(&self, executor: usize, faults: FakeExecutorFaults) {
+        self.executors[executor].set_faults(with_stops(executor, faults));
+    }
+
+    /// Replaces the faults of all executors in the same way.
+    pub(crate) fn set_all_faults(&self, faults: FakeExecutorFaults) {
+        (0..self.executors.len()).for_each(|i| self.set_faults(i, faults));
+    }
+
     /// Waits until every entry has served a job.
     pub(crate) async fn until_serving(&self) {
         let start = std::time::Instant::now();
@@ -165,6 +179,21 @@
     FakeExecutorClock { slow_percent, lapse_lag_ms }
 }
 
+/// Returns the faults with the time in which an executor ends stopped runs, and with what it lists of
+/// them. The lags are spread, and of two executors with equal clocks one leaves such runs out.
+fn with_stops(i: usize, faults: FakeExecutorFaults) -> FakeExecutorFaults {
+    let lag_ms = env_number("SOAK_STOP_LAG_MS", 0) * (i as u64 % 5) / 4;
+    let stop_ms = env_number("SOAK_STOP_MS", STOP_MS) + lag_ms;
+    let stopping_runs = match env::var("SOAK_STOPPING").as_deref() {
+        Ok("running") => StoppingRuns::Running,
+        Ok("unlisted") => StoppingRuns::Unlisted,
+        Ok(other) => panic!("SOAK_STOPPING is running or unlisted, not {other}"),
+        Err(_) if (i / 2).is_multiple_of(2) => StoppingRuns::Unlisted,
+        Err(_) => StoppingRuns::Running,
+    };
+    FakeExecutorFaults { stop_ms, stopping_runs, ..faults }
+}
+
 /// Returns the zone of an entry or of an executor.
 fn zone(i: usize) -> &'static str {
     ZONES[i % ZONES.len()]
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -49,7 +49,7 @@
     log_settings::LogSettings,
     platform_fake::{
         FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, Listing,
-        LogServer, RunEnd, RunLedger, StoppedRun, StoppingRuns,
+        LogServer, RecordedRun, RunEnd, RunLedger, StoppedRun, StoppingRuns,
     },
     processor::{Capacity, Processor},
     relay::{PathFault, Relay, RelayFaults},
--- a/crates/emulator/src/platform_fake/mod.rs
+++ b/crates/emulator/src/platform_fake/mod.rs
@@ -10,5 +10,5 @@
         FakeExecutor, FakeExecutorClock, FakeExecutorFaults, FakeExecutorSettings, StoppingRuns,
     },
     log_server::LogServer,
-    run_ledger::{Listing, RunEnd, RunLedger, StoppedRun},
+    run_ledger::{Listing, RecordedRun, RunEnd, RunLedger, StoppedRun},
 };
--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -12,15 +12,23 @@
     runs: Arc<Mutex<Vec<RecordedRun>>>,
 }
 
+/// A run of a task at an executor.
 #[derive(Clone, Debug)]
-struct RecordedRun {
-    task: String,
-    executor: String,
-    from: Instant,
-    stop: Option<Instant>,
-    to: Option<Instant>,
-    end: Option<RunEnd>,
-    listed: Option<Instant>,
+pub struct RecordedRun {
+    /// Name of the task.
+    pub task: String,
+    /// Id of the executor.
+    pub executor: String,
+    /// Start.
+    pub from: Instant,
+    /// First request to stop it.
+    pub stop: Option<Instant>,
+    /// End.
+    pub to: Option<Instant>,
+    /// How it ended.
+    pub end: Option<RunEnd>,
+    /// First list of the executor that had its end.
+    pub listed: Option<Instant>,
 }
 
 /// How a run ended.
@@ -40,7 +48,7 @@
 
 impl RunEnd {
     /// Returns the name in the executor's lists.
-    pub(crate) fn name(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             Self::Done => "done",
             Self::Failed => "failed",
@@ -167,6 +175,13 @@
         overlaps(&self.lock()).iter().map(Overlap::to_string).collect()
     }
 
+    /// Returns every pair of overlapping runs of one task, in the order of their starts.
+    pub fn overlapping_runs(&self) -> Vec<[RecordedRun; 2]> {
+        let runs = self.lock();
+        let pair = |overlap: &Overlap<'_>| [overlap.earlier.clone(), overlap.later.clone()];
+        overlaps(&runs).iter().map(pair).collect()
+    }
+
     /// Returns the number of overlaps by their length, as the smallest of some limits in
     /// milliseconds that it does not exceed, and by the run that was first asked to stop.
     pub fn count_overlaps(&self) -> BTreeMap<(u64, StoppedRun), usize> {
