--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -15,7 +15,7 @@
         pub session_ms: u64,
         /// Time that an upstream needs to stop a run, as the platform specifies it.
         pub stop_ms: u64,
-        /// Time by which an upstream on a busy machine may exceed `stop_ms`: a period of the quota of
+        /// Time by which an upstream on a busy machine may end a run too late: a period of the quota of
         /// a process that has used up its processor time.
         pub upstream_delay_ms: u64,
         /// Time after which a caller resubmits an unanswered job, as the platform specifies it.
@@ -107,10 +107,10 @@
     }
 
     /// Returns the time from granting an upstream's last lease until all its runs have ended,
-    /// milliseconds.
+    /// milliseconds. An upstream that does not answer is probably late with that, too.
     pub fn lease_end_ms(&self) -> u64 {
         let lease_ms = self.granted_lease_ms();
-        lease_ms + lease_ms * LEASE_CLOCK_ERROR_PERCENT / 100 + self.stop_ms
+        lease_ms + lease_ms * LEASE_CLOCK_ERROR_PERCENT / 100 + self.stop_end_ms()
     }
 
     /// Returns the time from the last proof that an entry lives until all its runs have ended, if
