Report a listed run as lost, not as not started, when its end is missing

A start without an answer whose run a list had shown was reported as not started when its end could not be read; its job could then be refused as not run. a_run_that_was_listed_is_not_reported_as_not_started was red and passes.

--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -61,6 +61,7 @@
                 }
                 Phase::Stopping { acked_ms: Some(acked_ms), report } => match report {
                     StopReport::Stopped => (acked_ms, AttemptOutcome::Stopped),
+                    StopReport::NotStarted if run.is_confirmed => (acked_ms, AttemptOutcome::Lost),
                     StopReport::NotStarted => (acked_ms, AttemptOutcome::NotStarted),
                 },
                 _ => continue,
