Stop a job only at the word of an agent that it has started without

Since a late answer stops what was started without it. An agent that had granted the claim, was replaced and had forgotten it counted as such an answer while another one was missing, and stopped a healthy run. a_keeper_that_granted_a_job_and_forgot_it_does_not_stop_it was red and passes.

--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -275,12 +275,14 @@
     ) {
         let Some(state) = self.jobs.get_mut(&JobKey(id.0)) else { return };
         let was_contested = state.claim.is_contested();
-        if state.claim.unanswered.contains(&agent) && !state.claim.is_kept_by(agent) {
+        let is_unanswered = state.claim.unanswered.contains(&agent);
+        if is_unanswered && !state.claim.is_kept_by(agent) {
             state.claim.keepers.push(Keeper { agent, answer: Answer::Waiting, lost_ms: None });
         }
         let Some(keeper) = state.claim.keeper_mut(agent) else { return };
         keeper.answer = Answer::Contested;
-        let is_late = state.claim.is_settled && !state.claim.unanswered.is_empty();
+        // An agent that has granted the claim may have been replaced and have forgotten it.
+        let is_late = state.claim.is_settled && is_unanswered;
         if !state.claim.is_open() && !is_late {
             return;
         }
