Ignore replies of an executor's earlier life in the list position

A reply of the earlier life that was overtaken set the position again, and the next call acknowledged ends of the present life that nobody had read.

--- a/crates/direct/src/list_position.rs
+++ b/crates/direct/src/list_position.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListPosition {
     incarnation: Option<u64>,
+    /// Incarnation before this one, whose replies may still arrive.
+    replaced: Option<u64>,
     seq: u64,
 }
 
@@ -17,8 +19,11 @@
 
     /// Records the highest sequence number that a reply has listed.
     pub fn on_reply(&mut self, incarnation: Option<u64>, last_seq: Option<u64>) {
+        if incarnation.is_some() && incarnation == self.replaced {
+            return;
+        }
         if self.incarnation != incarnation {
-            *self = Self { incarnation, seq: 0 };
+            *self = Self { incarnation, replaced: self.incarnation, seq: 0 };
         }
         self.seq = self.seq.max(last_seq.unwrap_or(0));
     }
