Open an agent beside an unreadable row of a task that it has found

A row without a readable run number counted as a row of the found run of the same task, so an agent that had stopped that run never opened.

--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -197,7 +197,11 @@
 impl RunList {
     /// Returns whether the list contains a run as running.
     pub(crate) fn contains(&self, task: &TaskId, number: u32) -> bool {
+        self.has_row(task, number) || self.unnumbered.contains(task)
+    }
+
+    /// Returns whether a row of the list names a run with its number.
+    pub(crate) fn has_row(&self, task: &TaskId, number: u32) -> bool {
         self.running.iter().any(|row| &row.task == task && row.run == number)
-            || self.unnumbered.contains(task)
     }
 }
--- a/crates/direct/src/supervisor/orphans.rs
+++ b/crates/direct/src/supervisor/orphans.rs
@@ -20,7 +20,8 @@
     pub(crate) fn stop_orphans(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
         let missing_after_ms = self.timing.missing_after_ms();
         self.orphans.retain(|(task, number), orphan| {
-            if list.contains(task, *number) {
+            // A row without a readable number may stay for ever.
+            if list.has_row(task, *number) {
                 orphan.absence.end();
                 return true;
             }
