Bound leases and limits for an executor that is late

run_limit_ms and max_request_age_ms allowed stop_ms (50) for the end of a run and nothing for an executor that is late by upstream_delay_ms (100): the runs of a silent agent or entry could end 1,399 and 1,400 ms after the last proof that they were wanted, while callers come back, and entries place the tasks again, after 1,300. The task ran twice for up to 100 ms.

resend_ms and stop_ms are given, so what shrinks is the limit (1,127 ms instead of 1,225), with it the leases (927 instead of 1,000, which leave a heartbeat's time below the limit), and the age from which a request is held (500 instead of 600). A mute executor's runs count as lost after 1,095 ms (1,170 before). Timing::check and session_end_ms use the same sum: with the defaults a resend_ms below 1,170 is refused (1,070 before).

Tests that named lease_ms where they meant the lease that is granted, or stop_ms in a sum that now has stop_end_ms, compute it from Timing; none of them is looser.

--- a/crates/direct/src/timing.rs
+++ b/crates/direct/src/timing.rs
@@ -86,7 +86,7 @@
             Self::SessionOutlivesResend { end_ms, resend_ms } => write!(
                 f,
                 "runs of a silent entry end after {end_ms} ms, but clients ask again after \
-                 {resend_ms} ms; shorten session_ms, stop_ms or call_ms"
+                 {resend_ms} ms; shorten session_ms, stop_ms, upstream_delay_ms or call_ms"
             ),
             Self::SilenceOutlivesSession => {
                 f.write_str("silence_ms must be shorter than session_ms")
@@ -116,7 +116,7 @@
     /// Returns the time from the last proof that an entry lives until all its runs have ended, if
     /// their stops are answered, milliseconds.
     pub fn session_end_ms(&self) -> u64 {
-        self.session_ms + self.call_ms + self.stop_ms
+        self.session_ms + self.call_ms + self.stop_end_ms()
     }
 
     /// Returns the age at which an agent no longer carries out a start, milliseconds: the time since
@@ -129,15 +129,15 @@
     /// that it starts has been stopped, milliseconds. The start may be under way for as long as its
     /// agent accepts it.
     pub fn max_request_age_ms(&self) -> u64 {
-        let stopped_ms = self.max_start_age_ms() + self.call_ms + self.stop_ms;
+        let stopped_ms = self.max_start_age_ms() + self.call_ms + self.stop_end_ms();
         self.resend_ms.saturating_sub(stopped_ms)
     }
 
     /// Returns the time from the last proof that an entry lives after which no lease may protect its
     /// runs any more, milliseconds: whatever happens to their stops, they end before the callers
-    /// resubmit.
+    /// resubmit, at a late upstream too.
     pub fn run_limit_ms(&self) -> u64 {
-        let limit_ms = self.resend_ms.saturating_sub(self.stop_ms);
+        let limit_ms = self.resend_ms.saturating_sub(self.stop_end_ms());
         limit_ms * 100 / (100 + LEASE_CLOCK_ERROR_PERCENT)
     }
 
@@ -195,8 +195,8 @@
         // limit; otherwise the runs of other entries end with them.
         let limit_ms = self.run_limit_ms();
         if self.session_ms + self.call_ms > limit_ms {
-            let end_ms =
-                self.session_end_ms() + self.resend_ms.saturating_sub(limit_ms + self.stop_ms);
+            let end_ms = self.session_end_ms()
+                + self.resend_ms.saturating_sub(limit_ms + self.stop_end_ms());
             return Err(BoundsError::SessionOutlivesResend { end_ms, resend_ms: self.resend_ms });
         }
         if self.silence_ms >= self.session_ms {
--- a/crates/direct/tests/held_jobs.rs
+++ b/crates/direct/tests/held_jobs.rs
@@ -67,8 +67,10 @@
 #[test]
 fn a_request_that_is_not_held_leaves_time_for_its_start_and_its_stop() {
     let timing = Timing::default();
-    let stopped_ms =
-        timing.max_request_age_ms() + timing.max_start_age_ms() + timing.call_ms + timing.stop_ms;
+    let stopped_ms = timing.max_request_age_ms()
+        + timing.max_start_age_ms()
+        + timing.call_ms
+        + timing.stop_end_ms();
     assert!(stopped_ms <= timing.resend_ms);
 }
 
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -307,18 +307,18 @@
     agent.supervisor.on_attempts(other, &batch("k", &[1], cores(1)), 20);
     // The entry of the first run was last heard at 10 ms.
     let limit_ms = 10 + timing.run_limit_ms();
-    assert!(limit_ms * 102 / 100 + timing.stop_ms <= 10 + timing.resend_ms);
+    assert!(limit_ms * 102 / 100 + timing.stop_end_ms() <= 10 + timing.resend_ms);
     for now_ms in (100..limit_ms).step_by(100) {
         hear(&mut agent.supervisor, other, now_ms);
         agent.supervisor.tick(now_ms);
-        let end_ms = limit_ms.min(now_ms + timing.lease_ms);
+        let end_ms = limit_ms.min(now_ms + timing.granted_lease_ms());
         assert_eq!(agent.supervisor.lease_end_ms(now_ms), Some(end_ms), "at {now_ms} ms");
     }
     assert_eq!(agent.supervisor.lease_end_ms(limit_ms), None);
     let mut list = run_list(limit_ms, &[(&task("k", 0), 1)]);
     list.ended.push((task("j", 0), 1, RunOutcome::Terminated));
     agent.supervisor.on_run_list(&list);
-    let end_ms = limit_ms + timing.lease_ms;
+    let end_ms = limit_ms + timing.granted_lease_ms();
     assert_eq!(agent.supervisor.lease_end_ms(limit_ms), Some(end_ms), "the run has ended");
 }
 
@@ -357,7 +357,10 @@
     let none = UnsettledAttempts::default();
     let (entry, _) = supervisor.on_entry_hello(&Arc::from("e1"), 1, &none, now_ms, now_ms);
     supervisor.on_attempts(entry, &batch("k", &[1], cores(1)), now_ms);
-    assert_eq!(supervisor.lease_end_ms(now_ms), Some(now_ms + Timing::default().lease_ms));
+    assert_eq!(
+        supervisor.lease_end_ms(now_ms),
+        Some(now_ms + Timing::default().granted_lease_ms())
+    );
 }
 
 /// Guards against a run that a lease from before its start protects beyond its limit: its entry is
@@ -368,7 +371,7 @@
     let mut agent = agent();
     assert_eq!(agent.supervisor.lease_end_ms(12), None, "nothing runs that needs a lease");
     // The entry has read the handshake of 10 ms and nothing since.
-    let latest_ms = 10 + timing.run_limit_ms() - timing.lease_ms;
+    let latest_ms = 10 + timing.run_limit_ms() - timing.granted_lease_ms();
     for (n, granted_ms) in [(1, latest_ms), (2, latest_ms + 1)] {
         agent.supervisor.record_lease_sent(granted_ms);
         agent.supervisor.record_lease_call_end(granted_ms, true);
