Let the soak have the shape of the notebook and the grown recipes site

SOAK_SHAPE selects recipes (as before, the default), notebook (4 entries and 11 agents in 4 zones) or grown (6 and 24 in 3 zones, scaled down).

--- a/crates/ebonycroft/tests/soak/caller.rs
+++ b/crates/ebonycroft/tests/soak/caller.rs
@@ -20,7 +20,8 @@
 use crate::{
     channel::{Channel, Reply},
     env_number,
-    system::{System, TASK_MILLI_CORES, ZONES},
+    site::Site,
+    system::{System, TASK_MILLI_CORES},
 };
 
 /// Number of callers for each executor, unless `SOAK_CALLERS` states it.
@@ -58,7 +59,6 @@
     /// Name, and prefix of the path.
     pub(crate) name: &'static str,
     pub(crate) priority: u8,
-    pub(crate) max_attempts: u16,
     /// Thousandths of all jobs.
     share: u64,
     run_ms: u64,
@@ -72,7 +72,6 @@
     Queue {
         name: "check",
         priority: 0,
-        max_attempts: 2,
         share: 244,
         run_ms: 60,
         max_run_ms: 240,
@@ -82,7 +81,6 @@
     Queue {
         name: "scale",
         priority: 2,
-        max_attempts: 4,
         share: 45,
         run_ms: 900,
         max_run_ms: 3_600,
@@ -92,7 +90,6 @@
     Queue {
         name: "confirm",
         priority: 1,
-        max_attempts: 4,
         share: 711,
         run_ms: 200,
         max_run_ms: 800,
@@ -243,7 +240,7 @@
 impl Caller {
     fn new(n: u64, seed: u64, entries: Arc<[(&'static str, SocketAddr)]>) -> Self {
         let rng = StdRng::seed_from_u64(seed ^ (n << 32));
-        let zone = ZONES[usize::try_from(n).expect("it is small") % ZONES.len()];
+        let zone = Site::selected().zone(usize::try_from(n).expect("it is small"));
         Self { n, rng, zone, entries, entry: None, channel: None }
     }
 
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -2,6 +2,8 @@
 //! no executor is over its capacity, no refused job runs, and each task of a succeeded job has run.
 //! Variables:
 //! - `SOAK_SEED`, `SOAK_SECONDS`: the sequence of faults and its length.
+//! - `SOAK_SHAPE`: `recipes` (3 entries and 11 agents in 3 zones), `notebook` (4 and 11 in 4 zones, one
+//!   entry in each) or `grown` (6 and 24 in 3 zones); the first one by default.
 //! - `SOAK_PROCESSES`, `SOAK_CALLERS`: entries and agents together, and callers for each agent.
 //! - `SOAK_FAULTS`: how many faults may overlap, besides those of callers' paths.
 //! - `SOAK_AGENT_RESTARTS`, `SOAK_RESTART_MS`: sequences of restarts of single agents beside the faults,
@@ -17,7 +19,8 @@
 //!   promises that they are never late, so the default is 0; overlaps with more show the margin.
 //! - `SOAK_LATE_ENDS`: 0 keeps requests, and the ends of their channels behind them, from being under
 //!   way for longer than callers take to submit again.
-//! - `SOAK_PROGRAM`: another build of the program.
+//! - `SOAK_PROGRAM`: another build of the program. `SOAK_LINK_RELAYS`: 0 for one whose entries can't
+//!   advertise another address for links; faults of links have no effect then.
 //! - `SOAK_LOGS`: an existing folder for the decision lines of the processes. The lines of jobs that ran
 //!   twice at a time are printed too.
 
@@ -28,6 +31,7 @@
 mod overlaps;
 mod process;
 mod restarts;
+mod site;
 mod system;
 
 use std::{
@@ -39,12 +43,12 @@
 
 use crate::{
     faults::Fault,
+    site::Site,
     system::{SLOTS, System},
 };
 
 const DEFAULT_SEED: u64 = 1;
 const DEFAULT_SECONDS: u64 = 30;
-const DEFAULT_PROCESSES: u64 = 14;
 /// Number of sequences of faults that go on at the same time.
 const DEFAULT_FAULTS: u64 = 2;
 
@@ -69,7 +73,7 @@
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
     runtime.expect("a runtime can be built").block_on(async {
-        let processes = usize::try_from(env_number("SOAK_PROCESSES", DEFAULT_PROCESSES));
+        let processes = usize::try_from(env_number("SOAK_PROCESSES", Site::selected().processes));
         let system = System::start(processes.expect("the number is small")).await;
         let _busy = keep_busy(env_number("SOAK_BUSY", 0));
         let callers = caller::start(&system, seed);
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -19,15 +19,13 @@
     caller::{self, QUEUES, Queue},
     env_number,
     process::Process,
+    site::Site,
 };
 
 /// Loopback address with port 0, so that a listener gets a free port.
 const ANY_PORT: &str = "127.0.0.1:0";
 /// One process in so many is an entry.
 const PROCESSES_PER_ENTRY: usize = 6;
-const MIN_ENTRIES: usize = 3;
-/// Availability zones of the entries, and of the executors, in turn.
-pub(crate) const ZONES: [&str; 3] = ["mid-a", "mid-b", "mid-c"];
 /// Processor capacity of an executor and of a task, thousandths of a core.
 const MILLI_CORES: u32 = 32_000;
 pub(crate) const TASK_MILLI_CORES: u32 = 3_100;
@@ -67,7 +65,7 @@
 impl System {
     /// Starts this number of processes, about a sixth of them entries.
     pub(crate) async fn start(processes: usize) -> Self {
-        let entry_count = (processes / PROCESSES_PER_ENTRY).max(MIN_ENTRIES);
+        let entry_count = (processes / PROCESSES_PER_ENTRY).max(Site::selected().min_entries);
         let dir = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a folder can be made");
         let any_port = ANY_PORT.parse().expect("it is an address");
@@ -163,12 +161,12 @@
 
 /// Returns the configuration of the service under a version.
 pub(crate) fn config(version: u64) -> serde_json::Value {
-    let route = |queue: &Queue| {
+    let route = |(queue, max_attempts): (&Queue, u16)| {
         json!({ "name": queue.name, "host": "jobs.example", "pathPrefix": format!("/{}/", queue.name),
-            "service": "kitchen", "priority": queue.priority, "maxAttempts": queue.max_attempts,
+            "service": "kitchen", "priority": queue.priority, "maxAttempts": max_attempts,
             "timeoutMs": 1_500, "stretchFactor": 1.6, "targetCompletionMs": 60 })
     };
-    let routes: Vec<_> = QUEUES.iter().map(route).collect();
+    let routes: Vec<_> = QUEUES.iter().zip(Site::selected().max_attempts).map(route).collect();
     json!({ "version": version, "services": [{ "name": "kitchen" }], "routes": routes })
 }
 
@@ -196,7 +194,7 @@
 
 /// Returns the zone of an entry or of an executor.
 fn zone(i: usize) -> &'static str {
-    ZONES[i % ZONES.len()]
+    Site::selected().zone(i)
 }
 
 /// Starts a role with settings that are written to the folder.
@@ -232,8 +230,11 @@
     callers: &Arc<Relay>,
 ) -> Process {
     let name = format!("entry-{i}");
-    let settings = json!({ "process": process(&name, store), "zone": zone(i), "callers": ANY_PORT,
-        "readiness": ANY_PORT, "links": ANY_PORT, "advertised_links": links.addr().to_string() });
+    let mut settings = json!({ "process": process(&name, store), "zone": zone(i),
+        "callers": ANY_PORT, "readiness": ANY_PORT, "links": ANY_PORT });
+    if env_number("SOAK_LINK_RELAYS", 1) > 0 {
+        settings["advertised_links"] = links.addr().to_string().into();
+    }
     let relays = vec![("links", Arc::clone(links)), ("callers", Arc::clone(callers))];
     start(dir, "direct-entry", &name, &settings, relays)
 }
