Name tasks in decision lines as executors do

Cause: an executor's list and the users' record name a task ID.0.STEP.INDEX, while the lines of entries and agents had `ID/STEP/INDEX` or a job, a step and positions. A plain search with the name from the back end's side found no line.

Change: `platform::encode_task_name` is the one translation, and `node::task_names` makes the fields of it. `task`, `tasks` (`placed`, `withdrawn`, `outdated_start`), `suspects` and `youngest` have names. `step` of `placed` is gone, as the names have it. Lines of an entry about a whole job (`accepted`, `answered`, `client_gone`, `claim_contested`, `claim_unanswered`, `claim_asked`, `given_up`) list the names of its tasks in `names`, up to 32; beyond that the job's id, with which the names begin, finds them. So it does at an agent's claim lines: an agent does not know the tasks of a claim.

Tests that looked for any text as `task` now compare it with the executors' record.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -51,6 +51,7 @@
             .collect();
         JobState {
             name: job.name(),
+            tasks: job.tasks(),
             arrived_ms: now_ms,
             objective_ms,
             objective_at_ms: now_ms.saturating_add(objective_ms).saturating_sub(age_ms),
--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -5,7 +5,7 @@
 //! two submissions is the later one. Each entry therefore claims a job at the same two agents before
 //! the job starts: two messages and their answers for each job, whatever the number of hosts.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::cmp::Reverse;
 
 use crate::{
     Claim, ClaimEnd, ClaimId, ClaimNews, JobName, JobOutcome, ToAgent,
@@ -232,8 +232,8 @@
         for keeper in state.claim.keepers.iter().filter(|keeper| keeper.answer == Answer::Waiting) {
             let view = &mut self.agents[keeper.agent.0 as usize];
             view.leaves_claims = view.last_heard_ms <= state.claim.sent_ms;
-            let (job, agent) = (Arc::clone(&state.name().id), keeper.agent);
-            effects.push(DispatcherEffect::ClaimUnanswered { job, agent, waited_ms });
+            let (tasks, agent) = (state.tasks.clone(), keeper.agent);
+            effects.push(DispatcherEffect::ClaimUnanswered { tasks, agent, waited_ms });
         }
         let Some(state) = self.jobs.get_mut(&key) else { return };
         state.claim.start_unanswered();
@@ -290,8 +290,8 @@
         // Its tasks may run at the other entry, so no answer may say that it has not run.
         state.has_run = true;
         if !was_contested {
-            let job = Arc::clone(&state.name().id);
-            effects.push(DispatcherEffect::ClaimContested { job, agent, after_ms });
+            let tasks = state.tasks.clone();
+            effects.push(DispatcherEffect::ClaimContested { tasks, agent, after_ms });
         }
         if is_late {
             self.withdraw(JobKey(id.0), effects);
@@ -328,12 +328,12 @@
             return;
         }
         let stopping = self.stopping_jobs.iter_mut().find_map(|(name, job)| {
-            Some((name, job.claims.iter_mut().find(|ended| ended.id == id)?))
+            Some((name, &job.tasks, job.claims.iter_mut().find(|ended| ended.id == id)?))
         });
-        let (name, askers, is_running) = if let Some(state) = self.jobs.get_mut(&key) {
-            (state.name.clone(), &mut state.claim.askers, state.outstanding > 0)
-        } else if let Some((name, ended)) = stopping {
-            (name.clone(), &mut ended.askers, true)
+        let (name, tasks, askers, is_running) = if let Some(state) = self.jobs.get_mut(&key) {
+            (state.name.clone(), &state.tasks, &mut state.claim.askers, state.outstanding > 0)
+        } else if let Some((name, tasks, ended)) = stopping {
+            (name.clone(), tasks, &mut ended.askers, true)
         } else {
             let end = ToAgent::EndClaim(id, ClaimEnd::Released);
             effects.push(DispatcherEffect::Send(agent, end));
@@ -341,8 +341,8 @@
         };
         if !askers.contains(&agent) {
             askers.push(agent);
-            let job = Arc::clone(&name.id);
-            effects.push(DispatcherEffect::ClaimAsked { job, agent });
+            let tasks = tasks.clone();
+            effects.push(DispatcherEffect::ClaimAsked { tasks, agent });
         }
         let claim = ToAgent::Claim(Claim { id, job: name, is_running });
         effects.push(DispatcherEffect::Send(agent, claim));
@@ -375,6 +375,7 @@
             job.claims.push(ended);
         } else {
             let job = StoppingJob {
+                tasks: state.tasks.clone(),
                 outstanding: state.outstanding,
                 claims: vec![ended],
                 renewed_ms: state.claim.sent_ms,
--- a/crates/direct/src/dispatcher/crash_response.rs
+++ b/crates/direct/src/dispatcher/crash_response.rs
@@ -99,8 +99,8 @@
     fn give_up_if_proven(&mut self, key: JobKey, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
         if self.suspicion(state) == Suspicion::Proven {
-            let (job, kind) = (Arc::clone(&state.job.id), Arc::clone(&state.job.kind));
-            effects.push(DispatcherEffect::GivenUp { job, kind });
+            let (tasks, kind) = (state.tasks.clone(), Arc::clone(&state.job.kind));
+            effects.push(DispatcherEffect::GivenUp { tasks, kind });
             self.answer(key, JobOutcome::Failed, effects);
         }
     }
--- a/crates/direct/src/dispatcher/job_claim.rs
+++ b/crates/direct/src/dispatcher/job_claim.rs
@@ -3,7 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::{
-    ClaimEnd, ClaimId, JobName, JobOutcome,
+    ClaimEnd, ClaimId, JobName, JobOutcome, JobTasks,
     dispatcher::{AgentKey, JobKey},
 };
 
@@ -62,6 +62,7 @@
     /// Answered job of which runs are being stopped.
     #[derive(Eq)]
     pub(crate) struct StoppingJob {
+        pub(crate) tasks: JobTasks,
         /// Number of outstanding attempts.
         pub(crate) outstanding: u32,
         /// Claims of its submissions, which end with the last run.
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    AttemptId, JobOutcome, RefusalReason, ToAgent,
+    AttemptId, JobOutcome, RefusalReason, TaskId, ToAgent,
     dispatcher::{
         Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, WithdrawalCause,
         job_state::JobState,
@@ -89,18 +89,20 @@
         cause: WithdrawalCause,
         effects: &mut Vec<DispatcherEffect>,
     ) {
-        let mut stops: IndexMap<AgentKey, (Arc<str>, Vec<AttemptId>)> = IndexMap::new();
+        let mut stops: IndexMap<AgentKey, (Vec<AttemptId>, Vec<TaskId>)> = IndexMap::new();
         for (id, attempt) in &mut self.attempts {
             if attempt.job != key {
                 continue;
             }
             attempt.is_withdrawn = true;
-            let name = || (Arc::clone(&attempt.job_name.id), Vec::new());
-            stops.entry(attempt.agent).or_insert_with(name).1.push(*id);
+            let (ids, tasks) = stops.entry(attempt.agent).or_default();
+            ids.push(*id);
+            tasks.push(attempt.task());
         }
-        for (agent, (job, attempts)) in stops {
+        for (agent, (attempts, tasks)) in stops {
+            let Some(job) = tasks.first().map(|task| Arc::clone(&task.job)) else { continue };
             let stop = ToAgent::Stop(attempts.clone());
-            effects.push(DispatcherEffect::Withdrawn { job, agent, attempts, cause });
+            effects.push(DispatcherEffect::Withdrawn { job, agent, attempts, tasks, cause });
             effects.push(DispatcherEffect::Send(agent, stop));
         }
     }
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -2,7 +2,7 @@
 use types::Resources;
 
 use crate::{
-    DirectJob, JobName,
+    DirectJob, JobName, JobTasks,
     dispatcher::{AgentKey, JobKey, job_claim::JobClaim},
 };
 
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct JobState {
     pub(crate) name: JobName,
+    pub(crate) tasks: JobTasks,
     pub(crate) job: DirectJob,
     pub(crate) arrived_ms: u64,
     pub(crate) objective_ms: u64,
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -29,8 +29,8 @@
 
 pub use crate::dispatcher::summary::{AgentSummary, PoolCapacity};
 use crate::{
-    AgentHello, AttemptId, DirectJob, JobName, JobOutcome, RefusalReason, Report, TaskId, Timing,
-    ToAgent, UnsettledAttempts,
+    AgentHello, AttemptId, DirectJob, JobName, JobOutcome, JobTasks, RefusalReason, Report, TaskId,
+    Timing, ToAgent, UnsettledAttempts,
     dispatcher::{
         agent_view::AgentView,
         backlog::Backlog,
@@ -65,8 +65,8 @@
         CloseLink(AgentKey),
         /// Reports that a job was given up because upstreams crash under it.
         GivenUp {
-            /// Id of the job.
-            job: Arc<str>,
+            /// The job's tasks.
+            tasks: JobTasks,
             /// Kind of the job.
             kind: Arc<str>,
         },
@@ -91,6 +91,8 @@
             agent: AgentKey,
             /// The attempts.
             attempts: Vec<AttemptId>,
+            /// Their tasks, in the same order.
+            tasks: Vec<TaskId>,
             /// Why they are not wanted.
             cause: WithdrawalCause,
         },
@@ -107,8 +109,8 @@
         },
         /// Reports for the log that another entry has a job; it waits for the end of that one.
         ClaimContested {
-            /// Id of the job.
-            job: Arc<str>,
+            /// The job's tasks.
+            tasks: JobTasks,
             /// The agent that keeps the claims.
             agent: AgentKey,
             /// Time since the claim was sent, milliseconds.
@@ -116,8 +118,8 @@
         },
         /// Reports for the log that a job starts although its claim was not answered.
         ClaimUnanswered {
-            /// Id of the job.
-            job: Arc<str>,
+            /// The job's tasks.
+            tasks: JobTasks,
             /// The agent that keeps the claims.
             agent: AgentKey,
             /// Time since the claim was sent, milliseconds.
@@ -125,8 +127,8 @@
         },
         /// Reports for the log that another entry claims a job of this one, which goes on.
         ClaimAsked {
-            /// Id of the job.
-            job: Arc<str>,
+            /// The job's tasks.
+            tasks: JobTasks,
             /// The agent that keeps the claims.
             agent: AgentKey,
         },
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -2,6 +2,8 @@
 
 use types::Resources;
 
+use crate::JobTasks;
+
 types::wire! {
     /// Identity of a job: callers of different queues may choose the same id.
     #[derive(Eq, Hash)]
@@ -112,6 +114,12 @@
         JobName { queue: Arc::clone(&self.kind), id: Arc::clone(&self.id) }
     }
 
+    /// Returns the tasks of the job.
+    pub fn tasks(&self) -> JobTasks {
+        let steps = self.steps.iter().map(|step| step.tasks).collect();
+        JobTasks { job: Arc::clone(&self.id), steps }
+    }
+
     /// Returns the length of the critical path: the largest sum of declared run times over a chain
     /// of dependent steps, milliseconds.
     pub fn longest_chain_ms(&self) -> u64 {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -38,7 +38,7 @@
         RunList, RunOutcome, RunRow, SessionKey, SettledBy, StartResult, StartRun, StopCause,
         Supervisor, SupervisorEffect,
     },
-    task_id::TaskId,
+    task_id::{JobTasks, TaskId},
     timing::{BoundsError, Timing},
     upstream::{Upstream, UpstreamState},
 };
--- a/crates/ebonycroft/tests/direct_roles/decisions.rs
+++ b/crates/ebonycroft/tests/direct_roles/decisions.rs
@@ -1,9 +1,9 @@
 //! Each decision about a request writes exactly one line, with the inputs of the decision and their
 //! age.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
-use emulator::FakeExecutorFaults;
+use emulator::{FakeExecutorFaults, RunLedger};
 use reqwest::StatusCode;
 use serde_json::{Value, json};
 
@@ -24,6 +24,17 @@
         "steps": [{ "count": tasks, "cpu": 1_000, "memMb": 64, "estimateMs": 100 }] })
 }
 
+/// Returns the names of the tasks as the executor knows them, in order.
+fn names(ledger: &RunLedger) -> BTreeSet<String> {
+    ledger.runs().into_iter().map(|run| run.task).collect()
+}
+
+/// Returns a list of names.
+fn listed(value: &Value) -> BTreeSet<String> {
+    let names = value.as_array().expect("names are listed");
+    names.iter().map(|name| name.as_str().expect("a name is text").to_owned()).collect()
+}
+
 fn events(lines: &[Value]) -> Vec<&str> {
     lines.iter().filter_map(|line| line["event"].as_str()).collect()
 }
@@ -32,9 +43,13 @@
 async fn served_request() {
     with_direct_system("served", Timing::default(), async |system| {
         assert_eq!(system.submit(ID, &job(2)).await, StatusCode::OK);
+        let names = names(&system.ledger);
         let (entry, agent) = system.finish(ID);
         assert_eq!(events(&entry), ["accepted", "placed", "answered"]);
         assert_eq!((&entry[0]["config"], &entry[0]["tasks"]), (&json!(7), &json!(2)));
+        assert_eq!(names.len(), 2);
+        assert_eq!((&listed(&entry[0]["names"]), &listed(&entry[2]["names"])), (&names, &names));
+        assert_eq!(listed(&entry[1]["tasks"]), names);
         assert!(entry[1]["view_age_ms"].is_u64() && entry[1]["free_milli_cores"] == 0);
         assert_eq!(entry[2]["end"], "succeeded");
         let count = |event: &str| events(&agent).iter().filter(|known| **known == event).count();
@@ -46,7 +61,12 @@
         let lines = (count("started") + count("not_started"), count("start_overdue"), agent.len());
         assert_eq!(lines, (2 + repeated, repeated, 4 + 2 * repeated), "{agent:?}");
         assert!(count("started") >= 2 && count("settled") == 2, "{agent:?}");
-        assert!(agent.iter().all(|line| line["task"].is_string()));
+        for event in ["started", "settled"] {
+            let lines = lines_of(&agent, event).into_iter();
+            let told = lines.filter_map(|line| line["task"].as_str().map(str::to_owned));
+            assert_eq!(told.collect::<BTreeSet<_>>(), names, "{agent:?}");
+        }
+        assert!(agent.iter().all(|line| names.contains(line["task"].as_str().unwrap_or(""))));
     })
     .await;
 }
@@ -115,10 +135,11 @@
 
 /// Checks that the stops of both tasks were sent for this reason and acknowledged, and that both
 /// have ended by what the executor lists.
-fn assert_stopped(agent: &[Value], cause: &str) {
+fn assert_stopped(agent: &[Value], names: &BTreeSet<String>, cause: &str) {
     let sent = lines_of(agent, "stop_sent");
-    let tasks: HashSet<_> = sent.iter().filter_map(|line| line["task"].as_str()).collect();
+    let tasks: BTreeSet<_> = sent.iter().filter_map(|line| line["task"].as_str()).collect();
     assert_eq!((sent.len(), tasks.len()), (2, 2), "{agent:?}");
+    assert!(names.iter().eq(&tasks), "{names:?} {agent:?}");
     for line in sent {
         assert_eq!(line["cause"], cause);
         assert!(line["run"].is_u64() && line["token"].is_u64(), "{line}");
@@ -142,21 +163,25 @@
             system.until_executor_is_idle().await;
         };
         tokio::join!(cancel, system.submit(ID, &call));
+        let names = names(&system.ledger);
         let (entry, agent) = system.finish(ID);
         assert_eq!(events(&entry), ["accepted", "placed", "withdrawn", "answered"]);
         let (placed, withdrawn) = (&entry[1], &entry[2]);
         assert_eq!(placed["orders"].as_array().map(Vec::len), Some(2));
         assert_eq!(withdrawn["orders"], placed["orders"]);
+        assert_eq!(withdrawn["tasks"], placed["tasks"]);
+        assert_eq!(listed(&withdrawn["tasks"]), names);
         assert_eq!(withdrawn["agent"], "agent");
         assert_eq!(
             (&withdrawn["cause"], &withdrawn["is_connected"]),
             (&json!("cancelled"), &json!(true))
         );
-        assert_stopped(&agent, "requested");
+        assert_stopped(&agent, &names, "requested");
         let settled = lines_of(&agent, "settled");
         assert_eq!(settled.len(), 2);
         for line in settled {
             assert_eq!((&line["outcome"], &line["entry"]), (&json!("stopped"), &json!("entry")));
+            assert!(names.contains(line["task"].as_str().unwrap_or("")), "{line}");
             assert!(["listed_end", "absence"].iter().any(|by| line["by"] == *by), "{line}");
         }
     })
@@ -172,10 +197,12 @@
             status = system.submit(ID, &call) => panic!("answered with {status}"),
         }
         system.until_executor_is_idle().await;
+        let names = names(&system.ledger);
         let (entry, agent) = system.finish(ID);
         assert_eq!(events(&entry), ["accepted", "placed", "client_gone", "withdrawn"]);
+        assert_eq!(listed(&entry[2]["names"]), names);
         assert_eq!(entry[3]["cause"], "client_gone");
-        assert_stopped(&agent, "requested");
+        assert_stopped(&agent, &names, "requested");
     })
     .await;
 }
@@ -190,8 +217,9 @@
             system.until_executor_is_idle().await;
         };
         tokio::join!(kill, system.try_submit(ID, &call));
+        let names = names(&system.ledger);
         let (_, agent) = system.finish(ID);
-        assert_stopped(&agent, "entry_gone");
+        assert_stopped(&agent, &names, "entry_gone");
     })
     .await;
 }
@@ -228,7 +256,9 @@
     let lost = lines_of(&entry, "presumed_lost");
     assert_eq!(lost.len(), 1, "{entry:?}");
     assert_eq!((&lost[0]["agent"], &lost[0]["cause"]), (&json!("agent"), &json!("agent_replaced")));
-    assert!(lost[0]["task"].is_string() && lost[0]["order"].is_u64(), "{entry:?}");
+    let is_named =
+        lost[0]["task"].as_str().is_some_and(|name| name.starts_with("5c0e7a21d94b36f8.0.0."));
+    assert!(is_named && lost[0]["order"].is_u64(), "{entry:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/ebonycroft/tests/direct_roles/direct_system.rs
+++ b/crates/ebonycroft/tests/direct_roles/direct_system.rs
@@ -35,6 +35,7 @@
 pub(crate) struct DirectSystem {
     _store: LogServer,
     pub(crate) executor: FakeExecutor,
+    pub(crate) ledger: RunLedger,
     pub(crate) entry: Role,
     pub(crate) agent: Role,
     pub(crate) client: Client,
@@ -65,7 +66,8 @@
             milli_cores: 2_000,
             run_ms: timing.executor_ms,
         };
-        let executor = FakeExecutor::start(executor, RunLedger::default()).await;
+        let ledger = RunLedger::default();
+        let executor = FakeExecutor::start(executor, ledger.clone()).await;
         let executor = executor.expect("an executor starts");
         let settings = json!({ "process": process("agent"), "control": ANY_PORT,
             "upstream": executor.addr().to_string() });
@@ -76,6 +78,7 @@
         Self {
             _store: store,
             executor,
+            ledger,
             entry,
             agent,
             client,
--- a/crates/ebonycroft/tests/direct_roles/fleet.rs
+++ b/crates/ebonycroft/tests/direct_roles/fleet.rs
@@ -179,15 +179,28 @@
         }
     }
 
-    /// Kills all processes and returns what `ebonycroft explain` prints about a job from their lines.
-    pub(crate) fn explain(&mut self, job: &str) -> String {
-        let agents = self.hosts.iter_mut().map(|host| &mut host.agent);
-        let running: String =
-            self.entries.iter_mut().chain(agents).map(Role::kill_and_read).collect();
+    /// Kills all processes and returns their lines: those of the entries, those of the agents that
+    /// were replaced, and those of the others.
+    pub(crate) fn kill_and_read(&mut self) -> String {
+        let entries: String = self.entries.iter_mut().map(Role::kill_and_read).collect();
+        let agents = self.hosts.iter_mut().map(|host| host.agent.kill_and_read());
+        let agents: String = agents.collect();
+        entries + &self.replaced_output + &agents
+    }
+
+    /// Kills all processes and returns what `ebonycroft explain` prints about a job or a task from
+    /// their lines.
+    pub(crate) fn explain(&mut self, id: &str) -> String {
+        let lines = self.kill_and_read();
+        self.explain_lines(id, &lines)
+    }
+
+    /// Returns what `ebonycroft explain` prints about a job or a task from these lines.
+    pub(crate) fn explain_lines(&self, id: &str, lines: &str) -> String {
         let path = self.dir.join("all.log");
-        fs::write(&path, running + &self.replaced_output).expect("a file can be written");
+        fs::write(&path, lines).expect("a file can be written");
         let output = Command::new(env!("CARGO_BIN_EXE_ebonycroft"))
-            .args(["explain", "--id", job])
+            .args(["explain", "--id", id])
             .arg(&path)
             .output()
             .expect("the program runs");
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -18,4 +18,5 @@
 mod role;
 mod stopped_runs;
 mod suspensions;
+mod task_names;
 mod templates;
--- a/crates/ebonycroft/tests/direct_roles/replaced_agents.rs
+++ b/crates/ebonycroft/tests/direct_roles/replaced_agents.rs
@@ -42,7 +42,7 @@
     let found: [&[&str]; 5] = [
         &[" host-0 ", " started ", "run=1 "],
         &[" host-0 ", " start ", "incarnation="],
-        &[" host-0 ", " found_run ", "/0/0"],
+        &[" host-0 ", " found_run ", "task=\"5c0e7a21d94b36f8.0.0.0\""],
         &[" host-0 ", " stop_sent ", "cause=\"found\""],
         &[" host-0 ", " stop_answered ", "is_acknowledged=true"],
     ];
--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -126,6 +126,11 @@
         self.lock()[run].listed.get_or_insert_with(Instant::now);
     }
 
+    /// Returns every run, in the order of their starts.
+    pub fn runs(&self) -> Vec<RecordedRun> {
+        self.lock().clone()
+    }
+
     /// Returns the number of runs of tasks whose name starts with `prefix`.
     pub fn count_runs(&self, prefix: &str) -> usize {
         self.lock().iter().filter(|run| run.task.starts_with(prefix)).count()
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -15,7 +15,7 @@
 };
 use indexmap::IndexMap;
 use metrics::counter;
-use platform::ExecutorClient;
+use platform::{ExecutorClient, encode_task_name};
 use serde_json::json;
 use tokio::{
     sync::{Notify, Semaphore},
@@ -30,6 +30,7 @@
     events::{self, Events, Level},
     known_entries::KnownEntries,
     loop_delay::LoopDelay,
+    task_names::{names, task_fields},
 };
 
 /// Most concurrent calls to the upstream, not counting stops and the poll that waits for runs to
@@ -305,6 +306,7 @@
         counter!("agent_outdated_starts").increment(batch.attempts.len() as u64);
         let fields = [
             ("job", json!(&*batch.job)),
+            ("tasks", names(batch.attempts.iter().map(|attempt| batch.task(attempt)))),
             ("orders", json!(batch.attempts.len())),
             ("age_ms", json!(age_ms)),
         ];
@@ -414,7 +416,7 @@
                     let suspects = crash
                         .suspects
                         .iter()
-                        .map(|suspect| (suspect.task.to_string(), &*suspect.kind));
+                        .map(|suspect| (encode_task_name(&suspect.task), &*suspect.kind));
                     let fields = [
                         ("born", json!(crash.incarnation)),
                         ("suspects", json!(suspects.collect::<Vec<_>>())),
@@ -427,12 +429,9 @@
                         AttemptOutcome::Done { .. } => Level::Routine,
                         _ => Level::Notable,
                     };
-                    let mut fields = vec![
-                        ("job", json!(&*task.job)),
-                        ("task", json!(task.to_string())),
-                        ("order", json!(attempt.map(|(_, id)| id.0))),
-                        ("outcome", json!(outcome.name())),
-                    ];
+                    let mut fields = task_fields(&task).to_vec();
+                    fields.push(("order", json!(attempt.map(|(_, id)| id.0))));
+                    fields.push(("outcome", json!(outcome.name())));
                     // Success is always listed, and its line is written for each task.
                     if level == Level::Notable {
                         let entry = attempt.and_then(|(key, _)| self.entry_name(key));
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -4,10 +4,10 @@
 
 use direct::{RunList, StartResult, StopCause, TaskId};
 use metrics::counter;
-use platform::{CallError, CallFailure};
+use platform::{CallError, CallFailure, encode_task_name};
 use serde_json::{Value, json};
 
-use crate::{agent::state::AgentState, clock, events::Level};
+use crate::{agent::state::AgentState, clock, events::Level, task_names::task_fields};
 
 /// Number of runs that the line about an unresponsive upstream lists.
 const MAX_LISTED_RUNS: usize = 6;
@@ -103,7 +103,7 @@
         };
         if was_answering && !self.supervisor.borrow().is_responsive() {
             let youngest = runs.iter().take(MAX_LISTED_RUNS);
-            let youngest = youngest.map(|(task, age_ms)| (task.to_string(), age_ms));
+            let youngest = youngest.map(|(task, age_ms)| (encode_task_name(task), age_ms));
             let fields = [
                 ("cause", json!(error.to_string())),
                 ("is_refused", json!(error.failure == CallFailure::Refused)),
@@ -137,12 +137,9 @@
     /// Sends a start again whose answer is overdue.
     pub(crate) fn on_start_overdue(self: &Rc<Self>, task: &TaskId, run: u32) {
         let effects = self.supervisor.borrow_mut().on_start_overdue(task, run);
-        let fields = [
-            ("job", json!(&*task.job)),
-            ("task", json!(task.to_string())),
-            ("run", json!(run)),
-            ("is_repeated", json!(!effects.is_empty())),
-        ];
+        let mut fields = task_fields(task).to_vec();
+        fields.push(("run", json!(run)));
+        fields.push(("is_repeated", json!(!effects.is_empty())));
         self.events.emit(Level::Notable, "start_overdue", &fields);
         self.apply(effects);
     }
@@ -155,13 +152,10 @@
             StartResult::Started => ("started", Level::Routine),
             _ => ("not_started", Level::Notable),
         };
-        let fields = [
-            ("job", json!(&*task.job)),
-            ("task", json!(task.to_string())),
-            ("run", json!(run)),
-            ("token", json!(self.token())),
-            ("result", json!(format!("{result:?}"))),
-        ];
+        let mut fields = task_fields(task).to_vec();
+        fields.push(("run", json!(run)));
+        fields.push(("token", json!(self.token())));
+        fields.push(("result", json!(format!("{result:?}"))));
         self.events.emit(level, event, &fields);
         let effects = self.supervisor.borrow_mut().on_start_result(task, run, result, now_ms);
         self.apply(effects);
@@ -204,11 +198,8 @@
         run: u32,
         fields: &[(&str, Value)],
     ) {
-        let mut all = vec![
-            ("job", json!(&*task.job)),
-            ("task", json!(task.to_string())),
-            ("run", json!(run)),
-        ];
+        let mut all = task_fields(task).to_vec();
+        all.push(("run", json!(run)));
         all.extend(fields.iter().cloned());
         self.events.emit(Level::Notable, event, &all);
         // An agent that is killed before it opens must not leave stops without a trace.
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -15,7 +15,7 @@
     CallerRequest, JobError, Reply, decode_caller_request, decode_job, encode_cancelled,
     encode_error, encode_outcome, encode_pending, encode_unknown_job,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::{
     task::spawn_local,
     time::{Instant, sleep, sleep_until},
@@ -26,6 +26,7 @@
     entry::state::EntryState,
     events::Level,
     http_server::{ConnectionActivity, HttpResponse},
+    task_names::job_fields,
 };
 
 /// Request header with the time that the caller waits for its answer, milliseconds.
@@ -42,7 +43,8 @@
 struct CancelOnDrop {
     state: Rc<EntryState>,
     key: JobKey,
-    id: String,
+    /// Fields that name the job.
+    job: Vec<(&'static str, Value)>,
     arrived_ms: u64,
     is_answered: bool,
 }
@@ -54,7 +56,8 @@
         }
         counter!("entry_jobs", "end" => "client_gone").increment(1);
         let waited_ms = clock::now_ms().saturating_sub(self.arrived_ms);
-        let fields = [("job", json!(self.id)), ("after_ms", json!(waited_ms))];
+        let mut fields = std::mem::take(&mut self.job);
+        fields.push(("after_ms", json!(waited_ms)));
         self.state.events.emit(Level::Notable, "client_gone", &fields);
         self.state.cancel(self.key);
     }
@@ -130,14 +133,14 @@
     version: u64,
     activity: Option<ConnectionActivity>,
 ) -> Reply {
-    let (id, pool) = (job.id.to_string(), Arc::clone(&job.pool));
+    let (named, pool) = (job_fields(&job.tasks()), Arc::clone(&job.pool));
     let arrived_ms = clock::now_ms();
     let age_ms = |ms: u64| arrived_ms.saturating_sub(ms);
     let silent_ms = activity.and_then(|activity| activity.responded_ms).map(age_ms);
     // The caller may have sent the job to another entry meanwhile.
     let is_held = silent_ms.is_none_or(|ms| ms >= state.timing.max_request_age_ms());
-    let fields = [
-        ("job", json!(id)),
+    let mut fields = named.clone();
+    fields.extend([
         ("queue", json!(&*job.kind)),
         ("config", json!(version)),
         ("tasks", json!(job.task_count())),
@@ -147,7 +150,7 @@
         ("connected_ms", json!(activity.map(|activity| age_ms(activity.accepted_ms)))),
         ("silent_ms", json!(silent_ms)),
         ("is_held", json!(is_held)),
-    ];
+    ]);
     state.events.emit(Level::Routine, "accepted", &fields);
     let (key, outcome_rx) = state.submit(job, is_held);
     if is_held {
@@ -156,7 +159,7 @@
     let mut guard = CancelOnDrop {
         state: Rc::clone(state),
         key,
-        id: id.clone(),
+        job: named.clone(),
         arrived_ms,
         is_answered: false,
     };
@@ -176,7 +179,8 @@
     counter!("entry_jobs", "end" => name).increment(1);
     #[allow(clippy::cast_precision_loss)]
     histogram!("entry_answer_seconds").record(elapsed_ms as f64 / 1_000.0);
-    let mut fields = vec![("job", json!(id)), ("end", json!(name)), ("took_ms", json!(elapsed_ms))];
+    let mut fields = named;
+    fields.extend([("end", json!(name)), ("took_ms", json!(elapsed_ms))]);
     if matches!(outcome, JobOutcome::NotRun { .. }) {
         let capacity = state.pool_capacity(&pool);
         fields.push(("agents", json!(capacity.agents)));
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -32,6 +32,7 @@
     known_entries::KnownEntries,
     loop_delay::LoopDelay,
     peer_links::PeerHandler,
+    task_names::{job_fields, names, task_fields},
 };
 
 /// How long submissions are refused and nothing starts after a suspension, milliseconds. A request
@@ -377,20 +378,22 @@
                     }
                 }
                 DispatcherEffect::CloseLink(agent) => self.close_link(agent, "silent"),
-                DispatcherEffect::GivenUp { job, kind } => {
+                DispatcherEffect::GivenUp { tasks, kind } => {
                     counter!("entry_jobs_given_up").increment(1);
-                    let fields = [("job", json!(&*job)), ("queue", json!(&*kind))];
+                    let mut fields = job_fields(&tasks);
+                    fields.push(("queue", json!(&*kind)));
                     self.events.emit(Level::Notable, "given_up", &fields);
                 }
                 DispatcherEffect::Contained { kind } => {
                     counter!("entry_kinds_contained").increment(1);
                     self.events.emit(Level::Notable, "contained", &[("queue", json!(&*kind))]);
                 }
-                DispatcherEffect::Withdrawn { job, agent, attempts, cause } => {
+                DispatcherEffect::Withdrawn { job, agent, attempts, tasks, cause } => {
                     let orders: Vec<u64> = attempts.iter().map(|id| id.0).collect();
                     let is_connected = self.agents.borrow().contains_key(&agent);
                     let fields = [
                         ("job", json!(&*job)),
+                        ("tasks", names(tasks)),
                         ("orders", json!(orders)),
                         ("cause", json!(cause.name())),
                         ("is_connected", json!(is_connected)),
@@ -399,29 +402,28 @@
                 }
                 DispatcherEffect::PresumedLost { task, agent, attempt, cause } => {
                     counter!("entry_orders_presumed_lost", "cause" => cause.name()).increment(1);
-                    let mut fields = vec![
-                        ("job", json!(&*task.job)),
-                        ("task", json!(task.to_string())),
-                        ("order", json!(attempt.0)),
-                        ("cause", json!(cause.name())),
-                    ];
+                    let mut fields = task_fields(&task).to_vec();
+                    fields.push(("order", json!(attempt.0)));
+                    fields.push(("cause", json!(cause.name())));
                     if let LossCause::Silent { silent_ms } = cause {
                         fields.push(("silent_ms", json!(silent_ms)));
                     }
                     self.emit_for_agent("presumed_lost", agent, &fields);
                 }
-                DispatcherEffect::ClaimContested { job, agent, after_ms } => {
+                DispatcherEffect::ClaimContested { tasks, agent, after_ms } => {
                     counter!("entry_claims_contested").increment(1);
-                    let fields = [("job", json!(&*job)), ("after_ms", json!(after_ms))];
+                    let mut fields = job_fields(&tasks);
+                    fields.push(("after_ms", json!(after_ms)));
                     self.emit_for_agent("claim_contested", agent, &fields);
                 }
-                DispatcherEffect::ClaimUnanswered { job, agent, waited_ms } => {
+                DispatcherEffect::ClaimUnanswered { tasks, agent, waited_ms } => {
                     counter!("entry_claims_unanswered").increment(1);
-                    let fields = [("job", json!(&*job)), ("waited_ms", json!(waited_ms))];
+                    let mut fields = job_fields(&tasks);
+                    fields.push(("waited_ms", json!(waited_ms)));
                     self.emit_for_agent("claim_unanswered", agent, &fields);
                 }
-                DispatcherEffect::ClaimAsked { job, agent } => {
-                    self.emit_for_agent("claim_asked", agent, &[("job", json!(&*job))]);
+                DispatcherEffect::ClaimAsked { tasks, agent } => {
+                    self.emit_for_agent("claim_asked", agent, &job_fields(&tasks));
                 }
                 DispatcherEffect::EjectionChanged { agent, is_ejected } => {
                     let fields = [("agent", json!(&*agent)), ("is_ejected", json!(is_ejected))];
@@ -449,11 +451,7 @@
             counter!("entry_orders").increment(batch.attempts.len() as u64);
             let fields = [
                 ("job", json!(&*batch.job)),
-                ("step", json!(batch.step)),
-                (
-                    "tasks",
-                    json!(batch.attempts.iter().map(|attempt| attempt.index).collect::<Vec<_>>()),
-                ),
+                ("tasks", names(batch.attempts.iter().map(|attempt| batch.task(attempt)))),
                 (
                     "orders",
                     json!(batch.attempts.iter().map(|attempt| attempt.id.0).collect::<Vec<_>>()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings_watch;
 mod signals;
 mod store_access;
+mod task_names;
 
 pub use crate::{
     agent::DirectAgent,
