Reserve bytes of the log for lines that are not routine

Cause: the limit of 256 KiB a second had no reserve, unlike that of 1,000 lines. Lines that name their tasks are longer, so routine ones could use up the bytes, and losses and stops be dropped.

Change: a fifth of the bytes is reserved, as of the lines.

--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -11,6 +11,7 @@
 mod held_up_request;
 mod held_up_start;
 mod late_end;
+mod line_volume;
 mod mute_executors;
 mod peers;
 mod reload;
--- a/crates/node/src/line_budget.rs
+++ b/crates/node/src/line_budget.rs
@@ -7,6 +7,8 @@
 /// Most bytes a second. [`LINES_PER_SECOND`] lines of their mean length, 200 bytes, leave about a
 /// quarter of this to spare.
 const BYTES_PER_SECOND: usize = 256 * 1_024;
+/// Bytes a second that are reserved for [`Level::Notable`].
+const RESERVED_BYTES: usize = BYTES_PER_SECOND / 5;
 
 /// Importance of a line; routine lines are dropped first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,11 +42,13 @@
 
     /// Returns whether a line may be written in this second; counts it as dropped if not.
     pub(crate) fn admit(&mut self, level: Level, event: &'static str) -> bool {
-        let limit = match level {
-            Level::Routine => LINES_PER_SECOND - RESERVED_LINES,
-            Level::Notable => LINES_PER_SECOND,
+        let (lines, bytes) = match level {
+            Level::Routine => {
+                (LINES_PER_SECOND - RESERVED_LINES, BYTES_PER_SECOND - RESERVED_BYTES)
+            }
+            Level::Notable => (LINES_PER_SECOND, BYTES_PER_SECOND),
         };
-        let is_admitted = self.lines < limit && self.bytes < BYTES_PER_SECOND;
+        let is_admitted = self.lines < lines && self.bytes < bytes;
         if is_admitted {
             self.lines += 1;
         } else {
--- a/crates/node/src/line_budget/tests.rs
+++ b/crates/node/src/line_budget/tests.rs
@@ -1,4 +1,6 @@
-use super::{BYTES_PER_SECOND, LINES_PER_SECOND, Level, LineBudget, RESERVED_LINES};
+use super::{
+    BYTES_PER_SECOND, LINES_PER_SECOND, Level, LineBudget, RESERVED_BYTES, RESERVED_LINES,
+};
 
 /// Returns how many of `lines` lines the budget admits.
 fn count_admitted(budget: &mut LineBudget, level: Level, event: &'static str, lines: u32) -> u32 {
@@ -29,6 +31,17 @@
     assert!(budget.admit(Level::Routine, "placed"));
 }
 
+/// Guards against long lines of steps that succeeded, which left no bytes for the loss of an agent.
+#[test]
+fn routine_bytes_do_not_use_the_reserve_for_notable_lines() {
+    let mut budget = LineBudget::default();
+    budget.start_second(5_000);
+    assert!(budget.admit(Level::Routine, "accepted"));
+    budget.record_bytes(BYTES_PER_SECOND - RESERVED_BYTES);
+    assert!(!budget.admit(Level::Routine, "accepted"));
+    assert!(budget.admit(Level::Notable, "agent_lost"));
+}
+
 #[test]
 fn the_byte_limit_holds_below_the_line_limit() {
     let mut budget = LineBudget::default();
