Let explain take the name of a task

Cause: who has a task's name from an executor or a user's record had to cut the job's id out of it, and saw the lines of all tasks of the job.

Change: `--id` takes the name, too, and then shows the lines of the job that are about this task or the whole job. Text of another form is a usage error that says which forms there are.

Result: on the code before, lines_of_a_task_and_of_its_whole_job_are_shown and invalid_command_lines_have_their_exit_codes fail; with this change all 6 tests of explain pass.

--- a/crates/ebonycroft/src/commands/explain.rs
+++ b/crates/ebonycroft/src/commands/explain.rs
@@ -1,9 +1,11 @@
-//! `ebonycroft explain`: traces one request through the logs of several processes.
+//! `ebonycroft explain`: traces one request, or one of its tasks, through the logs of several
+//! processes.
 
 use std::{fs, path::PathBuf};
 
 use getopts::Options;
 use indexmap::IndexMap;
+use platform::{decode_task_name, encode_task_name};
 use serde_json::{Map, Value};
 
 use crate::{cli_error::CliError, command::Command};
@@ -47,17 +49,60 @@
     fields: Map<String, Value>,
 }
 
+/// What a trace is about.
+#[derive(Clone, Debug)]
+enum Subject {
+    /// A job, by its id.
+    Job(String),
+    /// A task of a job, by the job's id and the task's name.
+    Task { job: String, name: String },
+}
+
+impl Subject {
+    /// Parses the id of a job or the name of a task; `None` for text of another form.
+    fn parse(text: &str) -> Option<Self> {
+        // Jobs of these roles have one occurrence, so a name with another one is in no line.
+        if let Some(task) = decode_task_name(text).filter(|task| encode_task_name(task) == text) {
+            return Some(Self::Task { job: task.job.to_string(), name: text.to_owned() });
+        }
+        let is_id = !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric());
+        is_id.then(|| Self::Job(text.to_owned()))
+    }
+
+    fn text(&self) -> &str {
+        match self {
+            Self::Job(id) => id,
+            Self::Task { name, .. } => name,
+        }
+    }
+
+    /// Returns whether a line is about the job, or about the task or the whole job that it belongs
+    /// to.
+    fn matches(&self, line: &Line) -> bool {
+        let job = line.fields.get("job").and_then(Value::as_str);
+        match self {
+            Self::Job(id) => job == Some(id),
+            Self::Task { job: id, name } => job == Some(id) && line.concerns(name),
+        }
+    }
+}
+
 pub(crate) fn run(args: &[String]) -> Result<(), CliError> {
     let mut opts = Options::new();
-    opts.optopt("i", "id", "id of the request", "ID");
+    opts.optopt("i", "id", "id of the request, or name of one of its tasks", "ID|ID.0.STEP.INDEX");
     opts.optflag("h", "help", "show this text");
     let matches = opts.parse(args).map_err(|e| CliError::Usage(e.to_string()))?;
     if matches.opt_present("help") {
-        let brief = format!("ebonycroft explain --id ID FILE...: {}", Command::Explain.summary());
+        let summary = Command::Explain.summary();
+        let brief = format!("ebonycroft explain --id ID|ID.0.STEP.INDEX FILE...: {summary}");
         print!("{}", opts.usage(&brief));
         return Ok(());
     }
     let id = matches.opt_str("id").ok_or_else(|| CliError::Usage("--id is required".into()))?;
+    let subject = Subject::parse(&id).ok_or_else(|| {
+        let problem = "is neither the id of a request nor the name of a task, ID.0.STEP.INDEX";
+        CliError::Usage(format!("--id {id}: {problem}"))
+    })?;
     if matches.free.is_empty() {
         return Err(CliError::Usage("name at least one file of log lines".into()));
     }
@@ -67,7 +112,7 @@
         let bytes = fs::read(&path).map_err(|source| CliError::Read { path, source })?;
         lines.extend(String::from_utf8_lossy(&bytes).lines().filter_map(parse));
     }
-    print!("{}", explain(&id, &lines));
+    print!("{}", explain(&subject, &lines));
     Ok(())
 }
 
@@ -82,13 +127,24 @@
     Some(Line { at_ms, process, event, fields })
 }
 
-fn explain(id: &str, all: &[Line]) -> String {
-    let is_about_request =
-        |line: &&Line| line.fields.get("job").and_then(Value::as_str) == Some(id);
+impl Line {
+    /// Returns whether a line about a job is about this task of it, or about the whole job.
+    fn concerns(&self, task: &str) -> bool {
+        match (self.fields.get("task"), self.fields.get("tasks")) {
+            (Some(name), _) => name.as_str() == Some(task),
+            (None, Some(Value::Array(names))) => names.iter().any(|name| name == task),
+            _ => true,
+        }
+    }
+}
+
+fn explain(subject: &Subject, all: &[Line]) -> String {
+    let is_about_request = |line: &&Line| subject.matches(line);
     let own_lines: Vec<Line> = all.iter().filter(is_about_request).cloned().collect();
     if own_lines.is_empty() {
         return format!(
-            "no line names {id}: it was not accepted by these processes, or its lines were dropped\n"
+            "no line names {}: it was not accepted by these processes, or its lines were dropped\n",
+            subject.text()
         );
     }
     let offsets = clock_offsets(&own_lines);
--- a/crates/ebonycroft/tests/explain.rs
+++ b/crates/ebonycroft/tests/explain.rs
@@ -16,25 +16,31 @@
 {"at_ms":70013,"process":"entry-a","event":"client_gone","job":"twice","after_ms":12}
 {"at_ms":70014,"process":"entry-a","event":"withdrawn","job":"twice","agent":"agent-b","orders":[7],"cause":"client_gone"}
 {"at_ms":70031,"process":"entry-a","event":"late_loop","delay_ms":21}
-{"at_ms":71400,"process":"entry-a","event":"presumed_lost","job":"twice","task":"twice/0/0","agent":"agent-b","order":7,"cause":"silent"}
+{"at_ms":71400,"process":"entry-a","event":"presumed_lost","job":"twice","task":"twice.0.0.0","agent":"agent-b","order":7,"cause":"silent"}
 {"at_ms":90000,"process":"entry-a","event":"accepted","job":"killed"}
 {"at_ms":90001,"process":"entry-a","event":"placed","job":"killed","agent":"agent-e","orders":[8],"run":1}
 {"at_ms":90005,"process":"entry-a","event":"agent_lost","agent":"agent-e","cause":"connection closed"}
 {"at_ms":90030,"process":"entry-a","event":"agent_connected","agent":"agent-e","incarnation":90010,"replaces":80000}
-{"at_ms":90031,"process":"entry-a","event":"presumed_lost","job":"killed","task":"killed/0/0","agent":"agent-e","order":8,"cause":"agent_replaced"}
+{"at_ms":90031,"process":"entry-a","event":"presumed_lost","job":"killed","task":"killed.0.0.0","agent":"agent-e","order":8,"cause":"agent_replaced"}
+{"at_ms":120000,"process":"entry-a","event":"accepted","job":"several","tasks":2,"names":["several.0.0.0","several.0.0.1"]}
+{"at_ms":120001,"process":"entry-a","event":"placed","job":"several","tasks":["several.0.0.0"],"agent":"agent-f"}
+{"at_ms":120002,"process":"entry-a","event":"placed","job":"several","tasks":["several.0.0.1"],"agent":"agent-g"}
+{"at_ms":120003,"process":"agent-f","event":"started","job":"several","task":"several.0.0.0","run":1}
+{"at_ms":120004,"process":"agent-g","event":"started","job":"several","task":"several.0.0.1","run":1}
+{"at_ms":120005,"process":"entry-a","event":"answered","job":"several","end":"succeeded"}
 "#;
 /// The clock of the agent is 700 ms behind that of the entry in the first job, and right later.
 const AGENT: &str = r#"
 {"at_ms":302,"process":"agent-b","event":"started","job":"j1","run":1}
 {"at_ms":310,"process":"agent-b","event":"upstream_mute","cause":"no answer"}
 {"at_ms":99999,"process":"agent-b","event":"upstream_mute","cause":"long after"}
-{"at_ms":70006,"process":"agent-b","event":"started","job":"twice","task":"twice/0/0","run":1}
-{"at_ms":70012,"process":"agent-d","event":"started","job":"twice","task":"twice/0/0","run":1}
-{"at_ms":70015,"process":"agent-b","event":"stop_sent","job":"twice","task":"twice/0/0","run":1,"cause":"requested"}
-{"at_ms":70017,"process":"agent-b","event":"stop_answered","job":"twice","task":"twice/0/0","run":1,"is_acknowledged":true}
-{"at_ms":70019,"process":"agent-b","event":"settled","job":"twice","task":"twice/0/0","order":7,"outcome":"stopped"}
+{"at_ms":70006,"process":"agent-b","event":"started","job":"twice","task":"twice.0.0.0","run":1}
+{"at_ms":70012,"process":"agent-d","event":"started","job":"twice","task":"twice.0.0.0","run":1}
+{"at_ms":70015,"process":"agent-b","event":"stop_sent","job":"twice","task":"twice.0.0.0","run":1,"cause":"requested"}
+{"at_ms":70017,"process":"agent-b","event":"stop_answered","job":"twice","task":"twice.0.0.0","run":1,"is_acknowledged":true}
+{"at_ms":70019,"process":"agent-b","event":"settled","job":"twice","task":"twice.0.0.0","order":7,"outcome":"stopped"}
 {"at_ms":70500,"process":"agent-b","event":"open","token":5}
-{"at_ms":70501,"process":"agent-b","event":"found_run","job":"twice","task":"twice/0/0","run":1}
+{"at_ms":70501,"process":"agent-b","event":"found_run","job":"twice","task":"twice.0.0.0","run":1}
 {"at_ms":90010,"process":"agent-e","event":"start","incarnation":90010}
 {"at_ms":90012,"process":"agent-e","event":"fencing_token","token":90011}
 {"at_ms":90012,"process":"agent-e","event":"open","token":90011,"answered_ms":0,"list_age_ms":1,"found":0}
@@ -108,6 +114,21 @@
     assert!(text.contains("replaces=80000"), "{text}");
 }
 
+/// Returns the events that are shown, in order.
+fn shown_events(text: &str) -> Vec<&str> {
+    text.lines().filter_map(|line| line.split_whitespace().nth(3)).collect()
+}
+
+#[test]
+fn lines_of_a_task_and_of_its_whole_job_are_shown() {
+    let text = explain("several.0.0.1");
+    assert_eq!(shown_events(&text), ["accepted", "placed", "started", "answered"], "{text}");
+    assert!(text.contains("agent-g") && !text.contains("agent-f"), "{text}");
+    let job = explain("several");
+    let whole = ["accepted", "placed", "placed", "started", "started", "answered"];
+    assert_eq!(shown_events(&job), whole, "{job}");
+}
+
 #[test]
 fn unknown_request_is_reported() {
     assert!(explain("j9").starts_with("no line names j9"));
@@ -123,4 +144,9 @@
     assert_eq!(run(&["explain", "--id", "j1"]), Some(2));
     assert_eq!(run(&["explain", "--id", "j1", "/nonexistent/file"]), Some(1));
     assert_eq!(run(&["explain", "--help"]), Some(0));
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
+    for other_form in ["j1/0/0", "j1.0.0", "j1.0.0.x", "j1.0.0.0.0", "j1.1.0.0", ".", ""] {
+        assert_eq!(run(&["explain", "--id", other_form, file]), Some(2), "{other_form}");
+    }
+    assert_eq!(run(&["explain", "--id", "j1.0.0.0", file]), Some(0));
 }
