Raise the fencing token above that of the earlier agent

An executor refuses lower tokens, not equal ones. After a clock that was set back by 2^k - 1 ms the raised token was equal to that of the earlier agent, and two agents that start in the same millisecond need no clock for it. The new agent then opened although the executor still carried out late orders of the earlier one: a start, or a stop whose run is in no list while it ends.

The first token that the executor accepts now only shows that none is higher: the token rises by one after it, and only answers to calls with that token, matched by the token that was sent, fence earlier agents. The time until an agent opens counts from the first of these (one call later than before). It counts anew after a refusal, which shows that an order with a higher token has been carried out since, and from the first answer of another life of the executor, which has seen no token.

a_token_that_was_raised_is_higher_than_that_of_the_earlier_agent was red on ("equal after 1 ms back") and passes. It now tells the token that it was accepted, as the agent does, and asserts besides that the first answer fences nobody and the next one does: its assertion on the value is unchanged. an_agent_that_is_refused_counts_..., an_agent_whose_upstream_is_replaced_..., the_token_of_the_next_agent_... and the_answer_to_an_earlier_token_... need calls that did not exist before.

--- a/crates/direct/src/fencing.rs
+++ b/crates/direct/src/fencing.rs
@@ -5,16 +5,22 @@
 /// often the upstream has restarted and whatever its own clock says. Where the time of day was set
 /// back between two agents, the token rises by a step that doubles with each refusal, so it passes
 /// that of the earlier agent after a few calls.
+///
+/// The upstream carries out orders with an equal token, too. The first token that it accepts may be
+/// equal to that of an earlier agent, so the token rises once more after that, and only from the answer
+/// to a call with the risen token on are earlier agents fenced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FencingToken {
     value: u64,
     step: u64,
+    /// Whether the upstream has accepted a lower token since it refused one.
+    is_highest: bool,
 }
 
 impl FencingToken {
     /// Creates the token of an agent that started at `incarnation`, Unix milliseconds.
     pub fn new(incarnation: u64) -> Self {
-        Self { value: incarnation.max(1), step: 1 }
+        Self { value: incarnation.max(1), step: 1, is_highest: false }
     }
 
     /// Returns the token of the next call.
@@ -24,7 +30,20 @@
 
     /// Raises the token after the upstream has refused it as outdated.
     pub fn raise(&mut self) {
+        self.is_highest = false;
         self.value = self.value.saturating_add(self.step);
         self.step = self.step.saturating_mul(2);
     }
+
+    /// Records that the upstream has accepted a call with the token `value`. Returns whether this
+    /// shows that the orders of earlier agents are refused from now on.
+    pub fn on_accepted(&mut self, value: u64) -> bool {
+        let is_present = value == self.value;
+        if is_present && !self.is_highest {
+            self.value = self.value.saturating_add(1);
+            self.is_highest = true;
+            return false;
+        }
+        is_present
+    }
 }
--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -71,6 +71,8 @@
         /// Start time of the upstream's incarnation that replied, Unix milliseconds by its own
         /// clock; `None` if the reply lacks it.
         pub incarnation: Option<u64>,
+        /// Whether the reply shows that the upstream refuses the orders of earlier agents.
+        pub is_fencing: bool,
         /// Runs in progress.
         pub running: Vec<RunRow>,
         /// Tasks in progress whose run number cannot be read.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -76,7 +76,8 @@
     /// Whether all runs of earlier agents have ended; no attempts are accepted before.
     is_open: bool,
     is_leaving: bool,
-    /// Time of the first answer of the upstream, milliseconds.
+    /// Time of the first answer that shows that the upstream refuses the orders of earlier agents,
+    /// milliseconds.
     controlled_ms: Option<u64>,
     /// Runs at the upstream that this agent did not start. The number is that of the run.
     orphans: IndexMap<(TaskId, u32), Orphan>,
@@ -387,7 +388,9 @@
         }
         effects.extend(self.on_outage_end(list.incarnation));
         self.check_incarnation(list, &mut effects);
-        self.controlled_ms.get_or_insert(list.received_ms);
+        if list.is_fencing {
+            self.controlled_ms.get_or_insert(list.received_ms);
+        }
         for (task, number, run_outcome) in &list.ended {
             self.on_run_end(task, *number, *run_outcome, list.received_ms, &mut effects);
         }
@@ -400,6 +403,12 @@
         effects
     }
 
+    /// Records that the upstream has refused a call because it has seen a higher fencing token: until
+    /// it accepts a higher one, it may carry out orders of an earlier agent.
+    pub fn on_fenced(&mut self) {
+        self.controlled_ms = None;
+    }
+
     /// Records that a call to the upstream was not answered in time; reports to the entries when
     /// this makes the upstream count as unresponsive.
     pub fn on_call_timeout(&mut self, now_ms: u64) -> Vec<SupervisorEffect> {
--- a/crates/direct/src/supervisor/orphans.rs
+++ b/crates/direct/src/supervisor/orphans.rs
@@ -53,9 +53,8 @@
     }
 
     /// Returns the time from which a list can show that no run of an earlier agent is left,
-    /// milliseconds; `None` before the first answer of the upstream. A list may omit a run that an
-    /// earlier agent has stopped, for as long as it takes to end. From its first answer to this agent on,
-    /// the upstream carries out no stop of an earlier one.
+    /// milliseconds; `None` while the upstream may carry out orders of an earlier agent. A list may
+    /// omit a run that an earlier agent has stopped, for as long as it takes to end.
     pub fn opening_list_ms(&self) -> Option<u64> {
         self.controlled_ms.map(|ms| ms + self.timing.stop_end_ms())
     }
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -94,6 +94,8 @@
         if !is_outdated {
             self.answering = Some((incarnation, list.received_ms));
             self.orphans.clear();
+            // Another life has seen no token, and carries out late orders of earlier agents until it has.
+            self.controlled_ms = None;
         }
         is_outdated
     }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -55,6 +55,7 @@
         sent_ms,
         received_ms: sent_ms + 1,
         incarnation: Some(1),
+        is_fencing: true,
         running: running.iter().map(row).collect(),
         unnumbered: Vec::new(),
         ended: Vec::new(),
--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -89,10 +89,69 @@
         while token.value() < earlier {
             token.raise();
         }
+        let accepted = token.value();
+        assert!(!token.on_accepted(accepted), "as fenced at {accepted}, {back_ms} ms back");
         assert!(token.value() > earlier, "equal after {back_ms} ms back");
+        assert!(token.on_accepted(token.value()), "not fenced after {back_ms} ms back");
     }
 }
 
+/// Guards against a token that is equal without a refusal: two agents start in the same millisecond.
+#[test]
+fn the_token_of_the_next_agent_is_higher_in_the_same_millisecond() {
+    let mut highest = 0;
+    for _ in 0..8 {
+        let mut token = FencingToken::new(1_000_000);
+        while token.value() < highest {
+            token.raise();
+        }
+        assert!(!token.on_accepted(token.value()));
+        assert!(token.value() > highest, "{highest}");
+        highest = token.value();
+    }
+}
+
+/// Guards against an agent that takes the answer to an earlier token for that to the present one.
+#[test]
+fn the_answer_to_an_earlier_token_does_not_fence_earlier_agents() {
+    let mut token = FencingToken::new(1_000_000);
+    let first = token.value();
+    assert!(!token.on_accepted(first));
+    assert!(!token.on_accepted(first), "another answer to the same token");
+    assert!(token.on_accepted(token.value()));
+    token.raise();
+    let raised = token.value();
+    assert!(!token.on_accepted(raised), "as high as what refused the call");
+}
+
+/// Guards against an agent that opens by its first answer although an order of an earlier agent with a higher token
+/// has been carried out since: the runs that the earlier agent stopped until then may be in no list.
+#[test]
+fn an_agent_that_is_refused_counts_the_time_until_it_opens_anew() {
+    let end_ms = Timing::default().stop_end_ms();
+    let mut agent = Supervisor::new(Timing::default(), 0);
+    agent.on_run_list(&run_list(1, &[]));
+    agent.on_fenced();
+    assert_eq!(agent.opening_list_ms(), None);
+    let is_open = |effects: Vec<SupervisorEffect>| effects.contains(&SupervisorEffect::Open);
+    let unproven = RunList { is_fencing: false, ..run_list(2 + end_ms, &[]) };
+    assert!(!is_open(agent.on_run_list(&unproven)));
+    assert!(!is_open(agent.on_run_list(&run_list(10 + end_ms, &[]))));
+    assert!(!is_open(agent.on_run_list(&run_list(10 + 2 * end_ms, &[]))));
+    assert!(is_open(agent.on_run_list(&run_list(11 + 2 * end_ms, &[]))));
+}
+
+/// Guards against an agent that opens by an answer of the executor's earlier life: the next one has seen no token.
+#[test]
+fn an_agent_whose_upstream_is_replaced_counts_the_time_until_it_opens_anew() {
+    let end_ms = Timing::default().stop_end_ms();
+    let mut agent = Supervisor::new(Timing::default(), 0);
+    agent.on_run_list(&run_list(1, &[]));
+    let next = RunList { incarnation: Some(2), ..run_list(2 + end_ms, &[]) };
+    assert!(!agent.on_run_list(&next).contains(&SupervisorEffect::Open));
+    assert_eq!(agent.opening_list_ms(), Some(next.received_ms + end_ms));
+}
+
 /// Guards against a job that is refused as not run although it ran.
 #[test]
 fn a_run_that_was_listed_is_not_reported_as_not_started() {
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -46,8 +46,9 @@
             (true, false) => BUSY_POLL_WAIT_MS,
         };
         let lease_end = state.next_lease_end(sent_ms);
+        let token = state.token();
         let mut call = pin!(state.executor.poll_runs(
-            state.token(),
+            token,
             state.list_position.get().seq(),
             lease_end,
             wait_ms
@@ -68,11 +69,11 @@
             Ok(reply) => {
                 state.record_upstream_clock(reply.clock_ms, received_ms);
                 if reply.is_fenced {
-                    state.raise_token();
+                    state.on_fenced(token);
                     sleep(FENCED_PAUSE).await;
                     continue;
                 }
-                on_reply(&state, reply, sent_ms, received_ms);
+                on_reply(&state, reply, token, (sent_ms, received_ms));
             }
             Err(e) => {
                 state.on_call_error(&e);
@@ -88,24 +89,32 @@
     let Ok(_permit) = state.calls.acquire().await else { return };
     let sent_ms = clock::now_ms();
     let lease_end = state.next_lease_end(sent_ms);
-    let reply = state
-        .executor
-        .poll_runs(state.token(), state.list_position.get().seq(), lease_end, 0)
-        .await;
+    let token = state.token();
+    let reply =
+        state.executor.poll_runs(token, state.list_position.get().seq(), lease_end, 0).await;
     state.record_lease_call_end(sent_ms, &reply);
     match reply {
-        Ok(reply) if !reply.is_fenced => on_reply(&state, reply, sent_ms, clock::now_ms()),
+        Ok(reply) if !reply.is_fenced => {
+            on_reply(&state, reply, token, (sent_ms, clock::now_ms()));
+        }
         Ok(_) => {}
         Err(e) => state.on_call_error(&e),
     }
 }
 
-fn on_reply(state: &Rc<AgentState>, reply: RunListReply, sent_ms: u64, received_ms: u64) {
+/// Applies the reply to a poll that was sent with `token`, and arrived, at the given times.
+fn on_reply(
+    state: &Rc<AgentState>,
+    reply: RunListReply,
+    token: u64,
+    (sent_ms, received_ms): (u64, u64),
+) {
     state.record_last_ended(reply.incarnation, reply.last_ended_seq);
     state.on_run_list(&RunList {
         sent_ms,
         received_ms,
         incarnation: reply.incarnation,
+        is_fencing: state.on_token_accepted(token),
         running: reply.running,
         unnumbered: reply.unnumbered,
         ended: reply.ended,
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -76,7 +76,7 @@
 /// What an agent has seen of its executor before it opens.
 #[derive(Debug, Default)]
 struct Opening {
-    /// Arrival of the first list, milliseconds.
+    /// Arrival of the first list from which earlier agents are fenced, milliseconds.
     first_list_ms: Cell<Option<u64>>,
     /// When the last list was requested, milliseconds.
     list_sent_ms: Cell<Option<u64>>,
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -14,13 +14,26 @@
 
 impl AgentState {
     /// Raises the fencing token after the upstream has refused it as outdated.
-    pub(crate) fn raise_token(&self) {
+    pub(crate) fn on_fenced(&self, refused: u64) {
         let mut token = self.token.get();
+        if token.value() != refused {
+            return;
+        }
         token.raise();
         self.token.set(token);
+        self.supervisor.borrow_mut().on_fenced();
         self.events.emit(Level::Notable, "fencing_token", &[("token", json!(token.value()))]);
     }
 
+    /// Records that the upstream has accepted a call with this fencing token. Returns whether this
+    /// shows that it refuses the orders of earlier agents.
+    pub(crate) fn on_token_accepted(&self, accepted: u64) -> bool {
+        let mut token = self.token.get();
+        let is_fencing = token.on_accepted(accepted);
+        self.token.set(token);
+        is_fencing
+    }
+
     /// Records the upstream's clock from a reply that arrived at `received_ms`.
     pub(crate) fn record_upstream_clock(&self, clock_ms: Option<u64>, received_ms: u64) {
         if let Some(clock_ms) = clock_ms.and_then(|ms| i64::try_from(ms).ok()) {
@@ -54,7 +67,9 @@
     pub(crate) fn on_run_list(self: &Rc<Self>, result: &RunList) {
         self.now_ms();
         let opening = &self.opening;
-        opening.first_list_ms.set(opening.first_list_ms.get().or(Some(result.received_ms)));
+        if result.is_fencing {
+            opening.first_list_ms.set(opening.first_list_ms.get().or(Some(result.received_ms)));
+        }
         opening.list_sent_ms.set(Some(result.sent_ms));
         let was_answering = self.supervisor.borrow().is_responsive();
         let effects = self.supervisor.borrow_mut().on_run_list(result);
