Take the life of an executor from its answers, not from heartbeats

A heartbeat with a higher born than that of the executor that answers our calls settled all runs as crashed. A heartbeat can be held up for as long as the next life runs, and the next life's number is lower if the time of day was set back between the two: the present runs were settled, and their tasks started elsewhere, while they went on until the next list had them stopped. The same for any late heartbeat while the description of the present life was not known yet.

A heartbeat of a life other than the one that answers settles nothing now. It has the runs listed at once (a call without a wait, beside the usual one), and the answer shows which life it is; if it is the announced one, its description counts at once. So a replacement is noticed one call later than before.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -60,6 +60,8 @@
     /// Incarnation of the upstream that answers calls, and the time of its first answer,
     /// milliseconds.
     answering: Option<(u64, u64)>,
+    /// Last heartbeat of an incarnation other than the one that answers calls, with its `seq`.
+    announced: Option<(Upstream, i64)>,
     heartbeat_seq: i64,
     /// Time of the last heartbeat, milliseconds.
     heartbeat_ms: u64,
@@ -100,6 +102,7 @@
             timing,
             upstream: None,
             answering: None,
+            announced: None,
             heartbeat_seq: -1,
             heartbeat_ms: now_ms,
             is_capacity_outdated: false,
@@ -195,9 +198,12 @@
         self.leases.record_end(sent_ms, may_have_arrived);
     }
 
-    /// Applies the upstream's heartbeat. A heartbeat of an earlier incarnation, unless it is that
-    /// which answers calls, or with a `seq` that is not higher than the last one of the same
-    /// incarnation, is late and is ignored. The runs of a replaced upstream are settled.
+    /// Applies the upstream's heartbeat. One with a `seq` that is not higher than the last one of the
+    /// same incarnation is late and is ignored.
+    ///
+    /// A heartbeat may be held up for as long as another incarnation lives, whose number may be lower.
+    /// So one of an incarnation other than that which answers calls settles nothing: the runs are
+    /// listed at once, and the answer shows which incarnation lives.
     pub fn on_heartbeat(
         &mut self,
         mut upstream: Upstream,
@@ -205,11 +211,18 @@
         now_ms: u64,
     ) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
+        if self.answering.is_some_and(|(number, _)| number != upstream.incarnation) {
+            let is_outdated = self.announced.as_ref().is_some_and(|(announced, last_seq)| {
+                announced.incarnation == upstream.incarnation && seq <= *last_seq
+            });
+            if !is_outdated {
+                self.announced = Some((upstream, seq));
+            }
+            return vec![SupervisorEffect::PollRuns];
+        }
         if let Some(known) = &self.upstream {
             let is_same = known.id == upstream.id && known.incarnation == upstream.incarnation;
-            let is_answering =
-                self.answering.is_some_and(|(number, _)| number == upstream.incarnation);
-            let is_earlier = upstream.incarnation < known.incarnation && !is_answering;
+            let is_earlier = upstream.incarnation < known.incarnation && self.answering.is_none();
             if (is_same && seq <= self.heartbeat_seq) || is_earlier {
                 return effects;
             }
@@ -219,9 +232,9 @@
             } else {
                 self.on_incarnation_end(now_ms, &mut effects);
                 self.run_numbers.clear();
-                self.answering = None;
             }
         }
+        self.announced = None;
         self.heartbeat_seq = seq;
         self.heartbeat_ms = now_ms;
         self.is_capacity_outdated = false;
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -1,7 +1,7 @@
 //! Ends of runs, and the outcomes that are reported to their entries.
 
 use crate::{
-    AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, SettledBy, TaskId,
+    AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, SettledBy, TaskId, Upstream,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -100,25 +100,25 @@
         is_outdated
     }
 
-    /// Discards the upstream if another incarnation has replaced it at its address, and settles its
-    /// runs. The number of the new incarnation may be lower, because the time of day may be set back
-    /// between the two.
+    /// Replaces the upstream if another incarnation answers at its address, and settles its runs. The
+    /// number of the new incarnation may be lower, because the time of day may be set back between the
+    /// two. Its description is that of its last heartbeat, if one has come already.
     pub(crate) fn check_incarnation(
         &mut self,
         list: &RunList,
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(incarnation) = list.incarnation else { return };
-        let is_replaced = self.upstream.as_ref().is_some_and(|known| {
-            known.incarnation < incarnation
-                || (known.incarnation > incarnation && list.sent_ms >= self.heartbeat_ms)
-        });
-        if is_replaced {
+        if self.upstream.as_ref().is_some_and(|known| known.incarnation != incarnation) {
             self.on_incarnation_end(list.received_ms, effects);
             self.upstream = None;
             self.run_numbers.clear();
             effects.extend(self.report_all());
         }
+        let is_present = |(upstream, _): &mut (Upstream, i64)| upstream.incarnation == incarnation;
+        if let Some((upstream, seq)) = self.announced.take_if(is_present) {
+            effects.extend(self.on_heartbeat(upstream, seq, list.received_ms));
+        }
     }
 
     /// Settles all runs with the same outcome; those whose start is still held have not started.
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -70,6 +70,22 @@
     assert!(effects.contains(&SupervisorEffect::Open));
 }
 
+/// Replaces the upstream: the heartbeat of its next incarnation settles nothing and has the runs listed at
+/// once, and the answer shows that it lives.
+pub fn replace(
+    supervisor: &mut Supervisor,
+    incarnation: u64,
+    now_ms: u64,
+) -> Vec<SupervisorEffect> {
+    let effects = supervisor.on_heartbeat(upstream("u", incarnation), 1, now_ms);
+    assert_eq!(effects, [SupervisorEffect::PollRuns]);
+    supervisor.on_run_list(&RunList {
+        received_ms: now_ms,
+        incarnation: Some(incarnation),
+        ..run_list(now_ms, &[])
+    })
+}
+
 pub fn job(id: &str, tasks: u32) -> DirectJob {
     DirectJob {
         id: id.into(),
--- a/crates/direct/tests/crashes.rs
+++ b/crates/direct/tests/crashes.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use common::{attempts, batch, cores, hear, job, open, report, run_list, submit, task, upstream};
+use common::{
+    attempts, batch, cores, hear, job, open, replace, report, run_list, submit, task, upstream,
+};
 use direct::{
     AgentHello, AgentKey, AttemptId, AttemptOutcome, Crash, CrashNotice, Dispatcher,
     DispatcherEffect, JobOutcome, SessionKey, StartResult, Supervisor, SupervisorEffect, Suspect,
@@ -85,7 +87,7 @@
     agent.start("old", 1, 400);
     agent.start("j", 2, 490);
     [500, 650, 800].into_iter().for_each(|at_ms| drop(agent.supervisor.on_call_timeout(at_ms)));
-    agent.supervisor.on_heartbeat(upstream("u", 2), 1, 900);
+    replace(&mut agent.supervisor, 2, 900);
     assert_eq!(agent.notices(), [crash(1, &["j"])]);
 }
 
@@ -108,7 +110,7 @@
     agent.supervisor.on_upstream_leaving();
     agent.supervisor.on_call_refused(500);
     agent.supervisor.tick(510);
-    agent.supervisor.on_heartbeat(upstream("u", 2), 1, 520);
+    replace(&mut agent.supervisor, 2, 520);
     let report = agent.supervisor.report(agent.entry, false).expect("the session is connected");
     assert_eq!(report.outcomes, [(AttemptId(1), AttemptOutcome::Lost)]);
     assert_eq!(report.crashes, []);
@@ -120,7 +122,7 @@
     agent.start("j", 1, 490);
     agent.supervisor.on_call_refused(500);
     agent.supervisor.tick(510);
-    agent.supervisor.on_heartbeat(upstream("u", 2), 1, 2_000);
+    replace(&mut agent.supervisor, 2, 2_000);
     let (entry, _) = agent.supervisor.on_entry_hello(
         &Arc::from("e2"),
         1,
@@ -177,7 +179,7 @@
     let mut suspect = batch("again", &[2], cores(1));
     suspect.is_suspect = true;
     agent.supervisor.on_attempts(agent.entry, &suspect, 200);
-    agent.supervisor.on_heartbeat(upstream("u", 2), 1, 205);
+    replace(&mut agent.supervisor, 2, 205);
     let report = agent.supervisor.report(agent.entry, false).expect("the session is connected");
     let expected =
         [(AttemptId(1), AttemptOutcome::Crashed), (AttemptId(2), AttemptOutcome::NotStarted)];
--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -204,6 +204,30 @@
     assert_eq!(outcomes(&mut agent, entry), []);
 }
 
+/// Guards against a late heartbeat that is taken for that of the present life while none of that has come: the runs of
+/// the present life were settled when its own heartbeat came.
+#[test]
+fn a_late_heartbeat_of_an_earlier_life_does_not_describe_the_next() {
+    let (mut agent, entry) = agent();
+    let list = |sent_ms, running: &[(&direct::TaskId, u32)]| RunList {
+        incarnation: Some(2),
+        ..run_list(sent_ms, running)
+    };
+    agent.on_run_list(&list(200, &[]));
+    for (incarnation, described) in [(1, None), (9, None), (2, Some(2)), (9, Some(2)), (1, Some(2))]
+    {
+        agent.on_heartbeat(upstream("u", incarnation), 70, 210);
+        assert_eq!(agent.upstream().map(|up| up.incarnation), described);
+    }
+    hear(&mut agent, entry, 220);
+    agent.on_attempts(entry, &batch("j", &[1], cores(1)), 220);
+    let t = task("j", 0);
+    agent.on_start_result(&t, 1, StartResult::Started, 230);
+    agent.on_heartbeat(upstream("u", 1), 71, 240);
+    agent.on_run_list(&list(250, &[(&t, 1)]));
+    assert_eq!(outcomes(&mut agent, entry), []);
+}
+
 /// Guards against ends that are acknowledged before they were read.
 #[test]
 fn an_overtaken_reply_of_an_earlier_life_does_not_acknowledge_ends_of_the_next() {
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{batch, cores, hear, open, run_list, task, upstream};
+use common::{batch, cores, hear, open, replace, run_list, task, upstream};
 use direct::{
     AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, StartResult, StartRun, Supervisor,
     SupervisorEffect, TaskId, Timing, UnsettledAttempts, Upstream, UpstreamState,
@@ -556,8 +556,9 @@
     let mut agent = agent();
     agent.starts("j", &[1], 1);
     agent.supervisor.on_start_result(&task("j", 0), 1, StartResult::Started, 20);
-    agent.supervisor.on_heartbeat(upstream("u", 2), 1, 30);
+    replace(&mut agent.supervisor, 2, 30);
     assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Crashed)]);
+    assert_eq!(agent.supervisor.upstream().map(|up| up.incarnation), Some(2));
 }
 
 /// Guards against a replaced upstream whose time of day was set back: its heartbeats were ignored, so
@@ -581,7 +582,7 @@
 #[test]
 fn a_late_heartbeat_of_an_earlier_incarnation_changes_nothing() {
     let mut agent = agent();
-    agent.supervisor.on_heartbeat(upstream("u", 5), 1, 30);
+    replace(&mut agent.supervisor, 5, 30);
     agent.supervisor.on_heartbeat(upstream("u", 1), 900, 30);
     assert_eq!(agent.supervisor.upstream().map(|up| up.incarnation), Some(5));
 }
