Write a soak's overlaps as a record in the users' form

The users report tasks that ran twice as pairs of runs, followed by the lines of 8 of 12 entries that have the task's name, and by the changes there. Whether a soak shows the features of such a record was counted by hand, so records could not be compared between builds.

SOAK_RECORD=FILE writes the record of a run: cases (pairs beside one agent within 100 ms), the lines of two thirds of the entries that a plain search for the platform's name finds, and the changes there from 20 s before. A summary counts the features of the users' record, by pairs and cases: a run that was stopped at an agent that has just ended or resumed, beside one that was done; several tasks, or two jobs, at one moment; links closed at all entries within 30 ms. It also counts the pairs that lines name, by the task and by the job. The line `start` of each process is now in its log, too.

--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -23,6 +23,10 @@
 //!   advertise another address for links; faults of links have no effect then.
 //! - `SOAK_LOGS`: an existing folder for the decision lines of the processes. The lines of jobs that ran
 //!   twice at a time are printed too.
+//! - `SOAK_RECORD`: a file for the record of these tasks in the users' form: the pairs of runs of each
+//!   case, then of two thirds of the entries the lines with the platform's name of a task, then their
+//!   changes. A summary counts the features of the users' record, and the pairs whose task, or job,
+//!   lines name. The lines go to `SOAK_LOGS`, or to a folder beside the file with the ending `.logs`.
 
 mod caller;
 mod channel;
@@ -30,6 +34,7 @@
 mod network;
 mod overlaps;
 mod process;
+mod record;
 mod restarts;
 mod site;
 mod system;
@@ -74,6 +79,7 @@
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
     runtime.expect("a runtime can be built").block_on(async {
         let processes = usize::try_from(env_number("SOAK_PROCESSES", Site::selected().processes));
+        record::prepare();
         let system = System::start(processes.expect("the number is small")).await;
         let _busy = keep_busy(env_number("SOAK_BUSY", 0));
         let callers = caller::start(&system, seed);
--- a/crates/ebonycroft/tests/soak/overlaps.rs
+++ b/crates/ebonycroft/tests/soak/overlaps.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeSet,
-    env,
     fmt::{self, Write},
     fs,
     path::Path,
@@ -12,7 +11,7 @@
 use emulator::{RecordedRun, RunEnd};
 use serde_json::Value;
 
-use crate::{faults::lock, process::Event, system::System};
+use crate::{faults::lock, process::Event, record, system::System};
 
 /// How long before an overlap an event may have caused it.
 const CAUSE_BEFORE: Duration = Duration::from_secs(2);
@@ -20,15 +19,15 @@
 const MAX_LOGGED_JOBS: usize = 12;
 
 /// Two runs of a task, in the order of their starts.
-struct Overlap {
-    earlier: RecordedRun,
-    later: RecordedRun,
+pub(crate) struct Overlap {
+    pub(crate) earlier: RecordedRun,
+    pub(crate) later: RecordedRun,
     /// Events of all processes shortly before, with the names of the processes.
     before: Vec<(Instant, String, Event)>,
 }
 
-/// Prints every overlap of the system, and the number of those in the shape of the record. Returns
-/// them as text, which is empty without any.
+/// Prints the number of overlaps of the system, and of those in the shape of the record, and writes
+/// the record. Returns them as text, which is empty without any.
 pub(crate) fn report(system: &System) -> String {
     let mut events = Vec::new();
     for process in system.entries.iter().chain(&system.agents) {
@@ -49,6 +48,8 @@
         })
         .collect();
     found.sort_unstable_by_key(|overlap| overlap.later.from);
+    let started_ms = events.first().map_or(0, |(at, ..)| unix_ms(*at));
+    record::write(system, &found, started_ms);
     let shaped: Vec<&Overlap> = found.iter().filter(|overlap| overlap.has_shape()).collect();
     let is_twin = |overlap: &&&Overlap| shaped.iter().any(|other| overlap.is_twin(other));
     println!(
@@ -63,25 +64,24 @@
         writeln!(text, "{overlap}\n  overlaps of other jobs at this moment: {twins}")
             .expect("a string takes all");
     }
-    if let Ok(dir) = env::var("SOAK_LOGS") {
+    if let Some(dir) = record::log_folder() {
         let jobs: BTreeSet<&str> = found.iter().map(Overlap::job).take(MAX_LOGGED_JOBS).collect();
         for job in jobs {
-            lines_of(Path::new(&dir), job)
-                .iter()
-                .for_each(|line| text.push_str(&format!("  {line}\n")));
+            lines_of(&dir, job).iter().for_each(|line| text.push_str(&format!("  {line}\n")));
         }
     }
     text
 }
 
 impl Overlap {
-    fn job(&self) -> &str {
+    /// Returns the id of the job.
+    pub(crate) fn job(&self) -> &str {
         self.earlier.task.split('.').next().unwrap_or_default()
     }
 
     /// Returns whether the stopped run is the earlier one and was sent by an agent that has just
     /// ended or resumed, and the later one was done without a stop.
-    fn has_shape(&self) -> bool {
+    pub(crate) fn has_shape(&self) -> bool {
         let agent = agent_of(&self.earlier);
         let is_cause = |(_, process, event): &(Instant, String, Event)| {
             *process == agent && matches!(event, Event::Killed | Event::Ended | Event::Resumed)
@@ -133,7 +133,7 @@
 }
 
 /// Returns the agent of the host at which a run was.
-fn agent_of(run: &RecordedRun) -> String {
+pub(crate) fn agent_of(run: &RecordedRun) -> String {
     run.executor.replace("executor", "agent")
 }
 
@@ -146,9 +146,9 @@
 }
 
 /// Returns the time of day of an instant, as in the lines of the processes.
-fn unix_ms(at: Instant) -> u128 {
+pub(crate) fn unix_ms(at: Instant) -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    now.saturating_sub(at.elapsed()).as_millis()
+    u64::try_from(now.saturating_sub(at.elapsed()).as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Returns the lines of all processes that name a job, in the order of their times.
--- a/crates/ebonycroft/tests/soak/process.rs
+++ b/crates/ebonycroft/tests/soak/process.rs
@@ -12,6 +12,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+use crate::record;
+
 /// What happened to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Event {
@@ -110,7 +112,7 @@
 }
 
 /// Starts a role and directs the relays to the addresses in its `start` line. A thread reads the
-/// lines after it, and writes them to a file in the folder `SOAK_LOGS`, if that is set.
+/// lines after it, and writes all of them to a file in the folder for lines, if there is one.
 fn spawn(role: &'static str, settings: &Path, relays: &[(&'static str, Arc<Relay>)]) -> Child {
     let program = env::var("SOAK_PROGRAM");
     let program = program.as_deref().unwrap_or(env!("CARGO_BIN_EXE_ebonycroft"));
@@ -128,7 +130,10 @@
         let addr = start.get(field).and_then(Value::as_str).and_then(|text| text.parse().ok());
         relay.set_target(addr.expect("the line start has the address"));
     }
-    let mut log = env::var("SOAK_LOGS").ok().map(|dir| open_log(&dir, settings));
+    let mut log = record::log_folder().map(|dir| open_log(&dir, settings));
+    if let Some(log) = &mut log {
+        log.write_all(first.as_bytes()).expect("the log can be written");
+    }
     std::thread::spawn(move || {
         for line in lines.lines().map_while(Result::ok) {
             if let Some(log) = &mut log {
@@ -140,8 +145,8 @@
 }
 
 /// Opens the file for the lines of the process with these settings, which goes on over restarts.
-fn open_log(dir: &str, settings: &Path) -> File {
+fn open_log(dir: &Path, settings: &Path) -> File {
     let name = settings.with_extension("log").file_name().map(PathBuf::from).unwrap_or_default();
-    let path = Path::new(dir).join(name);
+    let path = dir.join(name);
     File::options().create(true).append(true).open(path).expect("the log can be opened")
 }
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -26,6 +26,8 @@
 const ANY_PORT: &str = "127.0.0.1:0";
 /// One process in so many is an entry.
 const PROCESSES_PER_ENTRY: usize = 6;
+/// Name of the service of all executors.
+pub(crate) const SERVICE: &str = "kitchen";
 /// Processor capacity of an executor and of a task, thousandths of a core.
 const MILLI_CORES: u32 = 32_000;
 pub(crate) const TASK_MILLI_CORES: u32 = 3_100;
@@ -87,7 +89,7 @@
         for i in 0..processes - entry_count {
             let settings = FakeExecutorSettings {
                 id: format!("executor-{i}"),
-                pool: "kitchen".into(),
+                pool: SERVICE.into(),
                 zone: zone(i).into(),
                 milli_cores: MILLI_CORES,
                 run_ms: TASK_MS,
@@ -163,11 +165,11 @@
 pub(crate) fn config(version: u64) -> serde_json::Value {
     let route = |(queue, max_attempts): (&Queue, u16)| {
         json!({ "name": queue.name, "host": "jobs.example", "pathPrefix": format!("/{}/", queue.name),
-            "service": "kitchen", "priority": queue.priority, "maxAttempts": max_attempts,
+            "service": SERVICE, "priority": queue.priority, "maxAttempts": max_attempts,
             "timeoutMs": 1_500, "stretchFactor": 1.6, "targetCompletionMs": 60 })
     };
     let routes: Vec<_> = QUEUES.iter().zip(Site::selected().max_attempts).map(route).collect();
-    json!({ "version": version, "services": [{ "name": "kitchen" }], "routes": routes })
+    json!({ "version": version, "services": [{ "name": SERVICE }], "routes": routes })
 }
 
 /// Returns the clock of an executor: every second one is slow, and their lags are spread.
--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -131,6 +131,11 @@
         self.lock().iter().filter(|run| run.task.starts_with(prefix)).count()
     }
 
+    /// Returns the starts of a task in their order.
+    pub fn starts_of(&self, task: &str) -> Vec<Instant> {
+        self.lock().iter().filter(|run| run.task == task).map(|run| run.from).collect()
+    }
+
     /// Returns the number of runs of tasks whose name starts with `prefix` that were asked to stop.
     pub fn count_stops(&self, prefix: &str) -> usize {
         let is_stopped = |run: &&RecordedRun| run.task.starts_with(prefix) && run.stop.is_some();
