Ask agents that have long been up beside new keepers of a claim

Callers saw a job run at two agents at once.

Cause: an agent's grant counted although its process could not know the other claims, and a waiting entry asked the agents that knew only after its start. A grace from the first hello bounds nothing, since other entries connect when they can.

Change: agents that connected less than lost_after_ms ago count only beside the two best others; a waiting claim is added to each agent that becomes a better choice, and all have to grant it; holders claim again at agents where others wait for them; a claim of a job that may run comes before one that waits; a job does not start within claim_wait_ms of the loss of an agent that would keep its claim. No message and no delay more while no agent is replaced.

--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -23,6 +23,10 @@
     /// handshake that was held up may be of an agent that has ended since.
     pub(crate) announced: Option<u64>,
     pub(crate) is_connected: bool,
+    /// Incarnation of the last handshake and the time of its first one, milliseconds.
+    known: (u64, u64),
+    /// Time at which its last connection was found to have ended, milliseconds.
+    pub(crate) lost_ms: Option<u64>,
     /// Whether it has left a claim unanswered and has not reported since.
     pub(crate) leaves_claims: bool,
     /// Whether the link is active, that is, the agent reports each change of its load.
@@ -54,6 +58,8 @@
             incarnation,
             announced: None,
             is_connected: true,
+            known: (incarnation, now_ms),
+            lost_ms: None,
             leaves_claims: false,
             is_active: false,
             last_heard_ms: now_ms,
@@ -77,8 +83,12 @@
 
     /// Starts a new connection: batches are counted from 0, and no attempts are sent before the
     /// first report.
-    pub(crate) fn on_connected(&mut self, now_ms: u64) {
+    pub(crate) fn on_connected(&mut self, incarnation: u64, now_ms: u64) {
         self.is_connected = true;
+        self.lost_ms = None;
+        if self.known.0 != incarnation {
+            self.known = (incarnation, now_ms);
+        }
         self.leaves_claims = false;
         self.is_active = false;
         self.last_heard_ms = now_ms;
@@ -90,6 +100,11 @@
         self.load.is_open = false;
     }
 
+    /// Returns whether the agent's process connected for the first time so short a time ago.
+    pub(crate) fn is_new(&self, now_ms: u64, time_ms: u64) -> bool {
+        now_ms.saturating_sub(self.known.1) < time_ms
+    }
+
     /// Applies a load report and drops the charges of the batches that it accounts for.
     pub(crate) fn on_report(&mut self, load: Load, now_ms: u64) {
         self.last_heard_ms = now_ms;
--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -11,6 +11,7 @@
     Claim, ClaimEnd, ClaimId, ClaimNews, JobName, JobOutcome, ToAgent,
     dispatcher::{
         AgentKey, Dispatcher, DispatcherEffect, JobKey,
+        agent_view::AgentView,
         job_claim::{
             Answer, EndedClaim, KEEPERS, Keeper, StoppingJob, claim_id, end_of, job_hash, weight,
         },
@@ -45,7 +46,7 @@
     ) {
         for item in news {
             match *item {
-                ClaimNews::Granted(id) => self.on_granted(id, agent, now_ms, effects),
+                ClaimNews::Granted(id) => self.on_granted(id, agent, now_ms),
                 ClaimNews::Contested(id) => self.on_contested(id, agent, now_ms, effects),
                 ClaimNews::Shared(id, end) => self.on_shared(id, agent, end, effects),
                 ClaimNews::Asked(id) => self.on_asked(id, agent, effects),
@@ -67,14 +68,19 @@
     /// Sends the claim of a job to further agents until enough of them keep it.
     fn add_keepers(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
-        let best = self.best_keepers(state.name());
+        let best = self.best_keepers(state.name(), now_ms);
+        let lost_ms = self.keeper_lost_ms(state.name(), now_ms);
         let Some(state) = self.jobs.get_mut(&key) else { return };
+        if let Some(lost_ms) = lost_ms {
+            let start_ms = lost_ms + self.timing.claim_wait_ms;
+            state.claim.not_before_ms = state.claim.not_before_ms.max(start_ms);
+        }
         if state.claim.keepers.is_empty() && !best.is_empty() {
             state.claim.until_ms = now_ms + self.timing.claim_wait_ms;
             state.claim.checks = 0;
         }
         for agent in best {
-            if state.claim.keepers.len() < KEEPERS && !state.claim.is_kept_by(agent) {
+            if !state.claim.is_kept_by(agent) {
                 state.claim.keepers.push(Keeper { agent, answer: Answer::Waiting, lost_ms: None });
                 effects.push(DispatcherEffect::Send(agent, claim_message(key, state)));
             }
@@ -84,26 +90,57 @@
     /// Renews the claim of a job that may have started, at the agents that keep it from now on.
     fn renew_claim(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
-        let best = self.best_keepers(state.name());
+        let best = self.best_keepers(state.name(), now_ms);
         let Some(state) = self.jobs.get_mut(&key) else { return };
         let keeper = |agent| Keeper { agent, answer: Answer::Waiting, lost_ms: None };
         state.claim.keepers = best.into_iter().map(keeper).collect();
         state.claim.sent_ms = now_ms;
-        state.claim.is_moved = false;
         let message = claim_message(key, state);
         // An agent that has asked goes by the renewals, also if it keeps the claim no longer.
         let agents = state.claim.agents();
         effects.extend(agents.into_iter().map(|to| DispatcherEffect::Send(to, message.clone())));
     }
 
-    /// Returns the agents that keep the claims of a job, the first choice first. An agent that has
-    /// left a claim unanswered is passed over until it reports.
-    fn best_keepers(&self, job: &JobName) -> Vec<AgentKey> {
+    /// Returns the agents that keep the claims of a job. An agent that has left a claim unanswered is
+    /// passed over until it reports. An agent that has just started may not know yet which jobs the
+    /// other entries have, so those that keep the claims without it are asked, too.
+    fn best_keepers(&self, job: &JobName, now_ms: u64) -> Vec<AgentKey> {
         let job_hash = job_hash(job);
+        let is_able = |view: &AgentView| view.is_connected && !view.leaves_claims;
+        let is_new = |view: &AgentView| view.is_new(now_ms, self.timing.lost_after_ms());
+        let mut best = self.first_choices(job_hash, is_able);
+        if best.iter().any(|agent| is_new(&self.agents[agent.0 as usize])) {
+            let others = self.first_choices(job_hash, |view| is_able(view) && !is_new(view));
+            for agent in others {
+                if !best.contains(&agent) {
+                    best.push(agent);
+                }
+            }
+        }
+        best
+    }
+
+    /// Returns the time at which an agent was lost that would keep the claims of a job, if it was
+    /// within the time in which the entry that has the job notices it, too.
+    fn keeper_lost_ms(&self, job: &JobName, now_ms: u64) -> Option<u64> {
+        let wait_ms = self.timing.claim_wait_ms;
+        let lost_ms = |view: &AgentView| {
+            view.lost_ms.filter(|ms| !view.is_connected && now_ms < ms + wait_ms)
+        };
+        if !self.agents.iter().any(|view| lost_ms(view).is_some()) {
+            return None;
+        }
+        let best = self.first_choices(job_hash(job), |view| {
+            view.is_connected && !view.leaves_claims || lost_ms(view).is_some()
+        });
+        best.into_iter().filter_map(|agent| lost_ms(&self.agents[agent.0 as usize])).max()
+    }
+
+    /// Returns the agents that come first for a job among those of a kind, the first choice first.
+    fn first_choices(&self, job_hash: u64, is_able: impl Fn(&AgentView) -> bool) -> Vec<AgentKey> {
         let keyed = (0u32..).map(AgentKey).zip(&self.agents);
-        let able = keyed.filter(|(_, view)| view.is_connected && !view.leaves_claims);
         let mut best: Vec<(u64, Reverse<AgentKey>)> = Vec::with_capacity(KEEPERS + 1);
-        for (key, view) in able {
+        for (key, view) in keyed.filter(|(_, view)| is_able(view)) {
             best.push((weight(view.name_hash, job_hash), Reverse(key)));
             best.sort_unstable_by_key(|entry| Reverse(*entry));
             best.truncate(KEEPERS);
@@ -128,8 +165,9 @@
         now_ms: u64,
         effects: &mut Vec<DispatcherEffect>,
     ) {
-        let is_concerned =
-            |state: &JobState| state.claim.is_kept_by(agent) || self.is_better_keeper(agent, state);
+        let is_concerned = |state: &JobState| {
+            state.claim.agents().contains(&agent) || self.is_better_keeper(agent, state)
+        };
         let jobs = self.jobs.iter().filter(|(_, state)| is_concerned(state));
         let keys: Vec<JobKey> = jobs.map(|(key, _)| *key).collect();
         for key in keys {
@@ -138,12 +176,9 @@
                 self.renew_claim(key, now_ms, effects);
             } else if state.claim.is_kept_by(agent) {
                 effects.push(DispatcherEffect::Send(agent, claim_message(key, state)));
-            } else if state.claim.keepers.len() < KEEPERS {
-                self.add_keepers(key, now_ms, effects);
             } else {
-                // An agent that has just started knows nothing of the claims of other entries, so
-                // those that have kept them until now decide.
-                state.claim.is_moved = true;
+                // Those that have kept the claims until now are asked beside it.
+                self.add_keepers(key, now_ms, effects);
             }
         }
     }
@@ -152,6 +187,9 @@
     /// have gone to other agents.
     pub(crate) fn tend_claims(&mut self, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let (_, contested_renewal_ms) = self.timing.contested_claim_ms();
+        for view in self.agents.iter_mut().filter(|view| !view.is_connected) {
+            view.lost_ms.get_or_insert(now_ms);
+        }
         let has_agents = self.agents.iter().any(|view| view.is_connected);
         let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
         for key in keys {
@@ -212,7 +250,8 @@
             claim.until_ms = claim.until_ms.max(now_ms + self.timing.claim_wait_ms / 2);
             claim.checks = 0;
         }
-        if claim.keepers.len() < KEEPERS {
+        let has_lost = claim.keepers.iter().any(|keeper| keeper.lost_ms == Some(now_ms));
+        if claim.keepers.len() < kept.max(KEEPERS) || has_lost {
             self.add_keepers(key, now_ms, effects);
         }
         let Some(state) = self.jobs.get_mut(&key) else { return };
@@ -220,7 +259,10 @@
         claim.checks += u32::from(now_ms >= claim.until_ms);
         // Without any agent nothing can start, and the first one that connects must be asked.
         let has_agents = self.agents.iter().any(|view| view.is_connected);
-        if claim.checks >= UNANSWERED_CHECKS && !claim.is_contested() && has_agents {
+        if claim.is_granted() && now_ms >= claim.not_before_ms {
+            claim.unanswered.clear();
+            self.settle_claim(key);
+        } else if claim.checks >= UNANSWERED_CHECKS && !claim.is_contested() && has_agents {
             self.start_unanswered(key, now_ms, effects);
         }
     }
@@ -237,32 +279,25 @@
         }
         let Some(state) = self.jobs.get_mut(&key) else { return };
         state.claim.start_unanswered();
-        self.settle_claim(key, now_ms, effects);
+        self.settle_claim(key);
     }
 
     /// Lets a job start.
-    fn settle_claim(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
-        let Some(state) = self.jobs.get_mut(&key) else { return };
-        state.claim.is_settled = true;
-        if state.claim.is_moved {
-            self.renew_claim(key, now_ms, effects);
+    fn settle_claim(&mut self, key: JobKey) {
+        if let Some(state) = self.jobs.get_mut(&key) {
+            state.claim.is_settled = true;
         }
     }
 
-    fn on_granted(
-        &mut self,
-        id: ClaimId,
-        agent: AgentKey,
-        now_ms: u64,
-        effects: &mut Vec<DispatcherEffect>,
-    ) {
+    fn on_granted(&mut self, id: ClaimId, agent: AgentKey, now_ms: u64) {
         let Some(state) = self.jobs.get_mut(&JobKey(id.0)) else { return };
         state.claim.unanswered.retain(|known| *known != agent);
         let Some(keeper) = state.claim.keeper_mut(agent) else { return };
         keeper.answer = Answer::Granted;
-        if state.claim.is_open() && state.claim.is_granted() {
+        let may_start = state.claim.is_granted() && now_ms >= state.claim.not_before_ms;
+        if state.claim.is_open() && may_start {
             state.claim.unanswered.clear();
-            self.settle_claim(JobKey(id.0), now_ms, effects);
+            self.settle_claim(JobKey(id.0));
         }
     }
 
@@ -331,7 +366,10 @@
             Some((name, job.claims.iter_mut().find(|ended| ended.id == id)?))
         });
         let (name, askers, is_running) = if let Some(state) = self.jobs.get_mut(&key) {
-            (state.name.clone(), &mut state.claim.askers, state.outstanding > 0)
+            {
+                let is_running = may_run(state);
+                (state.name.clone(), &mut state.claim.askers, is_running)
+            }
         } else if let Some((name, ended)) = stopping {
             (name.clone(), &mut ended.askers, true)
         } else {
@@ -401,10 +439,15 @@
 
 /// Returns the message that claims a job, or renews the claim.
 pub(crate) fn claim_message(key: JobKey, state: &JobState) -> ToAgent {
-    let is_running = state.outstanding > 0;
+    let is_running = may_run(state);
     ToAgent::Claim(Claim { id: claim_id(key), job: state.name().clone(), is_running })
 }
 
+/// Returns whether tasks of a job run or may start now.
+fn may_run(state: &JobState) -> bool {
+    state.outstanding > 0 || !state.claim.is_open()
+}
+
 /// Tells agents how a job has ended.
 fn report_end(ended: EndedClaim, effects: &mut Vec<DispatcherEffect>) {
     let message = ToAgent::EndClaim(ended.id, ended.end);
--- a/crates/direct/src/dispatcher/job_claim.rs
+++ b/crates/direct/src/dispatcher/job_claim.rs
@@ -43,8 +43,9 @@
         /// Number of checks since then.
         pub(crate) checks: u32,
         pub(crate) sent_ms: u64,
-        /// Whether other agents are to keep the claim as soon as it is settled.
-        pub(crate) is_moved: bool,
+        /// Time before which the job does not start although it is granted, milliseconds: an agent
+        /// that kept its claims has just been lost.
+        pub(crate) not_before_ms: u64,
         /// Agents at which other entries have claimed the job.
         pub(crate) askers: Vec<AgentKey>,
         /// Agents without whose answer the job has started, until they grant it.
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -384,7 +384,7 @@
         let key = AgentKey(u32::try_from(index).unwrap_or(u32::MAX));
         self.links.active.remove(&key);
         let view = &mut self.agents[index];
-        view.on_connected(now_ms);
+        view.on_connected(hello.incarnation, now_ms);
         view.announced = Some(hello.incarnation).filter(|number| *number != view.incarnation);
         let is_announced = view.announced.is_some();
         self.claim_at(key, now_ms, &mut effects);
