Report an unconfirmed start as lost, not as not started

A start that got no answer is stopped, and counted as not started when it was in no list 150 ms after the acknowledgement of the stop. That is no proof: an executor may list a run neither as running nor as ended while it ends, and a late one does so for longer. A caller was told that its job had not run, and another executor started the task while the run still ended.

What is listed in the end is proof: ends stay listed until acknowledged, and after a stop the executor refuses the run. Absence counts like that of any other run, after 1.3 s, in which all ends are listed, and then as lost, since nothing tells a run whose end was lost from one that never began. The same for a run that its entry has stopped before its start was answered.

--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -39,8 +39,8 @@
     pub(crate) enum StopReport {
         /// `AttemptOutcome::Stopped`: the entry requested the stop, or its session ended.
         Stopped,
-        /// `AttemptOutcome::NotStarted`: the start was not confirmed.
-        NotStarted,
+        /// `AttemptOutcome::Lost`: the start was not confirmed, so the run may have begun.
+        Unconfirmed,
     }
 
     /// A run that occupies capacity of the upstream.
@@ -57,8 +57,6 @@
         /// Session and id of the attempt; `None` for a run that was found at the upstream.
         pub(crate) attempt: Option<(SessionKey, AttemptId)>,
         pub(crate) phase: Phase,
-        /// Whether the upstream has acknowledged the start or listed the run.
-        pub(crate) is_confirmed: bool,
         pub(crate) absence: Absence,
         /// Last time at which the entry is known to have wanted the run, milliseconds; `None` while
         /// it still does, as far as is known.
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -43,36 +43,30 @@
         self.finish(task, outcome, SettledBy::ListedEnd, effects);
     }
 
-    /// Settles the runs that are missing from a list. A run that the upstream has confirmed has ended
-    /// when its end is listed: an upstream may omit a run while it ends, and may be late with that, so
-    /// absence shows its end only after the time in which all ends are listed. A start that was never
-    /// confirmed has no end to list; its stop must have had its time.
+    /// Settles the runs that are missing from a list. A run has ended when its end is listed: an
+    /// upstream may omit a run while it ends, and may be late with that, so absence shows its end only
+    /// after the time in which all ends are listed. The same holds for a start that was never
+    /// confirmed, which may have run: it is lost, not unstarted.
     pub(crate) fn settle_absent(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
         let mut absent = Vec::new();
         for (task, run) in &mut self.runs {
             if list.contains(task, run.number) {
-                run.is_confirmed = true;
                 run.absence.end();
                 continue;
             }
-            let (since_ms, outcome) = match run.phase {
-                Phase::Running { since_ms } if list.sent_ms > since_ms => {
-                    (since_ms, AttemptOutcome::Lost)
+            let outcome = match run.phase {
+                Phase::Running { since_ms } if list.sent_ms > since_ms => AttemptOutcome::Lost,
+                Phase::Stopping { acked_ms: Some(acked_ms), report }
+                    if list.sent_ms >= acked_ms =>
+                {
+                    match report {
+                        StopReport::Stopped => AttemptOutcome::Stopped,
+                        StopReport::Unconfirmed => AttemptOutcome::Lost,
+                    }
                 }
-                Phase::Stopping { acked_ms: Some(acked_ms), report } => match report {
-                    StopReport::Stopped => (acked_ms, AttemptOutcome::Stopped),
-                    StopReport::NotStarted if run.is_confirmed => (acked_ms, AttemptOutcome::Lost),
-                    StopReport::NotStarted => (acked_ms, AttemptOutcome::NotStarted),
-                },
                 _ => continue,
             };
-            let absent_ms = run.absence.record(list);
-            let has_ended = if run.is_confirmed {
-                absent_ms >= self.timing.missing_after_ms()
-            } else {
-                list.sent_ms >= since_ms + self.timing.stop_end_ms()
-            };
-            if has_ended {
+            if run.absence.record(list) >= self.timing.missing_after_ms() {
                 absent.push((task.clone(), outcome));
             }
         }
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -51,7 +51,6 @@
                     payload: Arc::clone(&batch.payload),
                     accepted_ms: now_ms,
                     phase,
-                    is_confirmed: false,
                     absence: Absence::default(),
                     wanted_until_ms: None,
                 };
@@ -150,7 +149,6 @@
         let Some(run) = self.runs.get_mut(task).filter(|run| run.number == number) else {
             return effects;
         };
-        run.is_confirmed |= result == StartResult::Started;
         let Phase::Starting { sends, open_calls } = &mut run.phase else {
             return effects;
         };
@@ -166,7 +164,7 @@
                 None if open_calls > 1 => {}
                 None => self.stop_run(
                     task,
-                    StopReport::NotStarted,
+                    StopReport::Unconfirmed,
                     StopCause::StartUnconfirmed,
                     &mut effects,
                 ),
@@ -176,7 +174,7 @@
             // An earlier send may have started the run, whatever the answer to this one.
             _ if sends > 1 => self.stop_run(
                 task,
-                StopReport::NotStarted,
+                StopReport::Unconfirmed,
                 StopCause::StartUnconfirmed,
                 &mut effects,
             ),
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -63,7 +63,7 @@
                 acked_ms.get_or_insert(now_ms);
                 match report {
                     StopReport::Stopped => Vec::new(),
-                    StopReport::NotStarted => vec![SupervisorEffect::PollRuns],
+                    StopReport::Unconfirmed => vec![SupervisorEffect::PollRuns],
                 }
             }
             _ => Vec::new(),
--- a/crates/direct/tests/supervisor.rs
+++ b/crates/direct/tests/supervisor.rs
@@ -97,11 +97,12 @@
     agent.supervisor.on_stop_result(&t, 1, true, 60);
     agent.supervisor.on_run_list(&run_list(59, &[]));
     assert!(agent.outcomes().is_empty(), "a list from before the stop proves nothing");
-    let end_ms = 60 + Timing::default().stop_end_ms();
+    agent.supervisor.on_run_list(&run_list(60, &[]));
+    let end_ms = 60 + Timing::default().missing_after_ms();
     agent.supervisor.on_run_list(&run_list(end_ms - 1, &[]));
-    assert!(agent.outcomes().is_empty(), "a run that has started takes this time to end");
+    assert!(agent.outcomes().is_empty(), "a run that has started may still end");
     agent.supervisor.on_run_list(&run_list(end_ms, &[]));
-    assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::NotStarted)]);
+    assert_eq!(agent.outcomes(), [(AttemptId(1), AttemptOutcome::Lost)]);
 }
 
 /// Guards against an agent that takes the acknowledgement of a stop, or the time that the upstream
