Search the lines of a soak once for each job

The record of a run with 286 pairs took some 80 s in a debug build: each log was searched for each task and each job, three times. The name of a task begins with that of its job, so its lines are among those of the job, and these are now found once.

--- a/crates/ebonycroft/tests/soak/record.rs
+++ b/crates/ebonycroft/tests/soak/record.rs
@@ -50,6 +50,8 @@
     lines: Vec<Line>,
 }
 
+type LinesByJob<'a> = BTreeMap<&'a str, Vec<(&'a Log, &'a Line)>>;
+
 /// Overlaps beside one agent at one moment.
 struct Case<'a> {
     agent: String,
@@ -224,34 +226,47 @@
         of(&is_closed),
         of(&|case| has_several(case) && is_closed(case)),
     );
-    let all: Vec<&Log> = logs.iter().collect();
-    for (of, logs) in [("the entries shown", shown), ("all entries", entries), ("all", &all)] {
-        let by_task = events_of(found, logs, |pair| &pair.earlier.task);
-        let by_job = events_of(found, logs, Overlap::job);
+    let named = lines_by_job(found, logs);
+    let of_shown = |log: &Log| shown.iter().any(|shown| shown.process == log.process);
+    let is_entry = |log: &Log| entries.iter().any(|entry| entry.process == log.process);
+    let print = |of: &str, is_in: &dyn Fn(&Log) -> bool| {
+        let by_task = events_of(found, &named, is_in, |pair| &pair.earlier.task);
+        let by_job = events_of(found, &named, is_in, Overlap::job);
         println!(
             "record: pairs named in lines of {of}, by the task: {by_task:?}; by the job: {by_job:?}"
         );
-    }
+    };
+    print("the entries shown", &of_shown);
+    print("all entries", &is_entry);
+    print("all", &|_| true);
+}
+
+/// Returns the lines that name each job of the overlaps, with their logs.
+fn lines_by_job<'a>(found: &'a [Overlap], logs: &'a [Log]) -> LinesByJob<'a> {
+    let jobs: BTreeSet<&str> = found.iter().map(Overlap::job).collect();
+    let lines = |job: &str| {
+        let all = logs.iter().flat_map(|log| log.lines.iter().map(move |line| (log, line)));
+        all.filter(|(_, line)| line.text.contains(job)).collect()
+    };
+    jobs.into_iter().map(|job| (job, lines(job))).collect()
 }
 
 /// Returns the number of pairs that have a line with their name, as `any`, and of those with each
 /// event.
 fn events_of(
     found: &[Overlap],
-    logs: &[&Log],
+    named: &LinesByJob<'_>,
+    is_in: &dyn Fn(&Log) -> bool,
     name: impl Fn(&Overlap) -> &str,
 ) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::from([("any".to_owned(), 0)]);
-    let mut known = BTreeMap::<&str, BTreeSet<String>>::new();
     for pair in found {
-        let name = name(pair);
-        let events = known.entry(name).or_insert_with(|| {
-            let lines = logs.iter().flat_map(|log| &log.lines);
-            let named = lines.filter(|line| line.text.contains(name));
-            named.map(|line| line.event.clone()).collect()
-        });
+        // The name of a task begins with that of its job.
+        let lines = named[pair.job()].iter().filter(|(log, _)| is_in(log));
+        let lines = lines.filter(|(_, line)| line.text.contains(name(pair)));
+        let events: BTreeSet<&str> = lines.map(|(_, line)| &*line.event).collect();
         let any = (!events.is_empty()).then_some("any");
-        for event in events.iter().map(String::as_str).chain(any) {
+        for event in events.into_iter().chain(any) {
             *counts.entry(event.to_owned()).or_default() += 1;
         }
     }
