Run the soak's executors as processes of their own

Executors were fakes in the process of the soak's test, so none of them was ever without a processor, and their ends, lists and acknowledgements were never late together. With SOAK_EXECUTORS=processes each of them is a process, `ebonycroft emulator` with a fake of the platform's executor, which reports its runs with the times of the monotonic clock that all processes share. It is frozen, starved and killed, alone or with its agent.

An executor ends a run when its process gets to it. An overlap that begins more than upstream_delay_ms (100) after the executor of the first run had promised that run's end is printed and counted, and does not fail the soak: had the executor been late by no more than the dispatcher allows for, the two runs would not have met.

--- a/crates/ebonycroft/src/commands/emulator.rs
+++ b/crates/ebonycroft/src/commands/emulator.rs
@@ -1,12 +1,15 @@
 //! `ebonycroft emulator`: fakes of the log, of executors and of workers.
 
-use std::{future::pending, net::SocketAddr};
+use std::{future::pending, io, net::SocketAddr, thread};
 
 use emulator::{
-    ExecutorServer, ExecutorSettings, LogServer, LogSettings, WorkerServer, WorkerSettings,
+    ExecutorServer, ExecutorSettings, FakeExecutor, FakeExecutorClock, FakeExecutorSettings,
+    LogServer, LogSettings, RunLedger, WorkerServer, WorkerSettings,
 };
 use getopts::Options;
+use serde_json::json;
 use settings::{InvalidFields, Validate};
+use tokio::sync::oneshot;
 use types::StepError;
 
 use crate::{
@@ -24,6 +27,19 @@
         /// The fakes of workers.
         #[serde(default)]
         pub(crate) workers: Vec<WorkerServerSettings>,
+        /// The fake of an executor of the platform, if any; it runs without the others.
+        pub(crate) platform_executor: Option<PlatformExecutorSettings>,
+    }
+
+    /// Settings of the fake of an executor of the platform.
+    pub(crate) struct PlatformExecutorSettings {
+        /// Address of the agent for heartbeats.
+        pub(crate) control: SocketAddr,
+        /// Behaviour of the fake.
+        pub(crate) behaviour: FakeExecutorSettings,
+        /// How it measures time.
+        #[serde(default)]
+        pub(crate) clock: FakeExecutorClock,
     }
 
     /// Settings of the fake of the log.
@@ -56,7 +72,10 @@
 
 impl Validate for EmulatorSettings {
     fn validate(&self, errors: &mut InvalidFields) {
-        let has_any = self.log.is_some() || !self.executors.is_empty() || !self.workers.is_empty();
+        let has_any = self.log.is_some()
+            || !self.executors.is_empty()
+            || !self.workers.is_empty()
+            || self.platform_executor.is_some();
         let no_server = "must name an executor where no log and no worker is named";
         errors.require(has_any, "executors", no_server);
         self.workers.iter().enumerate().for_each(|(i, worker)| {
@@ -103,7 +122,11 @@
     let Some(matches) = options::parse(Command::Emulator, opts, args)? else {
         return Ok(());
     };
-    let servers = FakeServers::start(options::load(&matches)?).await?;
+    let settings: EmulatorSettings = options::load(&matches)?;
+    if let Some(executor) = settings.platform_executor {
+        return run_executor(executor).await;
+    }
+    let servers = FakeServers::start(settings).await?;
     if let Some(log) = &servers.log {
         println!("log http://{}", log.addr());
     }
@@ -112,3 +135,28 @@
     serve_until_stopped(pending(), async {}).await?;
     Ok(())
 }
+
+/// Runs an executor until the standard input ends, each line of which replaces its faults. The first
+/// line of the output names its address, the others report its runs.
+async fn run_executor(settings: PlatformExecutorSettings) -> Result<(), CliError> {
+    let executor = FakeExecutor::start(settings.behaviour, RunLedger::reporting()).await?;
+    executor.set_clock(settings.clock);
+    println!("{}", json!({ "executor": executor.addr() }));
+    let _heartbeats = executor.announce(settings.control);
+    let (tx, input_ended) = oneshot::channel::<()>();
+    thread::spawn(move || {
+        let _tx = tx;
+        for line in io::stdin().lines().map_while(Result::ok) {
+            // The names in faults are static.
+            match serde_json::from_str(line.leak()) {
+                Ok(faults) => executor.set_faults(faults),
+                Err(e) => log::warn!("the line is not a set of faults: {e}"),
+            }
+        }
+    });
+    let input_ended = async {
+        let _ = input_ended.await;
+    };
+    serve_until_stopped(input_ended, async {}).await?;
+    Ok(())
+}
--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -264,6 +264,7 @@
         let run_ms = run_ms.unwrap_or(self.settings.run_ms);
         let ends_at = Instant::now() + Duration::from_millis(run_ms);
         state.running.insert(task.to_owned(), ActiveRun { run, ledger_index, ends_at });
+        self.record_promises(&state);
         self.response(StatusCode::OK, None)
     }
 
--- a/crates/emulator/src/platform_fake/executor/calls.rs
+++ b/crates/emulator/src/platform_fake/executor/calls.rs
@@ -87,6 +87,7 @@
         let ActiveRun { run, ledger_index, .. } = run;
         let end = RunEnd::Stopped;
         state.stopping.push((task, StoppingRun { run, ledger_index, stopped_at, end }));
+        shared.record_promises(&state);
     }
     drop(state);
     shared.advance();
@@ -110,6 +111,7 @@
         state.fencing_token = int_field("fencingToken");
         let max_lease_until = shared.clock_ms() + u64::try_from(MAX_LEASE.as_millis()).unwrap_or(0);
         state.lease_until = state.lease_until.max(int_field("deadlineMs").min(max_lease_until));
+        shared.record_promises(&state);
     }
     let last_seen = int_field("lastSeen");
     let waiting = async {
--- a/crates/emulator/src/platform_fake/executor/runs.rs
+++ b/crates/emulator/src/platform_fake/executor/runs.rs
@@ -86,7 +86,9 @@
             let is_lapsed = lease_end <= now;
             let ends_at = if is_lapsed { run.stopped_at.min(lapse_at) } else { run.stopped_at };
             if ends_at <= now {
-                // The check may be late; the executor that it plays is not.
+                // Unless it says so, the check may be late and the executor that it plays is not.
+                let is_late = lock(&self.clock).is_late_when_starved;
+                let ends_at = if is_late { now } else { ends_at };
                 self.end_run(&mut state, task, (run.run, run.ledger_index), ends_at, run.end);
             } else {
                 state.stopping.push((task, run));
@@ -94,6 +96,15 @@
         }
     }
 
+    /// Records until when the runs are to have ended.
+    pub(super) fn record_promises(&self, state: &RunTable) {
+        let lease_end = self.instant_of(state.lease_until);
+        let running = state.running.values().map(|run| (run.ledger_index, lease_end));
+        let stopping = state.stopping.iter();
+        let stopping = stopping.map(|(_, run)| (run.ledger_index, run.stopped_at.min(lease_end)));
+        running.chain(stopping).for_each(|(run, due)| self.ledger.record_due(run, due));
+    }
+
     /// Lists and records the end of a run, which has a number and an index in the ledger.
     fn end_run(
         &self,
--- a/crates/emulator/src/platform_fake/executor/settings.rs
+++ b/crates/emulator/src/platform_fake/executor/settings.rs
@@ -1,4 +1,4 @@
-types::plain! {
+types::settings! {
     /// Settings of a [`FakeExecutor`].
     #[derive(Eq)]
     pub struct FakeExecutorSettings {
@@ -22,6 +22,9 @@
         /// Time from the end of the lease until its runs have ended, milliseconds. The platform
         /// promises none.
         pub lapse_lag_ms: u64,
+        /// Whether a run ends no sooner than the executor gets to it. Without it, runs that are stopped
+        /// or whose lease expires end in time, however late the process is.
+        pub is_late_when_starved: bool,
     }
 
     /// Faults of a [`FakeExecutor`].
@@ -40,6 +43,7 @@
         pub is_draining: bool,
         /// Start of the names of tasks that crash it when they start. It loses all its runs and is
         /// back as another incarnation after 300 ms.
+        #[serde(borrow)]
         pub crashed_by: Option<&'static str>,
         /// Time from a stop until the run has ended, milliseconds.
         pub stop_ms: u64,
--- a/crates/emulator/src/platform_fake/mod.rs
+++ b/crates/emulator/src/platform_fake/mod.rs
@@ -4,6 +4,8 @@
 mod executor;
 mod log_server;
 mod run_ledger;
+mod run_reports;
+mod steady_time;
 
 pub use crate::platform_fake::{
     executor::{
