Restart the agents that keep claims when the soak's callers submit again

Callers gave up at moments that had nothing to do with the restarts of agents, so both agents that keep the claim of a job were hardly ever replaced just then.

The lines of an executor's process have a test of their own, which reads them back.

--- a/crates/ebonycroft/tests/direct_roles/mute_executors.rs
+++ b/crates/ebonycroft/tests/direct_roles/mute_executors.rs
@@ -50,13 +50,15 @@
 /// Guards against the same at an executor whose clock is slow.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_task_starts_again_when_a_mute_executor_with_a_slow_clock_has_ended_its_run_late() {
-    let clock = FakeExecutorClock { lapse_lag_ms: LAPSE_LAG_MS, slow_percent: 2 };
+    let clock =
+        FakeExecutorClock { lapse_lag_ms: LAPSE_LAG_MS, slow_percent: 2, ..Default::default() };
     mute("mute-late-slow", clock, false).await;
 }
 
 /// Guards against a new agent that opens without an answer while the executor still ends a run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_agent_of_a_mute_executor_opens_when_it_has_ended_its_runs_late() {
-    let clock = FakeExecutorClock { lapse_lag_ms: LAPSE_LAG_MS, slow_percent: 2 };
+    let clock =
+        FakeExecutorClock { lapse_lag_ms: LAPSE_LAG_MS, slow_percent: 2, ..Default::default() };
     mute("mute-late-replaced", clock, true).await;
 }
--- a/crates/ebonycroft/tests/soak/caller.rs
+++ b/crates/ebonycroft/tests/soak/caller.rs
@@ -13,13 +13,14 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 use tokio::{
+    sync::Notify,
     task::JoinSet,
     time::{sleep, timeout},
 };
 
 use crate::{
     channel::{Channel, Reply},
-    env_number,
+    env_number, keepers,
     system::{System, TASK_MILLI_CORES, ZONES},
 };
 
@@ -42,7 +43,7 @@
 /// milliseconds.
 const CALLER_TIMEOUT_MS: u64 = 1_500;
 /// Delay before a caller submits an unanswered job again.
-const RESUBMISSION_DELAY: Duration = Duration::from_millis(1_300);
+pub(crate) const RESUBMISSION_DELAY: Duration = Duration::from_millis(1_300);
 const MAX_SUBMISSIONS: usize = 3;
 /// Share of the submissions whose caller gives up early, and after which time, milliseconds.
 const EARLY_SHARE: f64 = 0.2;
@@ -156,6 +157,11 @@
         self.tasks + self.steps - 1
     }
 
+    /// Returns whether the job still runs when its caller submits it again.
+    fn is_lasting(&self) -> bool {
+        u128::from(self.run_ms) > RESUBMISSION_DELAY.as_millis()
+    }
+
     fn path(&self, id: &str) -> String {
         format!("/{}/{id}", self.queue.name)
     }
@@ -211,7 +217,9 @@
     let mut callers = JoinSet::new();
     let per_executor = env_number("SOAK_CALLERS", CALLERS_PER_EXECUTOR);
     for n in 0..system.executors.len() as u64 * per_executor {
-        callers.spawn(Caller::new(n, seed, system.callers.clone()).run(Arc::clone(&stop)));
+        let mut caller = Caller::new(n, seed, system.callers.clone());
+        caller.gave_up = keepers::are_restarted().then(|| Arc::clone(&system.gave_up));
+        callers.spawn(caller.run(Arc::clone(&stop)));
     }
     RunningCallers { stop, callers }
 }
@@ -238,13 +246,15 @@
     /// Entry of the present or the last channel.
     entry: Option<SocketAddr>,
     channel: Option<Channel>,
+    /// Notified when the caller gives up a lasting job. The entry then learns of it late.
+    gave_up: Option<Arc<Notify>>,
 }
 
 impl Caller {
     fn new(n: u64, seed: u64, entries: Arc<[(&'static str, SocketAddr)]>) -> Self {
         let rng = StdRng::seed_from_u64(seed ^ (n << 32));
         let zone = ZONES[usize::try_from(n).expect("it is small") % ZONES.len()];
-        Self { n, rng, zone, entries, entry: None, channel: None }
+        Self { n, rng, zone, entries, entry: None, channel: None, gave_up: None }
     }
 
     /// Submits jobs until `stop` is set.
@@ -280,16 +290,25 @@
         let is_early = self.rng.random_bool(EARLY_SHARE);
         let patience_ms =
             if is_early { self.rng.random_range(EARLY_MS) } else { CALLER_TIMEOUT_MS };
-        let attempt = async {
+        let (path, body) = (shape.path(id), shape.body());
+        let mut attempt = Box::pin(async move {
             let mut channel = match channel {
                 Some(channel) => channel,
                 None => Channel::open(entry).await?,
             };
-            let reply = channel.submit(&shape.path(id), &shape.body(), CALLER_TIMEOUT_MS).await?;
+            let reply = channel.submit(&path, &body, CALLER_TIMEOUT_MS).await?;
             Ok::<_, std::io::Error>((reply, channel))
+        });
+        let done = timeout(Duration::from_millis(patience_ms), &mut attempt).await;
+        let Ok(done) = done else {
+            if let Some(gave_up) = self.gave_up.as_ref().filter(|_| shape.is_lasting()) {
+                gave_up.notify_waiters();
+                let late = Duration::from_millis(self.rng.random_range(keepers::LATE_END_MS));
+                tokio::spawn(timeout(late, attempt));
+            }
+            return None;
         };
-        let done = timeout(Duration::from_millis(patience_ms), attempt).await;
-        let (reply, channel) = done.ok()?.ok()?;
+        let (reply, channel) = done.ok()?;
         self.channel = Some(channel).filter(|_| !reply.is_last);
         Some(reply)
     }
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -23,6 +23,8 @@
 //!   an overlap only if it starts less than `ALLOWANCE` after the executor of the first one had promised
 //!   its end; the others are counted and printed as beyond the allowance.
 //! - `SOAK_EXECUTOR_FAULTS`: sequences of faults of such executors.
+//! - `SOAK_KEEPER_RESTARTS`: 1 lets entries learn late of callers that give up, and restarts two agents
+//!   when such a caller submits its job again. Few processes make these the agents that keep its claim.
 //! - `SOAK_PROGRAM`: another build of the program.
 //! - `SOAK_LOGS`: an existing folder for the decision lines of the processes. The lines of jobs that ran
 //!   twice at a time are printed too.
@@ -31,6 +33,7 @@
 mod channel;
 mod executors;
 mod faults;
+mod keepers;
 mod network;
 mod overlaps;
 mod process;
@@ -81,8 +84,11 @@
         let _busy = keep_busy(env_number("SOAK_BUSY", 0));
         let callers = caller::start(&system, seed);
         let sequences = env_number("SOAK_FAULTS", DEFAULT_FAULTS);
-        let injected =
-            faults::inject_all(&system, seed, sequences, Duration::from_secs(seconds)).await;
+        let length = Duration::from_secs(seconds);
+        let (injected, keeper_restarts) = tokio::join!(
+            faults::inject_all(&system, seed, sequences, length),
+            keepers::restart(&system, seed, length),
+        );
         let last_fault = Instant::now();
         let serving = async {
             system.until_serving().await;
@@ -94,7 +100,7 @@
         system.executor_processes().for_each(|executor| faults::lock(executor).finish());
         let ledger = &system.ledger;
         println!(
-            "seed {seed}: {} faults {injected:?}; {} jobs, {} succeeded, {} refused, {} unknown; {} runs",
+            "seed {seed}: {} faults {injected:?}, {keeper_restarts} restarts of keepers; {} jobs, {} succeeded, {} refused, {} unknown; {} runs",
             injected.values().sum::<usize>(),
             jobs.len(),
             jobs.iter().filter(|job| job.is_succeeded()).count(),
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -13,7 +13,7 @@
     RunLedger, StoppingRuns,
 };
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::{sync::Notify, time::sleep};
 
 use crate::{
     caller::{self, QUEUES, Queue},
@@ -61,6 +61,8 @@
     pub(crate) store_relay: Arc<Relay>,
     /// Addresses of the entries for callers, those of their relays, with the zones.
     pub(crate) callers: Arc<[(&'static str, SocketAddr)]>,
+    /// Notified when a caller gives up a job that goes on, if agents are then restarted.
+    pub(crate) gave_up: Arc<Notify>,
     dir: PathBuf,
 }
 
@@ -115,6 +117,7 @@
             executor_relays,
             store_relay,
             callers,
+            gave_up: Arc::default(),
             dir,
         };
         system.until_serving().await;
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -189,3 +189,22 @@
         assert_eq!((called.executor.running(), called.ledger.running()), (later, later));
     }
 }
+
+/// Guards against runs of an executor's process that are missing in the test's record, or never end
+/// there, so that no overlap with them is seen.
+#[test]
+fn runs_that_a_process_reports_overlap_until_its_lines_end() {
+    let line = |index: u64, from_ns: u64, to_ns: Option<u64>| {
+        json!([index, { "task": TASK, "executor": "executor", "from": from_ns, "stop": null,
+            "due": null, "to": to_ns, "end": null, "listed": null }])
+        .to_string()
+    };
+    let ledger = RunLedger::default();
+    let lines = [line(0, 1_000, None), line(1, 2_000, None), line(0, 1_000, Some(3_000))];
+    ledger.add_reports(lines.into_iter());
+    ledger.add_reports([line(0, 5_000, None)].into_iter());
+    let runs = ledger.overlapping_runs();
+    let lengths = runs.iter().map(|[earlier, later]| (later.from - earlier.from).as_nanos());
+    assert_eq!(lengths.collect::<Vec<_>>(), [1_000, 3_000]);
+    assert!(runs.iter().flatten().all(|run| run.end == Some(RunEnd::Crashed)));
+}
