Order the runs of a task by their starts

Runs of executors that are processes come into the record in the order in which the test reads their lines. The test of the reports fails without the order.

--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -287,6 +287,8 @@
     for run in runs {
         by_task.entry(&run.task).or_default().push(run);
     }
+    // Reports of several processes arrive in another order.
+    by_task.values_mut().for_each(|runs| runs.sort_by_key(|run| run.from));
     by_task
 }
 
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -202,7 +202,8 @@
     let ledger = RunLedger::default();
     let lines = [line(0, 1_000, None), line(1, 2_000, None), line(0, 1_000, Some(3_000))];
     ledger.add_reports(lines.into_iter());
-    ledger.add_reports([line(0, 5_000, None)].into_iter());
+    // The line of an earlier start comes later, and its run has ended before all others.
+    ledger.add_reports([line(0, 5_000, None), line(1, 100, Some(900))].into_iter());
     let runs = ledger.overlapping_runs();
     let lengths = runs.iter().map(|[earlier, later]| (later.from - earlier.from).as_nanos());
     assert_eq!(lengths.collect::<Vec<_>>(), [1_000, 3_000]);
