--- a/crates/ebonycroft/tests/soak/overlaps.rs
+++ b/crates/ebonycroft/tests/soak/overlaps.rs
@@ -140,7 +140,9 @@
                     None => write!(f, ", no {name}")?,
                 }
             }
-            write!(f, ", {}", run.end.map_or("running", RunEnd::name))?;
+            let late = run.to.zip(run.due).and_then(|(to, due)| to.checked_duration_since(due));
+            let late_ms = late.unwrap_or_default().as_millis();
+            write!(f, ", {late_ms} ms late, {}", run.end.map_or("running", RunEnd::name))?;
         }
         write!(f, "\n  before:")?;
         for (at, process, event) in &self.before {
