--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -144,7 +144,9 @@
 async fn a_lapse_that_is_late_lets_the_run_go_on() {
     let start = Instant::now();
     let called = Called::start(0, StoppingRuns::Running).await;
-    called.executor.set_clock(FakeExecutorClock { slow_percent: 50, lapse_lag_ms: LASTING_MS });
+    let clock =
+        FakeExecutorClock { slow_percent: 50, lapse_lag_ms: LASTING_MS, ..Default::default() };
+    called.executor.set_clock(clock);
     let (_, body) = called.start_run(1).await;
     let started_ms = body["clockMs"].as_u64().unwrap();
     let clock_ms = async || {
@@ -187,3 +189,40 @@
         assert_eq!((called.executor.running(), called.ledger.running()), (later, later));
     }
 }
+
+/// Guards against runs of an executor's process that are missing in the test's record, or never end
+/// there, so that no overlap with them is seen.
+#[test]
+fn runs_that_a_process_reports_overlap_until_its_lines_end() {
+    let line = |index: u64, from_ns: u64, to_ns: Option<u64>| {
+        json!([index, { "task": TASK, "executor": "executor", "from": from_ns, "stop": null,
+            "due": null, "to": to_ns, "end": null, "listed": null }])
+        .to_string()
+    };
+    let ledger = RunLedger::default();
+    let lines = [line(0, 1_000, None), line(1, 2_000, None), line(0, 1_000, Some(3_000))];
+    ledger.add_reports(lines.into_iter());
+    // The line of an earlier start comes later, and its run has ended before all others.
+    ledger.add_reports([line(0, 5_000, None), line(1, 100, Some(900))].into_iter());
+    let runs = ledger.overlapping_runs();
+    let lengths = runs.iter().map(|[earlier, later]| (later.from - earlier.from).as_nanos());
+    assert_eq!(lengths.collect::<Vec<_>>(), [1_000, 3_000]);
+    assert!(runs.iter().flatten().all(|run| run.end == Some(RunEnd::Crashed)));
+}
+
+/// Guards against a start that was meant for an earlier life of the executor.
+#[tokio::test]
+async fn a_call_for_another_life_is_refused() {
+    let called = Called::start(0, StoppingRuns::Running).await;
+    let (_, reply) = called.call("hold", json!({ "fencingToken": 1 })).await;
+    let born = reply["born"].as_u64().unwrap();
+    let body =
+        json!({ "task": TASK, "run": 1, "spec": "", "deadlineMs": LASTING_MS, "fencingToken": 1 });
+    for (life, expected) in [(born - 1, StatusCode::MISDIRECTED_REQUEST), (born, StatusCode::OK)] {
+        let url = format!("http://{}/-/run-start", called.executor.addr());
+        let req = called.client.post(url).header("Content-Type", "application/json");
+        let req = req.header("Expect-Instance", life.to_string()).body(body.to_string());
+        assert_eq!(req.send().await.unwrap().status(), expected);
+    }
+    assert_eq!(called.ledger.count_runs(""), 1);
+}
