Keep each run of a task at the fake executor

A later run of a task took the place of the earlier one in the fake's table. Both runs now go on and are listed, as the platform lists them, by task and number. The new test finds only the second run in the list without the change.

--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -184,7 +184,7 @@
             }
             self.connections.set_dead(true);
             // A repeated start does not run the task a second time.
-            if !state.running.contains_key(task) {
+            if !state.running.keys().any(|(running, _)| running == task) {
                 let index = self.ledger.record_start(task, &self.settings.id);
                 self.ledger.record_end(index, RunEnd::Crashed);
             }
@@ -251,7 +251,8 @@
             return self.response(StatusCode::CONFLICT, Some("late"));
         }
         let run = int_field("run");
-        if state.running.get(task).is_some_and(|active| active.run == run) {
+        let key = (task.to_owned(), run);
+        if state.running.contains_key(&key) {
             return self.response(StatusCode::OK, None);
         }
         if state.highest_run.get(task).is_some_and(|highest_run| run <= *highest_run) {
@@ -265,7 +266,7 @@
         let run_ms = payload.strip_prefix("run_ms=").and_then(|text| text.parse().ok());
         let run_ms = run_ms.unwrap_or(self.settings.run_ms);
         let ends_at = Instant::now() + Duration::from_millis(run_ms);
-        state.running.insert(task.to_owned(), ActiveRun { run, ledger_index, ends_at });
+        state.running.insert(key, ActiveRun { ledger_index, ends_at });
         self.record_promises(&state);
         self.response(StatusCode::OK, None)
     }
--- a/crates/emulator/src/platform_fake/executor/calls.rs
+++ b/crates/emulator/src/platform_fake/executor/calls.rs
@@ -93,17 +93,16 @@
     state.fencing_token = int_field("fencingToken");
     let highest_run = state.highest_run.entry(task.clone()).or_insert(0);
     *highest_run = (*highest_run).max(int_field("run"));
-    if state.running.get(&task).is_some_and(|active| active.run <= int_field("run"))
-        && let Some(run) = state.running.remove(&task)
-    {
-        let stop_ms = lock(&shared.faults).stop_ms;
-        let stopped_at = Instant::now() + Duration::from_millis(stop_ms);
-        shared.ledger.record_stop(run.ledger_index);
-        let ActiveRun { run, ledger_index, .. } = run;
+    let stopped = (task.clone(), 0)..=(task.clone(), int_field("run"));
+    let stopped: Vec<_> = state.running.extract_if(stopped, |_, _| true).collect();
+    let stop_ms = lock(&shared.faults).stop_ms;
+    let stopped_at = Instant::now() + Duration::from_millis(stop_ms);
+    for ((task, run), ActiveRun { ledger_index, .. }) in stopped {
+        shared.ledger.record_stop(ledger_index);
         let end = RunEnd::Stopped;
         state.stopping.push((task, StoppingRun { run, ledger_index, stopped_at, end }));
-        shared.record_promises(&state);
     }
+    shared.record_promises(&state);
     drop(state);
     shared.advance();
     shared.response(StatusCode::OK, None)
--- a/crates/emulator/src/platform_fake/executor/runs.rs
+++ b/crates/emulator/src/platform_fake/executor/runs.rs
@@ -16,7 +16,8 @@
     pub(super) fencing_token: u64,
     /// Time on the executor's clock at which the lease expires, in milliseconds.
     pub(super) lease_until: u64,
-    pub(super) running: BTreeMap<String, ActiveRun>,
+    /// By task and number of the run.
+    pub(super) running: BTreeMap<(String, u64), ActiveRun>,
     /// Runs that are being stopped, or whose lapse is late, by task.
     pub(super) stopping: Vec<(String, StoppingRun)>,
     /// Highest run number of each task; a start with this number or a lower one is refused.
@@ -30,7 +31,6 @@
 
 #[derive(Debug)]
 pub(super) struct ActiveRun {
-    pub(super) run: u64,
     pub(super) ledger_index: usize,
     pub(super) ends_at: Instant,
 }
@@ -70,16 +70,15 @@
         let lease_end = self.instant_of(state.lease_until);
         let lapse_at = lease_end + Duration::from_millis(lock(&self.clock).lapse_lag_ms);
         let end = if lock(&self.faults).fails_all { RunEnd::Failed } else { RunEnd::Done };
-        for (task, run) in std::mem::take(&mut state.running) {
-            if run.ends_at <= now.min(lease_end) {
-                self.end_run(&mut state, task, (run.run, run.ledger_index), now, end);
+        for ((task, run), active) in std::mem::take(&mut state.running) {
+            if active.ends_at <= now.min(lease_end) {
+                self.end_run(&mut state, task, (run, active.ledger_index), now, end);
             } else if lease_end <= now {
-                let ActiveRun { run, ledger_index, .. } = run;
-                let end = RunEnd::Lapsed;
+                let (ledger_index, end) = (active.ledger_index, RunEnd::Lapsed);
                 let run = StoppingRun { run, ledger_index, stopped_at: lapse_at, end };
                 state.stopping.push((task, run));
             } else {
-                state.running.insert(task, run);
+                state.running.insert((task, run), active);
             }
         }
         for (task, run) in std::mem::take(&mut state.stopping) {
@@ -130,7 +129,7 @@
         state.ended.retain(|ended| ended.number > acknowledged);
         state.ended.iter().for_each(|ended| self.ledger.record_listing(ended.ledger_index));
         let mut running: Vec<Value> =
-            state.running.iter().map(|(task, run)| json!([task, run.run, "", 0])).collect();
+            state.running.keys().map(|(task, run)| json!([task, run, "", 0])).collect();
         if lock(&self.faults).stopping_runs == StoppingRuns::Running {
             running.extend(state.stopping.iter().map(|(task, run)| json!([task, run.run, "", 0])));
         }
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -226,3 +226,18 @@
     }
     assert_eq!(called.ledger.count_runs(""), 1);
 }
+
+/// Guards against a run that is forgotten when a later run of its task starts: it never ended in the
+/// record, and counted against the capacity for ever.
+#[tokio::test]
+async fn a_later_run_of_a_task_runs_beside_the_earlier_one() {
+    let called = Called::start(0, StoppingRuns::Running).await;
+    for run in [1, 2] {
+        assert_eq!(called.start_run(run).await.0, StatusCode::OK);
+    }
+    let (running, _) = called.lists(0).await;
+    assert_eq!(running, json!([[TASK, 1, "", 0], [TASK, 2, "", 0]]));
+    assert_eq!(called.ledger.overlaps().len(), 1);
+    assert_eq!(called.stop_run(2).await, StatusCode::OK);
+    assert_eq!(called.ledger.running(), 0);
+}
