--- a/crates/emulator/src/platform_fake/run_ledger.rs
+++ b/crates/emulator/src/platform_fake/run_ledger.rs
@@ -159,11 +159,21 @@
         });
     }
 
+    /// Returns every run, in the order of their starts.
+    pub fn runs(&self) -> Vec<RecordedRun> {
+        self.lock().clone()
+    }
+
     /// Returns the number of runs of tasks whose name starts with `prefix`.
     pub fn count_runs(&self, prefix: &str) -> usize {
         self.lock().iter().filter(|run| run.task.starts_with(prefix)).count()
     }
 
+    /// Returns the starts of a task in their order.
+    pub fn starts_of(&self, task: &str) -> Vec<Instant> {
+        self.lock().iter().filter(|run| run.task == task).map(|run| run.from).collect()
+    }
+
     /// Returns the number of runs of tasks whose name starts with `prefix` that were asked to stop.
     pub fn count_stops(&self, prefix: &str) -> usize {
         let is_stopped = |run: &&RecordedRun| run.task.starts_with(prefix) && run.stop.is_some();
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -209,6 +209,7 @@
     assert_eq!(lengths.collect::<Vec<_>>(), [1_000, 3_000]);
     assert!(runs.iter().flatten().all(|run| run.end == Some(RunEnd::Crashed)));
 }
+
 /// Guards against a run that is forgotten when a later run of its task starts: it never ended in the
 /// record, and counted against the capacity for ever.
 #[tokio::test]
