Outlast the kills in the test of replaced keepers

The simulation was wrong: a kill of the agents that keep a claim also hits agents that run the job, and a run of 3 s with kills of two of six agents every 1.5 s can be cut off again and again within a patience of 9 s.

As strict: every caller must succeed, now with a patience that outlasts the last kill by a whole run; and in this test and the six others no job may be without a run for longer than lost_after_ms (1,300), from its first submission on, which was not checked before. That the new check catches a job that waits was not tried.

--- a/crates/direct/tests/claims_beside_restarts.rs
+++ b/crates/direct/tests/claims_beside_restarts.rs
@@ -21,8 +21,9 @@
 /// Time after which no new jobs come.
 const LAST_JOB_MS: u64 = 15_000;
 const PATIENCE_MS: u64 = 9_000;
+/// Patience with which each caller outlasts the kills by a whole run: they may cut off all runs before.
+const LONG_PATIENCE_MS: u64 = 20_000;
 const MAX_GIVE_UP_MS: u64 = 80;
-const END_MS: u64 = LAST_JOB_MS + MAX_GIVE_UP_MS + 1_300 + PATIENCE_MS + 1_000;
 
 /// How the two agents are replaced.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -45,6 +46,7 @@
     restarts: Restarts,
     /// Longest time from the opening of an agent until it dials an entry, milliseconds.
     max_dial_ms: u64,
+    patience_ms: u64,
     hosts: Vec<Host>,
     entries: Vec<Entry>,
     events: BTreeMap<(u64, usize), Event>,
@@ -53,10 +55,24 @@
     patient: Vec<(usize, JobKey, String)>,
     /// Tasks that ran twice at a time, with the first time at which they did and for how long.
     twice: BTreeMap<String, (u64, u64)>,
+    /// Time of the submission or of the last run of each job, and the longest time between two of
+    /// these, milliseconds.
+    waits: BTreeMap<String, (u64, u64)>,
+}
+
+/// What a simulation has shown.
+#[derive(Default)]
+struct Observed {
+    /// Tasks that ran twice at a time.
+    twice: Vec<String>,
+    /// Submissions that were not served.
+    unserved: Vec<String>,
+    /// Jobs that were without a run for longer than the runs of a lost agent last.
+    waited: Vec<String>,
 }
 
 impl Simulation {
-    fn new(seed: u64, restarts: Restarts, max_dial_ms: u64) -> Self {
+    fn new(seed: u64, restarts: Restarts, max_dial_ms: u64, patience_ms: u64) -> Self {
         let faults = HostFaults { stop_ms: Timing::default().stop_ms, ..HostFaults::default() };
         let links = || (0..ENTRIES).map(|_| Link::default()).collect();
         let entry = |e: usize| Entry::new(e, seed * 100 + u64::try_from(e).unwrap());
@@ -64,12 +80,14 @@
             rng: StdRng::seed_from_u64(seed),
             restarts,
             max_dial_ms,
+            patience_ms,
             hosts: (0..AGENTS).map(|n| Host::new(n, links(), faults)).collect(),
             entries: (0..ENTRIES).map(entry).collect(),
             events: BTreeMap::new(),
             next_event: 0,
             patient: Vec::new(),
             twice: BTreeMap::new(),
+            waits: BTreeMap::new(),
         };
         for at_ms in (JOB_PERIOD_MS..LAST_JOB_MS).step_by(usize::try_from(JOB_PERIOD_MS).unwrap()) {
             let e = simulation.rng.random_range(0..ENTRIES);
@@ -93,11 +111,12 @@
         match event {
             Event::Submit { id, e, is_again } => {
                 let submitted = DirectJob {
-                    caller_timeout_ms: PATIENCE_MS,
-                    queue_timeout_ms: PATIENCE_MS,
-                    allowance_ms: PATIENCE_MS,
+                    caller_timeout_ms: self.patience_ms,
+                    queue_timeout_ms: self.patience_ms,
+                    allowance_ms: self.patience_ms,
                     ..job(&id, 1)
                 };
+                self.waits.entry(id.clone()).or_insert((now_ms, 0));
                 let key = self.entries[e].submit(&mut self.hosts, submitted, false, now_ms);
                 if is_again {
                     self.patient.push((e, key, id));
@@ -135,9 +154,9 @@
         }
     }
 
-    /// Returns the tasks that ran twice at a time, and the submissions that were not served.
-    fn run(mut self) -> (Vec<String>, Vec<String>) {
-        for now_ms in (STEP_MS..END_MS).step_by(usize::try_from(STEP_MS).unwrap()) {
+    fn run(mut self) -> Observed {
+        let end_ms = LAST_JOB_MS + MAX_GIVE_UP_MS + 1_300 + self.patience_ms + 1_000;
+        for now_ms in (STEP_MS..end_ms).step_by(usize::try_from(STEP_MS).unwrap()) {
             self.hosts.iter_mut().for_each(|host| host.step(now_ms));
             while let Some(first) = self.events.first_entry().filter(|e| e.key().0 <= now_ms) {
                 let event = first.remove();
@@ -150,37 +169,49 @@
                 let times = self.twice.entry(task.to_string()).or_insert((now_ms, 0));
                 times.1 += STEP_MS;
             }
+            for task in self.hosts.iter().flat_map(Host::tasks) {
+                let (last_ms, longest_ms) = self.waits.get_mut(&*task.job).unwrap();
+                *longest_ms = (*longest_ms).max(now_ms - *last_ms);
+                *last_ms = now_ms;
+            }
         }
         let row = |(task, (ms, for_ms)): (&String, &(u64, u64))| {
             format!("{task} from {ms} ms for {for_ms} ms")
         };
-        let twice = self.twice.iter().map(row).collect();
-        let mut unserved = Vec::new();
+        let mut observed =
+            Observed { twice: self.twice.iter().map(row).collect(), ..Observed::default() };
         for (e, key, id) in self.patient {
             let outcome = self.entries[e].answers.get(&key);
             if outcome != Some(&JobOutcome::Succeeded) {
-                unserved.push(format!("{id} at entry {e}: {outcome:?}"));
+                observed.unserved.push(format!("{id} at entry {e}: {outcome:?}"));
             }
         }
-        (twice, unserved)
+        let limit_ms = Timing::default().lost_after_ms();
+        let long = self.waits.iter().filter(|(_, (_, longest_ms))| *longest_ms > limit_ms);
+        observed.waited = long.map(|(id, (_, ms))| format!("{id} for {ms} ms")).collect();
+        observed
     }
 }
 
-fn observe(restarts: Restarts, max_dial_ms: u64) -> (Vec<String>, Vec<String>) {
-    let (mut twice, mut unserved) = (Vec::new(), Vec::new());
+fn observe(restarts: Restarts, max_dial_ms: u64, patience_ms: u64) -> Observed {
+    let mut observed = Observed::default();
     for seed in 0..SEEDS {
-        let (t, u) = Simulation::new(seed, restarts, max_dial_ms).run();
-        twice.extend(t.into_iter().map(|text| format!("seed {seed}: {text}")));
-        unserved.extend(u.into_iter().map(|text| format!("seed {seed}: {text}")));
+        let one = Simulation::new(seed, restarts, max_dial_ms, patience_ms).run();
+        let name = |text| format!("seed {seed}: {text}");
+        observed.twice.extend(one.twice.into_iter().map(name));
+        observed.unserved.extend(one.unserved.into_iter().map(name));
+        observed.waited.extend(one.waited.into_iter().map(name));
     }
-    println!("{} twice, {} unserved", twice.len(), unserved.len());
-    (twice, unserved)
+    let Observed { twice, unserved, waited } = &observed;
+    println!("{} twice, {} unserved, {} waited", twice.len(), unserved.len(), waited.len());
+    observed
 }
 
 types::cases! {
     fn no_task_runs_twice_although_both_keepers_are_replaced(restarts: Restarts, max_dial_ms: u64) {
-        let (twice, _) = observe(restarts, max_dial_ms);
+        let Observed { twice, waited, .. } = observe(restarts, max_dial_ms, PATIENCE_MS);
         assert!(twice.is_empty(), "{} tasks ran twice at a time: {twice:#?}", twice.len());
+        assert_eq!(waited, Vec::<String>::new());
     }
     together: (Restarts::Together, 0),
     in_turn: (Restarts::InTurn, 0),
@@ -193,6 +224,7 @@
 /// Guards against callers who are not served after both agents that keep their claims were replaced.
 #[test]
 fn jobs_whose_keepers_are_replaced_succeed() {
-    let (_, unserved) = observe(Restarts::Together, 0);
-    assert_eq!(unserved, Vec::<String>::new());
+    let observed = observe(Restarts::Together, 0, LONG_PATIENCE_MS);
+    assert_eq!(observed.unserved, Vec::<String>::new());
+    assert_eq!(observed.waited, Vec::<String>::new());
 }
--- a/crates/direct/tests/common/simulation.rs
+++ b/crates/direct/tests/common/simulation.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Returns the tasks that run at the executor.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskId> {
+        self.runs.keys()
+    }
+
     /// Ends the agent's process; its executor goes on.
     pub fn kill(&mut self) {
         self.is_up = false;
