Add a failing test of a start that the next life of an executor carries out

The start takes effect at the next life some ms before the first list of that life. The list settles all runs as crashed, also those that it shows as running; the entries start the tasks elsewhere, and the runs are found and stopped some 80 ms later. Red: the attempt is reported as crashed.

--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -228,6 +228,24 @@
     assert_eq!(outcomes(&mut agent, entry), []);
 }
 
+/// Guards against a run that the next life of the upstream carries out and that counts as lost with the earlier life: the
+/// entry started its task elsewhere beside it, until a list had it stopped.
+#[test]
+fn a_start_that_the_next_life_carries_out_is_not_lost_with_the_earlier_one() {
+    let (mut agent, entry) = agent();
+    let list = |incarnation, sent_ms, running: &[(&direct::TaskId, u32)]| RunList {
+        incarnation: Some(incarnation),
+        ..run_list(sent_ms, running)
+    };
+    agent.on_run_list(&list(1, 200, &[]));
+    hear(&mut agent, entry, 210);
+    agent.on_attempts(entry, &batch("j", &[1], cores(1)), 210);
+    let t = task("j", 0);
+    agent.on_start_result(&t, 1, StartResult::Started, 220);
+    agent.on_run_list(&list(2, 230, &[(&t, 1)]));
+    assert_eq!(outcomes(&mut agent, entry), []);
+}
+
 /// Guards against ends that are acknowledged before they were read.
 #[test]
 fn an_overtaken_reply_of_an_earlier_life_does_not_acknowledge_ends_of_the_next() {
