Keep the first granted claim of a job at an agent

An agent let a claim that says that its job may run pass before the granted one, and the granted one says so only in its first renewal, 2.6 s later. An entry that had started without an answer and then reached the agent again was granted the job of another entry, and neither stopped.

--- a/crates/direct/src/supervisor/claims.rs
+++ b/crates/direct/src/supervisor/claims.rs
@@ -35,9 +35,9 @@
     #[derive(Default)]
     pub(crate) struct Claims {
         jobs: IndexMap<JobName, JobClaims>,
-        /// Time of the first handshake of an entry, milliseconds.
         /// Time at which a session was found disconnected, milliseconds.
         gone: IndexMap<SessionKey, u64>,
+        /// Time of the first handshake of an entry, milliseconds.
         first_hello_ms: Option<u64>,
         is_answering: bool,
     }
@@ -117,16 +117,6 @@
         if known_id.is_none() {
             job.claimants.push_back(claimant);
         }
-        // The grants of other agents let it start, which this one did not know of.
-        let place = job.claimants.iter().position(|known| known.session == key).unwrap_or(0);
-        if place > 0 && claim.is_running && !job.claimants[0].is_running {
-            let earlier = job.claimants[0];
-            job.claimants.swap(0, place);
-            self.tell(earlier.session, ClaimNews::Contested(earlier.id), &mut effects);
-            self.tell(key, ClaimNews::Granted(claim.id), &mut effects);
-            self.ask(&claim.job, now_ms, &mut effects);
-            return effects;
-        }
         let is_renewal = known_id.is_some_and(|id| id >= claim.id);
         let (holder, is_contested) = (job.claimants[0], job.is_contested());
         if holder.session == key {
