Settle runs of a replaced upstream by a list that fences them

What callers saw: a task ran twice at a time after its executor had been replaced within some milliseconds.

Cause: an agent that received a list of another incarnation of its upstream settled all its runs as crashed, and their entries started the tasks elsewhere. A start that was meant for the earlier incarnation may be carried out by the next one, before this list (which then shows it as running) or after it.

Now the agent raises its fencing token when another incarnation answers, and keeps its runs unsettled until a call with this token is answered. The upstream refuses the earlier starts from then on, so the runs in that list go on, and the others are gone. Starts of the earlier incarnation are not sent again, and stops are: a list may omit a run that is being stopped, so stopped runs count as gone only after the time in which a stop ends them.

Cost: a round trip on the same machine before a crash is settled.

--- a/crates/direct/src/fencing.rs
+++ b/crates/direct/src/fencing.rs
@@ -35,6 +35,12 @@
         self.step = self.step.saturating_mul(2);
     }
 
+    /// Raises the token when another incarnation of the upstream answers, which has seen no token: it
+    /// refuses what was sent before as soon as it has accepted a call with the raised token.
+    pub fn on_replaced(&mut self) {
+        self.value = self.value.saturating_add(1);
+    }
+
     /// Records that the upstream has accepted a call with the token `value`. Returns whether this
     /// shows that the orders of earlier agents are refused from now on.
     pub fn on_accepted(&mut self, value: u64) -> bool {
--- a/crates/direct/src/supervisor/crashes.rs
+++ b/crates/direct/src/supervisor/crashes.rs
@@ -7,7 +7,7 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use crate::{
-    AttemptOutcome, Crash, CrashNotice, SettledBy, Suspect, TaskId, UpstreamState,
+    AttemptOutcome, Crash, CrashNotice, Suspect, TaskId, UpstreamState,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run},
@@ -84,15 +84,15 @@
         }
     }
 
-    /// Handles the end of the upstream's incarnation, which another one has replaced; settles its
-    /// runs. Unless it was leaving, it has crashed.
+    /// Handles the end of the upstream's incarnation, which another one has replaced. Unless it was
+    /// leaving, it has crashed.
     pub(crate) fn on_incarnation_end(&mut self, now_ms: u64, effects: &mut Vec<SupervisorEffect>) {
         self.begin_outage(now_ms, false);
         if let Some(Outage::Unanswered(since_ms) | Outage::Refused(since_ms)) = self.crashes.outage
         {
             self.announce_crash(since_ms, effects);
         }
-        self.settle_all(self.loss(), SettledBy::UpstreamReplaced, effects);
+        self.replace_runs(self.loss(), effects);
         self.crashes.outage = None;
     }
 
--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -88,6 +88,8 @@
         Start(StartRun),
         /// Sends a stop to the upstream: task, number of the run and cause.
         Stop(TaskId, u32, StopCause),
+        /// Raises the fencing token of the calls that are sent from now on.
+        RaiseToken,
         /// Requests the upstream's run list immediately.
         PollRuns,
         /// Sends a report to the session's entry immediately.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -8,6 +8,7 @@
 mod lease_record;
 mod messages;
 mod orphans;
+mod replaced_runs;
 mod response_monitor;
 mod run;
 mod run_outcomes;
@@ -400,13 +401,15 @@
             effects.extend(self.report_all());
         }
         effects.extend(self.on_outage_end(list.incarnation));
-        self.check_incarnation(list, &mut effects);
-        if list.is_fencing {
+        let is_replaced = self.check_incarnation(list, &mut effects);
+        // The call that shows another incarnation was sent with the token before.
+        if list.is_fencing && !is_replaced {
             self.controlled_ms.get_or_insert(list.received_ms);
         }
         for (task, number, run_outcome) in &list.ended {
             self.on_run_end(task, *number, *run_outcome, list.received_ms, &mut effects);
         }
+        self.settle_replaced(list, &mut effects);
         self.settle_absent(list, &mut effects);
         self.stop_orphans(list, &mut effects);
         if !self.is_open && self.shows_no_orphan(list) {
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -3,7 +3,7 @@
 use types::Resources;
 
 use crate::{
-    AttemptId,
+    AttemptId, AttemptOutcome,
     supervisor::{SessionKey, absence::Absence},
 };
 
@@ -58,6 +58,9 @@
         pub(crate) attempt: Option<(SessionKey, AttemptId)>,
         pub(crate) phase: Phase,
         pub(crate) absence: Absence,
+        /// Outcome of the run if the upstream's present incarnation does not have it; `None` if it was
+        /// started there.
+        pub(crate) replaced: Option<AttemptOutcome>,
         /// Last time at which the entry is known to have wanted the run, milliseconds; `None` while
         /// it still does, as far as is known.
         pub(crate) wanted_until_ms: Option<u64>,
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -94,17 +94,19 @@
         is_outdated
     }
 
-    /// Replaces the upstream if another incarnation answers at its address, and settles its runs. The
-    /// number of the new incarnation may be lower, because the time of day may be set back between the
-    /// two. Its description is that of its last heartbeat, if one has come already.
+    /// Replaces the upstream if another incarnation answers at its address; returns whether one does.
+    /// The number of the new incarnation may be lower, because the time of day may be set back between
+    /// the two. Its description is that of its last heartbeat, if one has come already.
     pub(crate) fn check_incarnation(
         &mut self,
         list: &RunList,
         effects: &mut Vec<SupervisorEffect>,
-    ) {
-        let Some(incarnation) = list.incarnation else { return };
+    ) -> bool {
+        let Some(incarnation) = list.incarnation else { return false };
+        let mut is_replaced = false;
         if self.upstream.as_ref().is_some_and(|known| known.incarnation != incarnation) {
             self.on_incarnation_end(list.received_ms, effects);
+            is_replaced = true;
             self.upstream = None;
             self.run_numbers.clear();
             effects.extend(self.report_all());
@@ -113,6 +115,7 @@
         if let Some((upstream, seq)) = self.announced.take_if(is_present) {
             effects.extend(self.on_heartbeat(upstream, seq, list.received_ms));
         }
+        is_replaced
     }
 
     /// Settles all runs with the same outcome; those whose start is still held have not started.
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -52,6 +52,7 @@
                     accepted_ms: now_ms,
                     phase,
                     absence: Absence::default(),
+                    replaced: None,
                     wanted_until_ms: None,
                 };
                 self.runs.insert(task.clone(), run);
@@ -93,6 +94,7 @@
     pub fn may_send_start(&self, task: &TaskId, number: u32, now_ms: u64) -> bool {
         self.runs.get(task).is_some_and(|run| {
             run.number == number
+                && run.replaced.is_none()
                 && matches!(run.phase, Phase::Starting { .. })
                 && run.attempt.is_some_and(|(key, _)| {
                     self.may_start_for(key, now_ms) && self.keeps_run_limit(key)
@@ -127,7 +129,7 @@
         let run = self.runs.get_mut(task).filter(|run| run.number == number)?;
         let Phase::Starting { sends, open_calls } = &mut run.phase else { return None };
         *open_calls -= ended_calls;
-        if *sends >= MAX_START_SENDS || is_unresponsive {
+        if *sends >= MAX_START_SENDS || is_unresponsive || run.replaced.is_some() {
             return None;
         }
         *sends += 1;
@@ -156,6 +158,10 @@
             *open_calls -= 1;
         }
         let (sends, open_calls) = (*sends, *open_calls);
+        let may_have_started = sends > 1 || result == StartResult::Unknown;
+        if run.replaced.is_some() && result != StartResult::Started && may_have_started {
+            return effects;
+        }
         let by = SettledBy::StartResult;
         match result {
             StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -71,7 +71,8 @@
 }
 
 /// Replaces the upstream: the heartbeat of its next incarnation settles nothing and has the runs listed at
-/// once, and the answer shows that it lives.
+/// once, and the answer shows that it lives. The agent raises its token and requests the list that shows
+/// which runs the next incarnation has: none.
 pub fn replace(
     supervisor: &mut Supervisor,
     incarnation: u64,
@@ -79,11 +80,13 @@
 ) -> Vec<SupervisorEffect> {
     let effects = supervisor.on_heartbeat(upstream("u", incarnation), 1, now_ms);
     assert_eq!(effects, [SupervisorEffect::PollRuns]);
-    supervisor.on_run_list(&RunList {
-        received_ms: now_ms,
-        incarnation: Some(incarnation),
-        ..run_list(now_ms, &[])
-    })
+    let list =
+        RunList { received_ms: now_ms, incarnation: Some(incarnation), ..run_list(now_ms, &[]) };
+    let mut effects = supervisor.on_run_list(&list);
+    assert!(effects.contains(&SupervisorEffect::RaiseToken));
+    assert!(effects.contains(&SupervisorEffect::PollRuns));
+    effects.extend(supervisor.on_run_list(&list));
+    effects
 }
 
 pub fn job(id: &str, tasks: u32) -> DirectJob {
--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -246,6 +246,121 @@
     assert_eq!(outcomes(&mut agent, entry), []);
 }
 
+/// Returns a list of the incarnation that has replaced the first one.
+fn next_list(sent_ms: u64, running: &[(&direct::TaskId, u32)]) -> RunList {
+    RunList { incarnation: Some(2), ..run_list(sent_ms, running) }
+}
+
+/// Returns an agent whose only run was started, with this number of calls, at an upstream that another
+/// incarnation has replaced.
+fn replaced(sends: u32) -> (Supervisor, SessionKey) {
+    let (mut agent, entry) = agent();
+    agent.on_run_list(&run_list(200, &[]));
+    hear(&mut agent, entry, 210);
+    agent.on_attempts(entry, &batch("j", &[1], cores(1)), 210);
+    for _ in 1..sends {
+        agent.on_start_overdue(&task("j", 0), 1);
+    }
+    let effects = agent.on_run_list(&next_list(230, &[]));
+    assert!(effects.contains(&SupervisorEffect::RaiseToken));
+    (agent, entry)
+}
+
+/// Guards against a start that is under way when the first list of the next life is made, and that this life carries out
+/// after it: the list did not show it, and the entry started its task elsewhere beside it.
+#[test]
+fn a_start_that_is_under_way_to_the_next_life_is_not_lost_before_this_life_refuses_it() {
+    for result in [None, Some(StartResult::Started), Some(StartResult::Unknown)] {
+        let (mut agent, entry) = replaced(1);
+        let t = task("j", 0);
+        if let Some(result) = result {
+            agent.on_start_result(&t, 1, result, 232);
+        }
+        // This call was sent with the token before.
+        agent.on_run_list(&RunList { is_fencing: false, ..next_list(231, &[]) });
+        assert_eq!(outcomes(&mut agent, entry), [], "{result:?}");
+        agent.on_run_list(&next_list(234, &[(&t, 1)]));
+        assert_eq!(outcomes(&mut agent, entry), [], "{result:?}");
+        let ended = vec![(t, 1, RunOutcome::Done)];
+        agent.on_run_list(&RunList { ended, ..next_list(300, &[]) });
+        let outcomes = outcomes(&mut agent, entry);
+        assert!(matches!(outcomes[..], [(AttemptId(1), AttemptOutcome::Done { .. })]));
+    }
+}
+
+/// Guards against runs that are never settled because the next life has not got them.
+#[test]
+fn a_run_that_the_next_life_neither_has_nor_accepts_any_more_has_crashed() {
+    let (mut agent, entry) = replaced(1);
+    agent.on_run_list(&next_list(234, &[]));
+    assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Crashed)]);
+    // It is not among the runs of the agent any more.
+    let found = agent.on_run_list(&next_list(240, &[(&task("j", 0), 1)]));
+    assert!(found.iter().any(|effect| matches!(effect, SupervisorEffect::Stop(..))), "{found:?}");
+}
+
+/// Guards against a start that is sent to the next life with the raised token, after the list that settles it.
+#[test]
+fn a_start_for_an_earlier_life_is_not_sent_to_the_next() {
+    let (mut agent, _) = replaced(1);
+    let t = task("j", 0);
+    assert!(!agent.may_send_start(&t, 1, 231));
+    assert_eq!(agent.on_start_overdue(&t, 1), []);
+    assert_eq!(agent.on_start_result(&t, 1, StartResult::Unknown, 232), []);
+}
+
+/// Guards against a run that counts as not started because one of its calls was refused: another one may have started it.
+#[test]
+fn a_refused_repetition_does_not_settle_the_start_for_an_earlier_life() {
+    let (mut agent, entry) = replaced(2);
+    let t = task("j", 0);
+    agent.on_start_result(&t, 1, StartResult::Refused, 232);
+    assert_eq!(outcomes(&mut agent, entry), []);
+    agent.on_run_list(&next_list(234, &[]));
+    assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Crashed)]);
+}
+
+/// Guards against a run that goes on at the next life because its stop was acknowledged by the earlier one.
+#[test]
+fn a_stopped_run_that_the_next_life_has_is_stopped_again() {
+    let (mut agent, entry) = replaced(1);
+    let t = task("j", 0);
+    agent.on_stop(entry, &[AttemptId(1)]);
+    agent.on_stop_result(&t, 1, true, 232);
+    let effects = agent.on_run_list(&next_list(234, &[(&t, 1)]));
+    let stop = SupervisorEffect::Stop(t, 1, direct::StopCause::Repeated);
+    assert!(effects.contains(&stop), "{effects:?}");
+    assert_eq!(outcomes(&mut agent, entry), []);
+}
+
+/// Guards against a run that the next life is still ending by a stop that was under way, and that its lists omit.
+#[test]
+fn a_stopped_run_is_not_lost_before_the_next_life_has_ended_it() {
+    let (mut agent, entry) = replaced(1);
+    agent.on_stop(entry, &[AttemptId(1)]);
+    let end_ms = 235 + Timing::default().stop_end_ms();
+    for sent_ms in [234, end_ms - 1] {
+        agent.on_run_list(&next_list(sent_ms, &[]));
+        assert_eq!(outcomes(&mut agent, entry), [], "at {sent_ms} ms");
+    }
+    hear(&mut agent, entry, end_ms);
+    agent.on_run_list(&next_list(end_ms, &[]));
+    assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Crashed)]);
+}
+
+/// Guards against orders for the earlier life that the next one carries out because the token is equal.
+#[test]
+fn the_token_rises_when_the_upstream_is_replaced() {
+    let mut token = FencingToken::new(1_000_000);
+    token.on_accepted(token.value());
+    let earlier = token.value();
+    assert!(token.on_accepted(earlier));
+    token.on_replaced();
+    assert!(token.value() > earlier);
+    assert!(!token.on_accepted(earlier), "it accepts the earlier token still");
+    assert!(token.on_accepted(token.value()));
+}
+
 /// Guards against ends that are acknowledged before they were read.
 #[test]
 fn an_overtaken_reply_of_an_earlier_life_does_not_acknowledge_ends_of_the_next() {
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -40,7 +40,7 @@
         // A poll that waits would delay the news that the upstream responds again.
         let wait_ms = match (state.is_open(), state.has_pending_stop()) {
             (false, false) => 0,
-            _ if !state.is_responsive() => 0,
+            _ if !state.is_responsive() || state.awaits_fencing() => 0,
             (_, true) => STOP_WAIT_MS,
             (true, false) if state.is_idle() => POLL_WAIT_MS,
             (true, false) => BUSY_POLL_WAIT_MS,
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -182,6 +182,11 @@
         self.supervisor.borrow().has_pending_stop()
     }
 
+    /// Returns whether a list is needed at once that shows which runs a replaced upstream has.
+    pub(crate) fn awaits_fencing(&self) -> bool {
+        self.supervisor.borrow().awaits_fencing()
+    }
+
     pub(crate) fn incarnation(&self) -> u64 {
         self.incarnation
     }
@@ -382,6 +387,7 @@
                     }
                     spawn_local(executor_calls::stop(Rc::clone(self), task, run, cause));
                 }
+                SupervisorEffect::RaiseToken => self.raise_token(),
                 SupervisorEffect::PollRuns => {
                     spawn_local(executor_calls::poll_runs_once(Rc::clone(self)));
                 }
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -25,6 +25,14 @@
         self.events.emit(Level::Notable, "fencing_token", &[("token", json!(token.value()))]);
     }
 
+    /// Raises the fencing token because another incarnation of the upstream answers.
+    pub(super) fn raise_token(&self) {
+        let mut token = self.token.get();
+        token.on_replaced();
+        self.token.set(token);
+        self.events.emit(Level::Notable, "fencing_token", &[("token", json!(token.value()))]);
+    }
+
     /// Records that the upstream has accepted a call with this fencing token. Returns whether this
     /// shows that it refuses the orders of earlier agents.
     pub(crate) fn on_token_accepted(&self, accepted: u64) -> bool {
