Name the executor's id in each start

What callers saw: a task could run twice at a time when a start was carried out seconds late by an executor that had come in the place of the one it was meant for.

Cause: a start named no executor.

The fencing token remains the proof for a next life under the same id.

--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -135,7 +135,11 @@
         state.on_start_result(&start.task, start.run, StartResult::Refused);
         return;
     };
-    let mut call = pin!(state.executor.start(&start, state.token(), lease_end));
+    let Some(instance) = state.upstream_id() else {
+        state.on_start_result(&start.task, start.run, StartResult::Refused);
+        return;
+    };
+    let mut call = pin!(state.executor.start(&start, &instance, state.token(), lease_end));
     let answer = match timeout(state.call_overdue(), &mut call).await {
         Ok(answer) => answer,
         Err(_) => {
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -211,6 +211,11 @@
         self.apply(effects);
     }
 
+    /// Returns the id of the upstream; `None` before the first heartbeat of its present incarnation.
+    pub(crate) fn upstream_id(&self) -> Option<Arc<str>> {
+        self.supervisor.borrow().upstream().map(|upstream| Arc::clone(&upstream.id))
+    }
+
     pub(crate) fn on_upstream_leaving(self: &Rc<Self>, id: &str) {
         self.events.emit(Level::Notable, "upstream_leaves", &[("upstream", json!(id))]);
         let is_known =
