Send no start again to an unknown life after a broken connection

What callers saw: a task could run at the next life of its executor although its start was meant for the earlier one; a task that crashes its executors crashed one more than it may.

Cause: a start whose connection broke was sent again at once, up to three times. An executor that has crashed breaks all its connections, so these starts reach the next life.

Now such a start waits for a list that is requested after that: of the same incarnation, and it is sent again unless its run is listed; of another one, and it is settled like the other runs of the earlier one.

Evidence: a_start_whose_connection_broke_is_not_sent_to_the_next_life and a_start_whose_connection_broke_is_sent_again_to_the_same_life; the result `Broken` did not exist before.

--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -37,6 +37,9 @@
         Undelivered,
         /// The request was not answered: the run may have started, or may still start.
         Unknown,
+        /// The connection broke before an answer: as [`StartResult::Unknown`], and another incarnation
+        /// may have replaced the upstream.
+        Broken,
     }
 
     /// A run in progress, from an upstream's list.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -410,6 +410,7 @@
             self.on_run_end(task, *number, *run_outcome, list.received_ms, &mut effects);
         }
         self.settle_replaced(list, &mut effects);
+        self.resume_broken_starts(list, &mut effects);
         self.settle_absent(list, &mut effects);
         self.stop_orphans(list, &mut effects);
         if !self.is_open && self.shows_no_orphan(list) {
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -20,6 +20,14 @@
             /// Number of these calls that have neither been answered nor timed out.
             open_calls: u32,
         },
+        /// No call of the start is unanswered, and the last one ended with its connection: the next list
+        /// shows whether another incarnation has replaced the upstream.
+        Broken {
+            /// Number of times that the start was sent.
+            sends: u32,
+            /// Time at which the connection broke, milliseconds.
+            since_ms: u64,
+        },
         /// The upstream has acknowledged the start.
         Running {
             /// Time of the acknowledgement, milliseconds.
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use crate::{
-    AttemptBatch, AttemptOutcome, SessionKey, SettledBy, StartResult, StartRun, StopCause, TaskId,
+    AttemptBatch, AttemptOutcome, RunList, SessionKey, SettledBy, StartResult, StartRun, StopCause,
+    TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         absence::Absence,
@@ -138,8 +139,9 @@
         Some(SupervisorEffect::Start(StartRun { task, run: number, payload }))
     }
 
-    /// Applies the result of one call of a start. A start without an answer is sent again; the run
-    /// is stopped when all calls have ended without an answer.
+    /// Applies the result of one call of a start. A start without an answer is sent again, if its
+    /// connection broke only after a list of the same incarnation; the run is stopped when all calls
+    /// have ended without an answer.
     pub fn on_start_result(
         &mut self,
         task: &TaskId,
@@ -158,23 +160,30 @@
             *open_calls -= 1;
         }
         let (sends, open_calls) = (*sends, *open_calls);
-        let may_have_started = sends > 1 || result == StartResult::Unknown;
+        let may_have_started =
+            sends > 1 || matches!(result, StartResult::Unknown | StartResult::Broken);
         if run.replaced.is_some() && result != StartResult::Started && may_have_started {
             return effects;
         }
         let by = SettledBy::StartResult;
         match result {
             StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
-            StartResult::Unknown => match self.repeat_start(task, number, 1) {
-                Some(repeated) => effects.push(repeated),
-                None if open_calls > 1 => {}
-                None => self.stop_run(
-                    task,
-                    StopReport::Unconfirmed,
-                    StopCause::StartUnconfirmed,
-                    &mut effects,
-                ),
-            },
+            StartResult::Broken if open_calls == 1 => {
+                run.phase = Phase::Broken { sends, since_ms: now_ms };
+                effects.push(SupervisorEffect::PollRuns);
+            }
+            StartResult::Unknown | StartResult::Broken => {
+                match self.repeat_start(task, number, 1) {
+                    Some(repeated) => effects.push(repeated),
+                    None if open_calls > 1 => {}
+                    None => self.stop_run(
+                        task,
+                        StopReport::Unconfirmed,
+                        StopCause::StartUnconfirmed,
+                        &mut effects,
+                    ),
+                }
+            }
             // The other calls may have arrived.
             StartResult::Undelivered if open_calls > 0 => {}
             // An earlier send may have started the run, whatever the answer to this one.
@@ -197,4 +206,34 @@
         }
         effects
     }
+
+    /// Sends the starts again whose connections broke, unless a list of the same incarnation of the
+    /// upstream shows their runs.
+    pub(crate) fn resume_broken_starts(
+        &mut self,
+        list: &RunList,
+        effects: &mut Vec<SupervisorEffect>,
+    ) {
+        let mut unlisted = Vec::new();
+        for (task, run) in self.runs.iter_mut().filter(|(_, run)| run.replaced.is_none()) {
+            let Phase::Broken { sends, since_ms } = run.phase else { continue };
+            if list.contains(task, run.number) {
+                run.phase = Phase::Running { since_ms: list.received_ms };
+            } else if list.sent_ms >= since_ms {
+                run.phase = Phase::Starting { sends, open_calls: 0 };
+                unlisted.push((task.clone(), run.number));
+            }
+        }
+        for (task, number) in unlisted {
+            match self.repeat_start(&task, number, 0) {
+                Some(repeated) => effects.push(repeated),
+                None => self.stop_run(
+                    &task,
+                    StopReport::Unconfirmed,
+                    StopCause::StartUnconfirmed,
+                    effects,
+                ),
+            }
+        }
+    }
 }
--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -309,6 +309,42 @@
     assert_eq!(agent.on_start_result(&t, 1, StartResult::Unknown, 232), []);
 }
 
+/// Guards against a start that is sent to the next life because its connection broke: a task that had crashed its upstream
+/// crashed the next life, too.
+#[test]
+fn a_start_whose_connection_broke_is_not_sent_to_the_next_life() {
+    let (mut agent, entry) = agent();
+    agent.on_attempts(entry, &batch("j", &[1], cores(1)), 10);
+    let effects = agent.on_start_result(&task("j", 0), 1, StartResult::Broken, 220);
+    assert_eq!(effects, [SupervisorEffect::PollRuns]);
+    let is_start = |effect: &SupervisorEffect| matches!(effect, SupervisorEffect::Start(_));
+    for sent_ms in [225, 230] {
+        assert!(!agent.on_run_list(&next_list(sent_ms, &[])).iter().any(is_start));
+    }
+    assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Crashed)]);
+}
+
+/// Guards against a start that is never sent again after a connection of the same life broke, and against one that is sent
+/// before it is known whose connection it was.
+#[test]
+fn a_start_whose_connection_broke_is_sent_again_to_the_same_life() {
+    let t = task("j", 0);
+    let is_start = |effect: &SupervisorEffect| matches!(effect, SupervisorEffect::Start(_));
+    for (running, is_repeated) in [(vec![], true), (vec![(&t, 1)], false)] {
+        let (mut agent, entry) = agent();
+        agent.on_attempts(entry, &batch("j", &[1], cores(1)), 210);
+        agent.on_start_result(&t, 1, StartResult::Broken, 220);
+        // A list that was requested before shows nothing.
+        assert!(!agent.on_run_list(&run_list(219, &[])).iter().any(is_start));
+        let effects = agent.on_run_list(&run_list(221, &running));
+        assert_eq!(effects.iter().any(is_start), is_repeated);
+        let ended = vec![(t.clone(), 1, RunOutcome::Done)];
+        agent.on_run_list(&RunList { ended, ..run_list(300, &[]) });
+        let outcomes = outcomes(&mut agent, entry);
+        assert!(matches!(outcomes[..], [(AttemptId(1), AttemptOutcome::Done { .. })]));
+    }
+}
+
 /// Guards against a run that counts as not started because one of its calls was refused: another one may have started it.
 #[test]
 fn a_refused_repetition_does_not_settle_the_start_for_an_earlier_life() {
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -159,7 +159,8 @@
             state.on_call_error(&e);
             match e.failure {
                 CallFailure::Refused => StartResult::Undelivered,
-                CallFailure::Broken | CallFailure::Unanswered => StartResult::Unknown,
+                CallFailure::Broken => StartResult::Broken,
+                CallFailure::Unanswered => StartResult::Unknown,
             }
         }
     };
