Leave runs unsettled until the next incarnation has listed them

What callers could see: a task that runs at the next incarnation of its executor counted as lost or stopped, so it could run twice.

Now neither the end of a lease nor an absence settles a run that waits for the list of the next incarnation, a run that this one has listed is an ordinary run, and a broken call never sends its start again while another call is open. What the review showed besides stays: a third incarnation under the same id may carry out a start that the second one refuses; the comment that denied it is corrected.

--- a/crates/direct/src/supervisor/crashes.rs
+++ b/crates/direct/src/supervisor/crashes.rs
@@ -92,7 +92,7 @@
         {
             self.announce_crash(since_ms, effects);
         }
-        self.replace_runs(self.loss(), effects);
+        self.await_fencing(self.loss(), effects);
         self.crashes.outage = None;
     }
 
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -79,8 +79,8 @@
     /// Whether all runs of earlier agents have ended; no attempts are accepted before.
     is_open: bool,
     is_leaving: bool,
-    /// Time of the first answer that shows that the upstream refuses the orders of earlier agents,
-    /// milliseconds.
+    /// Time of the first answer that shows that the upstream refuses the orders of earlier agents, and
+    /// those of this one that were meant for an earlier incarnation, milliseconds.
     controlled_ms: Option<u64>,
     /// Runs at the upstream that this agent did not start. The number is that of the run.
     orphans: IndexMap<(TaskId, u32), Orphan>,
@@ -402,7 +402,7 @@
         }
         effects.extend(self.on_outage_end(list.incarnation));
         let is_replaced = self.check_incarnation(list, &mut effects);
-        // The call that shows another incarnation was sent with the token before.
+        // The call that shows another incarnation was sent before the token rose, so it fences nothing.
         if list.is_fencing && !is_replaced {
             self.controlled_ms.get_or_insert(list.received_ms);
         }
@@ -469,7 +469,7 @@
         self.advance_isolation(now_ms, &mut effects);
         let is_past_lease = now_ms >= self.leases.last_ms() + self.timing.lease_end_ms();
         if self.response_monitor.is_unresponsive() && is_past_lease {
-            self.settle_all(self.loss(), SettledBy::LeaseEnd, &mut effects);
+            self.settle_by_lease_end(&mut effects);
             self.orphans.clear();
             if !self.is_open {
                 self.is_open = true;
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -22,7 +22,7 @@
         },
         /// No call of the start is unanswered, and the last one ended with its connection: the next list
         /// shows whether another incarnation has replaced the upstream.
-        Broken {
+        AwaitingList {
             /// Number of times that the start was sent.
             sends: u32,
             /// Time at which the connection broke, milliseconds.
@@ -66,9 +66,9 @@
         pub(crate) attempt: Option<(SessionKey, AttemptId)>,
         pub(crate) phase: Phase,
         pub(crate) absence: Absence,
-        /// Outcome of the run if the upstream's present incarnation does not have it; `None` if it was
-        /// started there.
-        pub(crate) replaced: Option<AttemptOutcome>,
+        /// Outcome of the run if the upstream's present incarnation does not have it; `None` if its start
+        /// is meant for this one, or this one has listed it.
+        pub(crate) outcome_if_gone: Option<AttemptOutcome>,
         /// Last time at which the entry is known to have wanted the run, milliseconds; `None` while
         /// it still does, as far as is known.
         pub(crate) wanted_until_ms: Option<u64>,
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -4,7 +4,7 @@
     AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, SettledBy, TaskId, Upstream,
     supervisor::{
         Supervisor, SupervisorEffect,
-        run::{Phase, Run, StopReport},
+        run::{Phase, StopReport},
     },
 };
 
@@ -49,7 +49,8 @@
     /// confirmed, which may have run: it is lost, not unstarted.
     pub(crate) fn settle_absent(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
         let mut absent = Vec::new();
-        for (task, run) in &mut self.runs {
+        let known = self.runs.iter_mut().filter(|(_, run)| run.outcome_if_gone.is_none());
+        for (task, run) in known {
             if list.contains(task, run.number) {
                 run.absence.end();
                 continue;
@@ -118,19 +119,21 @@
         is_replaced
     }
 
-    /// Settles all runs with the same outcome; those whose start is still held have not started.
-    pub(crate) fn settle_all(
-        &mut self,
-        outcome: AttemptOutcome,
-        by: SettledBy,
-        effects: &mut Vec<SupervisorEffect>,
-    ) {
-        let is_held = |run: &Run| run.phase == Phase::Held;
+    /// Settles the runs of an upstream whose last lease has ended; those whose start is still held have
+    /// not started. It says nothing of what another incarnation may carry out, whose leases it does not
+    /// bound: those runs wait for its answer.
+    pub(crate) fn settle_by_lease_end(&mut self, effects: &mut Vec<SupervisorEffect>) {
+        let present = self.upstream.as_ref().map_or(0, |up| up.incarnation);
+        if self.announced.as_ref().is_some_and(|(next, _)| next.incarnation > present) {
+            return;
+        }
+        let outcome = self.loss();
+        let known = self.runs.iter().filter(|(_, run)| run.outcome_if_gone.is_none());
         let tasks: Vec<(TaskId, bool)> =
-            self.runs.iter().map(|(task, run)| (task.clone(), is_held(run))).collect();
+            known.map(|(task, run)| (task.clone(), run.phase == Phase::Held)).collect();
         for (task, is_held) in tasks {
             let outcome = if is_held { AttemptOutcome::NotStarted } else { outcome };
-            self.finish(&task, outcome, by, effects);
+            self.finish(&task, outcome, SettledBy::LeaseEnd, effects);
         }
     }
 
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -53,7 +53,7 @@
                     accepted_ms: now_ms,
                     phase,
                     absence: Absence::default(),
-                    replaced: None,
+                    outcome_if_gone: None,
                     wanted_until_ms: None,
                 };
                 self.runs.insert(task.clone(), run);
@@ -95,7 +95,7 @@
     pub fn may_send_start(&self, task: &TaskId, number: u32, now_ms: u64) -> bool {
         self.runs.get(task).is_some_and(|run| {
             run.number == number
-                && run.replaced.is_none()
+                && run.outcome_if_gone.is_none()
                 && matches!(run.phase, Phase::Starting { .. })
                 && run.attempt.is_some_and(|(key, _)| {
                     self.may_start_for(key, now_ms) && self.keeps_run_limit(key)
@@ -130,7 +130,7 @@
         let run = self.runs.get_mut(task).filter(|run| run.number == number)?;
         let Phase::Starting { sends, open_calls } = &mut run.phase else { return None };
         *open_calls -= ended_calls;
-        if *sends >= MAX_START_SENDS || is_unresponsive || run.replaced.is_some() {
+        if *sends >= MAX_START_SENDS || is_unresponsive || run.outcome_if_gone.is_some() {
             return None;
         }
         *sends += 1;
@@ -160,16 +160,18 @@
             *open_calls -= 1;
         }
         let (sends, open_calls) = (*sends, *open_calls);
+        // The list that is awaited settles a start that a call may have carried out; a further call would
+        // be one to the next incarnation.
         let may_have_started =
             sends > 1 || matches!(result, StartResult::Unknown | StartResult::Broken);
-        if run.replaced.is_some() && result != StartResult::Started && may_have_started {
+        if run.outcome_if_gone.is_some() && result != StartResult::Started && may_have_started {
             return effects;
         }
         let by = SettledBy::StartResult;
         match result {
             StartResult::Started => run.phase = Phase::Running { since_ms: now_ms },
             StartResult::Broken if open_calls == 1 => {
-                run.phase = Phase::Broken { sends, since_ms: now_ms };
+                run.phase = Phase::AwaitingList { sends, since_ms: now_ms };
                 effects.push(SupervisorEffect::PollRuns);
             }
             StartResult::Unknown | StartResult::Broken => {
@@ -215,8 +217,8 @@
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let mut unlisted = Vec::new();
-        for (task, run) in self.runs.iter_mut().filter(|(_, run)| run.replaced.is_none()) {
-            let Phase::Broken { sends, since_ms } = run.phase else { continue };
+        for (task, run) in self.runs.iter_mut().filter(|(_, run)| run.outcome_if_gone.is_none()) {
+            let Phase::AwaitingList { sends, since_ms } = run.phase else { continue };
             if list.contains(task, run.number) {
                 run.phase = Phase::Running { since_ms: list.received_ms };
             } else if list.sent_ms >= since_ms {
