Recognise a third incarnation before a heartbeat of the second

What callers saw: a task waited for 1.3 s although its executor had been replaced twice and did not have it; no double run was found.

Cause: a list was compared with the incarnation that the last heartbeat had described. Until the second incarnation has sent one, nothing is described, so a list of the third was taken for one of the second: the token did not rise, and the runs ended by absence only.

It is now compared with the incarnation that answered last.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -394,14 +394,12 @@
     /// earlier agent is left.
     pub fn on_run_list(&mut self, list: &RunList) -> Vec<SupervisorEffect> {
         let mut effects = Vec::new();
-        if self.is_of_earlier_incarnation(list) {
-            return effects;
-        }
+        let Some(is_changed) = self.identify_incarnation(list) else { return effects };
         if self.response_monitor.record_answer() {
             effects.extend(self.report_all());
         }
         effects.extend(self.on_outage_end(list.incarnation));
-        let is_replaced = self.check_incarnation(list, &mut effects);
+        let is_replaced = self.check_incarnation(list, is_changed, &mut effects);
         // The call that shows another incarnation was sent before the token rose, so it fences nothing.
         if list.is_fencing && !is_replaced {
             self.controlled_ms.get_or_insert(list.received_ms);
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -76,38 +76,48 @@
         }
     }
 
-    /// Returns whether a list was requested before the present incarnation of the upstream answered,
-    /// and another one sent it: answers overtake each other. Records which incarnation answers.
-    pub(crate) fn is_of_earlier_incarnation(&mut self, list: &RunList) -> bool {
-        let Some(incarnation) = list.incarnation else { return false };
+    /// Records which incarnation answers. Returns whether it is another one than before; `None` if the
+    /// list was requested before the present one answered, and another one sent it: answers overtake
+    /// each other.
+    pub(crate) fn identify_incarnation(&mut self, list: &RunList) -> Option<bool> {
+        let Some(incarnation) = list.incarnation else { return Some(false) };
         let announced = self.upstream.as_ref().map(|up| up.incarnation);
         let is_outdated = match self.answering {
-            Some((known, _)) if known == incarnation => return false,
+            Some((known, _)) if known == incarnation => return Some(false),
             Some((_, since_ms)) => list.sent_ms < since_ms,
             None => announced > Some(incarnation) && list.sent_ms < self.heartbeat_ms,
         };
-        if !is_outdated {
-            self.answering = Some((incarnation, list.received_ms));
-            self.orphans.clear();
-            // Another life has seen no token, and carries out late orders of earlier agents until it has.
-            self.controlled_ms = None;
+        if is_outdated {
+            return None;
         }
-        is_outdated
+        let earlier = self.answering.replace((incarnation, list.received_ms));
+        self.orphans.clear();
+        // Another life has seen no token, and carries out late orders of earlier agents until it has.
+        self.controlled_ms = None;
+        Some(earlier.is_some())
+    }
+
+    /// Returns whether this incarnation of the upstream has answered last.
+    pub fn is_answering(&self, incarnation: Option<u64>) -> bool {
+        incarnation.is_none() || self.answering.map(|(known, _)| known) == incarnation
     }
 
-    /// Replaces the upstream if another incarnation answers at its address; returns whether one does.
+    /// Replaces the upstream if another incarnation answers at its address; returns whether runs may be
+    /// left that were meant for the earlier one. `is_changed` tells whether another one answered before.
     /// The number of the new incarnation may be lower, because the time of day may be set back between
     /// the two. Its description is that of its last heartbeat, if one has come already.
     pub(crate) fn check_incarnation(
         &mut self,
         list: &RunList,
+        is_changed: bool,
         effects: &mut Vec<SupervisorEffect>,
     ) -> bool {
         let Some(incarnation) = list.incarnation else { return false };
-        let mut is_replaced = false;
-        if self.upstream.as_ref().is_some_and(|known| known.incarnation != incarnation) {
+        let is_described =
+            self.upstream.as_ref().is_some_and(|known| known.incarnation != incarnation);
+        let is_replaced = is_described || (is_changed && !self.runs.is_empty());
+        if is_replaced {
             self.on_incarnation_end(list.received_ms, effects);
-            is_replaced = true;
             self.upstream = None;
             self.run_numbers.clear();
             effects.extend(self.report_all());
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -162,6 +162,8 @@
         let (sends, open_calls) = (*sends, *open_calls);
         // The list that is awaited settles a start that a call may have carried out; a further call would
         // be one to the next incarnation.
+        // The list that is awaited settles a start that a call may have carried out; a further call would
+        // reach the next incarnation.
         let may_have_started =
             sends > 1 || matches!(result, StartResult::Unknown | StartResult::Broken);
         if run.outcome_if_gone.is_some() && result != StartResult::Started && may_have_started {
@@ -174,18 +176,21 @@
                 run.phase = Phase::AwaitingList { sends, since_ms: now_ms };
                 effects.push(SupervisorEffect::PollRuns);
             }
-            StartResult::Unknown | StartResult::Broken => {
-                match self.repeat_start(task, number, 1) {
-                    Some(repeated) => effects.push(repeated),
-                    None if open_calls > 1 => {}
-                    None => self.stop_run(
-                        task,
-                        StopReport::Unconfirmed,
-                        StopCause::StartUnconfirmed,
-                        &mut effects,
-                    ),
+            StartResult::Broken => {
+                if let Phase::Starting { open_calls, .. } = &mut run.phase {
+                    *open_calls -= 1;
                 }
             }
+            StartResult::Unknown => match self.repeat_start(task, number, 1) {
+                Some(repeated) => effects.push(repeated),
+                None if open_calls > 1 => {}
+                None => self.stop_run(
+                    task,
+                    StopReport::Unconfirmed,
+                    StopCause::StartUnconfirmed,
+                    &mut effects,
+                ),
+            },
             // The other calls may have arrived.
             StartResult::Undelivered if open_calls > 0 => {}
             // An earlier send may have started the run, whatever the answer to this one.
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -85,7 +85,9 @@
     let mut effects = supervisor.on_run_list(&list);
     assert!(effects.contains(&SupervisorEffect::RaiseToken));
     assert!(effects.contains(&SupervisorEffect::PollRuns));
-    effects.extend(supervisor.on_run_list(&list));
+    assert!(!effects.iter().any(|effect| matches!(effect, SupervisorEffect::Settled { .. })));
+    let next = RunList { sent_ms: now_ms + 1, received_ms: now_ms + 2, ..list };
+    effects.extend(supervisor.on_run_list(&next));
     effects
 }
 
--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -345,6 +345,88 @@
     }
 }
 
+/// Guards against a start that is sent to the next life because one of its two connections broke.
+#[test]
+fn a_start_with_two_calls_is_not_sent_again_when_the_first_one_breaks() {
+    let (mut agent, entry) = agent();
+    agent.on_attempts(entry, &batch("j", &[1], cores(1)), 10);
+    let t = task("j", 0);
+    agent.on_start_overdue(&t, 1);
+    assert_eq!(agent.on_start_result(&t, 1, StartResult::Broken, 25), []);
+    let effects = agent.on_start_result(&t, 1, StartResult::Broken, 26);
+    assert_eq!(effects, [SupervisorEffect::PollRuns]);
+}
+
+/// Guards against a run that counts as lost when the leases of the earlier life have ended: they do not bound those of
+/// the next one, which is mute.
+#[test]
+fn a_start_that_a_mute_next_life_may_carry_out_is_not_lost_with_the_leases_of_the_earlier_one() {
+    for is_announced in [false, true] {
+        let (mut agent, entry) = agent();
+        agent.on_run_list(&run_list(200, &[]));
+        hear(&mut agent, entry, 210);
+        agent.on_attempts(entry, &batch("j", &[1], cores(1)), 210);
+        agent.record_lease_sent(210);
+        if is_announced {
+            agent.on_call_refused(220);
+            agent.on_heartbeat(upstream("u", 2), 1, 230);
+        } else {
+            agent.on_run_list(&next_list(230, &[]));
+        }
+        for at_ms in [330, 450, 560] {
+            agent.on_call_timeout(at_ms);
+        }
+        hear(&mut agent, entry, 1_400);
+        agent.tick(1_400);
+        assert_eq!(outcomes(&mut agent, entry), [], "announced: {is_announced}");
+        agent.on_run_list(&next_list(1_420, &[]));
+        agent.on_run_list(&next_list(1_425, &[]));
+        assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Crashed)]);
+    }
+}
+
+/// Guards against a run that counts as ended at the next life because the earlier one had omitted it.
+#[test]
+fn an_absence_from_the_lists_of_the_earlier_life_settles_nothing_at_the_next() {
+    let missing_ms = Timing::default().missing_after_ms();
+    let (mut agent, entry) = agent();
+    agent.on_attempts(entry, &batch("j", &[1], cores(1)), 10);
+    let t = task("j", 0);
+    agent.on_start_overdue(&t, 1);
+    agent.on_start_result(&t, 1, StartResult::Started, 15);
+    agent.on_stop(entry, &[AttemptId(1)]);
+    agent.on_stop_result(&t, 1, true, 220);
+    for sent_ms in [225, 224 + missing_ms] {
+        agent.on_run_list(&run_list(sent_ms, &[]));
+    }
+    hear(&mut agent, entry, 225 + missing_ms);
+    agent.on_run_list(&next_list(226 + missing_ms, &[]));
+    assert_eq!(outcomes(&mut agent, entry), []);
+}
+
+/// Guards against a run that counts as gone although the next life has listed it and not its end.
+#[test]
+fn a_run_that_the_next_life_has_listed_is_not_gone_with_the_earlier_one() {
+    let (mut agent, entry) = replaced(1);
+    let t = task("j", 0);
+    agent.on_run_list(&RunList { is_fencing: false, ..next_list(232, &[(&t, 1)]) });
+    agent.on_run_list(&next_list(234, &[]));
+    assert_eq!(outcomes(&mut agent, entry), []);
+}
+
+/// Guards against a third life that passes for the second one while no heartbeat has described that one.
+#[test]
+fn a_third_life_is_recognised_before_a_heartbeat_of_the_second() {
+    let (mut agent, entry) = replaced(1);
+    agent.on_run_list(&next_list(234, &[(&task("j", 0), 1)]));
+    let third = |sent_ms| RunList { incarnation: Some(3), ..run_list(sent_ms, &[]) };
+    let effects = agent.on_run_list(&third(300));
+    assert!(effects.contains(&SupervisorEffect::RaiseToken), "{effects:?}");
+    assert_eq!(outcomes(&mut agent, entry), []);
+    agent.on_run_list(&third(304));
+    assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Lost)]);
+}
+
 /// Guards against a run that counts as not started because one of its calls was refused: another one may have started it.
 #[test]
 fn a_refused_repetition_does_not_settle_the_start_for_an_earlier_life() {
