Stop a run again that stays listed after its stop

What callers could see: a run that is not wanted any more goes on until its lease ends, and a task waits for it.

Cause: an acknowledged stop was never sent again. The acknowledgement may be that of an earlier incarnation, or the stop may have had no effect; runs of earlier agents were stopped again in this case, the agent's own were not.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -409,6 +409,7 @@
         }
         self.settle_replaced(list, &mut effects);
         self.resume_broken_starts(list, &mut effects);
+        self.repeat_stops(list, &mut effects);
         self.settle_absent(list, &mut effects);
         self.stop_orphans(list, &mut effects);
         if !self.is_open && self.shows_no_orphan(list) {
--- a/crates/direct/src/supervisor/stops.rs
+++ b/crates/direct/src/supervisor/stops.rs
@@ -1,7 +1,7 @@
 //! Stops of runs.
 
 use crate::{
-    AttemptId, SessionKey, StopCause, TaskId,
+    AttemptId, RunList, SessionKey, StopCause, TaskId,
     supervisor::{
         Supervisor, SupervisorEffect,
         run::{Phase, Run, StopReport},
@@ -70,6 +70,25 @@
         }
     }
 
+    /// Sends the stops again that have had their time and did not end their runs: the acknowledgement may
+    /// have been that of an earlier incarnation.
+    pub(crate) fn repeat_stops(&mut self, list: &RunList, effects: &mut Vec<SupervisorEffect>) {
+        let end_ms = self.timing.stop_end_ms();
+        let mut not_ended = Vec::new();
+        for (task, run) in &mut self.runs {
+            if let Phase::Stopping { acked_ms, .. } = &mut run.phase
+                && acked_ms.is_some_and(|ms| list.sent_ms >= ms + end_ms)
+                && list.has_row(task, run.number)
+            {
+                *acked_ms = None;
+                not_ended.push((task.clone(), run.number));
+            }
+        }
+        for (task, number) in not_ended {
+            effects.extend(self.send_stop(&task, number, StopCause::Repeated));
+        }
+    }
+
     /// Returns whether a run is to be stopped and no stop has been acknowledged.
     fn is_stop_pending(&self, task: &TaskId, number: u32) -> bool {
         let orphan = self.orphans.get(&(task.clone(), number));
--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -427,6 +427,22 @@
     assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Lost)]);
 }
 
+/// Guards against a run that is never stopped again: the acknowledgement of its stop came from the earlier life, or the
+/// stop had no effect.
+#[test]
+fn an_acknowledged_stop_of_a_run_that_stays_listed_is_repeated() {
+    let (mut agent, entry) = agent();
+    agent.on_attempts(entry, &batch("j", &[1], cores(1)), 10);
+    let t = task("j", 0);
+    agent.on_start_result(&t, 1, StartResult::Started, 15);
+    agent.on_stop(entry, &[AttemptId(1)]);
+    agent.on_stop_result(&t, 1, true, 220);
+    let stop = SupervisorEffect::Stop(t.clone(), 1, direct::StopCause::Repeated);
+    let end_ms = 220 + Timing::default().stop_end_ms();
+    assert!(!agent.on_run_list(&run_list(end_ms - 1, &[(&t, 1)])).contains(&stop));
+    assert!(agent.on_run_list(&run_list(end_ms, &[(&t, 1)])).contains(&stop));
+}
+
 /// Guards against a run that counts as not started because one of its calls was refused: another one may have started it.
 #[test]
 fn a_refused_repetition_does_not_settle_the_start_for_an_earlier_life() {
