Forget the clock and the position of an earlier incarnation's lists

What callers could see: the ends of runs at the next incarnation of an executor were acknowledged unread, so their tasks ran again; leases and deadlines of starts were on the clock of the earlier incarnation.

Not covered by a test of its own: the code is that of the process.

--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -92,10 +92,12 @@
     let token = state.token();
     let reply =
         state.executor.poll_runs(token, state.list_position.get().seq(), lease_end, 0).await;
+    let received_ms = clock::now_ms();
     state.record_lease_call_end(sent_ms, &reply);
     match reply {
         Ok(reply) if !reply.is_fenced => {
-            on_reply(&state, reply, token, (sent_ms, clock::now_ms()));
+            state.record_upstream_clock(reply.clock_ms, received_ms);
+            on_reply(&state, reply, token, (sent_ms, received_ms));
         }
         Ok(_) => {}
         Err(e) => state.on_call_error(&e),
@@ -109,7 +111,7 @@
     token: u64,
     (sent_ms, received_ms): (u64, u64),
 ) {
-    state.record_last_ended(reply.incarnation, reply.last_ended_seq);
+    let (incarnation, last_ended_seq) = (reply.incarnation, reply.last_ended_seq);
     state.on_run_list(&RunList {
         sent_ms,
         received_ms,
@@ -119,6 +121,7 @@
         unnumbered: reply.unnumbered,
         ended: reply.ended,
     });
+    state.record_last_ended(incarnation, last_ended_seq);
 }
 
 /// Starts a run at the upstream.
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -206,6 +206,10 @@
             ];
             self.events.emit(Level::Notable, "upstream", &fields);
         }
+        if !self.supervisor.borrow().is_answering(Some(upstream.incarnation)) {
+            // An acknowledgement of the earlier incarnation's ends would lose those of this one.
+            self.forget_list_position();
+        }
         let now_ms = self.now_ms();
         let effects = self.supervisor.borrow_mut().on_heartbeat(upstream, seq, now_ms);
         self.apply(effects);
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -103,19 +103,28 @@
         self.events.flush_early();
     }
 
-    /// Records up to which sequence number ended runs were listed.
+    /// Records up to which sequence number ended runs were listed, unless the list was ignored because
+    /// another incarnation answers now.
     pub(crate) fn record_last_ended(&self, incarnation: Option<u64>, last_ended_seq: Option<u64>) {
+        if !self.supervisor.borrow().is_answering(incarnation) {
+            return;
+        }
         let mut position = self.list_position.get();
         position.on_reply(incarnation, last_ended_seq);
         self.list_position.set(position);
     }
 
-    /// Handles a call that failed or was not answered in time.
-    pub(crate) fn on_call_error(self: &Rc<Self>, error: &CallError) {
-        let now_ms = self.now_ms();
+    /// Lets the next call acknowledge no ends: the upstream lists them again.
+    pub(super) fn forget_list_position(&self) {
         let mut position = self.list_position.get();
         position.on_failure();
         self.list_position.set(position);
+    }
+
+    /// Handles a call that failed or was not answered in time.
+    pub(crate) fn on_call_error(self: &Rc<Self>, error: &CallError) {
+        let now_ms = self.now_ms();
+        self.forget_list_position();
         let was_answering = self.supervisor.borrow().is_responsive();
         let runs = self.supervisor.borrow().runs_by_age(now_ms);
         let effects = match error.failure {
