Let fake executors refuse calls for another one and renew their ids

A call whose Expect-Instance names another id gets 421, in starts, stops and polls; it takes no token. In the soak every second executor has another id in each of its lives, and the record of runs still names its machine. An executor that is a process drains, deregisters and ends after SIGTERM.

--- a/crates/ebonycroft/src/commands/emulator.rs
+++ b/crates/ebonycroft/src/commands/emulator.rs
@@ -1,6 +1,6 @@
 //! `ebonycroft emulator`: fakes of the log, of executors and of workers.
 
-use std::{future::pending, io, net::SocketAddr, thread};
+use std::{future::pending, io, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use emulator::{
     ExecutorServer, ExecutorSettings, FakeExecutor, FakeExecutorClock, FakeExecutorSettings,
@@ -9,7 +9,7 @@
 use getopts::Options;
 use serde_json::json;
 use settings::{InvalidFields, Validate};
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::sleep};
 use types::StepError;
 
 use crate::{
@@ -40,6 +40,9 @@
         /// How it measures time.
         #[serde(default)]
         pub(crate) clock: FakeExecutorClock,
+        /// How long it serves on after SIGTERM, milliseconds.
+        #[serde(default)]
+        pub(crate) drain_ms: u64,
     }
 
     /// Settings of the fake of the log.
@@ -136,14 +139,17 @@
     Ok(())
 }
 
-/// Runs an executor until the standard input ends, each line of which replaces its faults. The first
+/// Runs an executor until the standard input ends, each line of which replaces its faults, or until it
+/// has drained after a signal. The first
 /// line of the output names its address, the others report its runs.
 async fn run_executor(settings: PlatformExecutorSettings) -> Result<(), CliError> {
     let executor = FakeExecutor::start(settings.behaviour, RunLedger::reporting()).await?;
+    let executor = Arc::new(executor);
     executor.set_clock(settings.clock);
     println!("{}", json!({ "executor": executor.addr() }));
-    let _heartbeats = executor.announce(settings.control);
+    let heartbeats = executor.announce(settings.control);
     let (tx, input_ended) = oneshot::channel::<()>();
+    let leaving = Arc::clone(&executor);
     thread::spawn(move || {
         let _tx = tx;
         for line in io::stdin().lines().map_while(Result::ok) {
@@ -157,6 +163,12 @@
     let input_ended = async {
         let _ = input_ended.await;
     };
-    serve_until_stopped(input_ended, async {}).await?;
+    let drain = async {
+        leaving.begin_leaving();
+        sleep(Duration::from_millis(settings.drain_ms)).await;
+        heartbeats.abort();
+        leaving.deregister(settings.control).await;
+    };
+    serve_until_stopped(input_ended, drain).await?;
     Ok(())
 }
--- a/crates/ebonycroft/tests/direct_roles/caller_path.rs
+++ b/crates/ebonycroft/tests/direct_roles/caller_path.rs
@@ -66,6 +66,7 @@
                 zone: "a".into(),
                 milli_cores: MILLI_CORES,
                 run_ms,
+                renews_id: false,
             };
             let executor = FakeExecutor::start(settings, ledger.clone()).await;
             let executor = executor.expect("an executor starts");
--- a/crates/ebonycroft/tests/direct_roles/direct_system.rs
+++ b/crates/ebonycroft/tests/direct_roles/direct_system.rs
@@ -65,6 +65,7 @@
             zone: "a".into(),
             milli_cores: 2_000,
             run_ms: timing.executor_ms,
+            renews_id: false,
         };
         let ledger = RunLedger::default();
         let executor = FakeExecutor::start(executor, ledger.clone()).await;
--- a/crates/ebonycroft/tests/direct_roles/fleet.rs
+++ b/crates/ebonycroft/tests/direct_roles/fleet.rs
@@ -112,6 +112,7 @@
             zone: "a".into(),
             milli_cores: 2_000,
             run_ms: 1,
+            renews_id: false,
         };
         let executor = FakeExecutor::start(settings, self.ledger.clone()).await;
         let executor = executor.expect("an executor starts");
--- a/crates/ebonycroft/tests/direct_roles/held_up_start.rs
+++ b/crates/ebonycroft/tests/direct_roles/held_up_start.rs
@@ -30,6 +30,7 @@
         zone: "a".into(),
         milli_cores: 2_000,
         run_ms: RUN_MS,
+        renews_id: false,
     };
     FakeExecutor::start(settings, ledger.clone()).await.expect("an executor starts")
 }
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -24,7 +24,8 @@
 //!   so before it gets a processor. So what a task's second run shares with the first one then counts as
 //!   an overlap only if it starts less than `ALLOWANCE` after the executor of the first one had promised
 //!   its end; the others are counted and printed as beyond the allowance.
-//! - `SOAK_EXECUTOR_FAULTS`: sequences of faults of such executors.
+//! - `SOAK_EXECUTOR_FAULTS`: sequences of faults of such executors. Every second one has another id in
+//!   each of its lives.
 //! - `SOAK_KEEPER_RESTARTS`: 1 lets entries learn late of callers that give up, and restarts two agents
 //!   when such a caller submits its job again. Few processes make these the agents that keep its claim.
 //! - `SOAK_PROGRAM`: another build of the program. `SOAK_LINK_RELAYS`: 0 for one whose entries can't
--- a/crates/ebonycroft/tests/soak/system.rs
+++ b/crates/ebonycroft/tests/soak/system.rs
@@ -91,6 +91,7 @@
         for i in 0..processes - entry_count {
             let settings = FakeExecutorSettings {
                 id: format!("executor-{i}"),
+                renews_id: !i.is_multiple_of(2),
                 pool: SERVICE.into(),
                 zone: zone(i).into(),
                 milli_cores: MILLI_CORES,
--- a/crates/emulator/src/platform_fake/executor.rs
+++ b/crates/emulator/src/platform_fake/executor.rs
@@ -6,14 +6,16 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use axum::{
     Json, Router,
+    extract::{Request, State},
     http::StatusCode,
+    middleware::{Next, from_fn_with_state},
     response::{IntoResponse, Response},
     routing::post,
 };
@@ -22,7 +24,7 @@
 use types::StepError;
 
 use self::{
-    calls::{announce, poll_runs, run_start, run_stop},
+    calls::{announce, deregister, poll_runs, run_start, run_stop},
     runs::{ActiveRun, RunTable},
 };
 use super::run_ledger::{RunEnd, RunLedger};
@@ -38,6 +40,8 @@
 const CRASH_DOWN: Duration = Duration::from_millis(300);
 /// Time after which a late order takes effect.
 const LATE_AFTER: Duration = Duration::from_millis(2_000);
+/// Names the id of the executor that a call is meant for.
+const EXPECT_INSTANCE: &str = "Expect-Instance";
 /// Period of the check for runs that have ended.
 const ADVANCE_PERIOD: Duration = Duration::from_millis(5);
 
@@ -62,6 +66,8 @@
     /// Number of starts and stops so far.
     orders: AtomicU64,
     run_ended: Notify,
+    /// Whether its heartbeats report that it is draining, whatever its faults are.
+    is_leaving: AtomicBool,
 }
 
 /// The present incarnation of an executor.
@@ -102,11 +108,13 @@
             clock: Mutex::default(),
             orders: AtomicU64::new(0),
             run_ended: Notify::new(),
+            is_leaving: AtomicBool::new(false),
         });
         let router = Router::new()
             .route("/-/run-start", post(run_start))
             .route("/-/run-stop", post(run_stop))
             .route("/-/hold", post(poll_runs))
+            .layer(from_fn_with_state(Arc::clone(&shared), check_instance))
             .with_state(Arc::clone(&shared));
         let addr = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::start(addr, router, connections).await?;
@@ -124,6 +132,16 @@
         tokio::spawn(announce(Arc::clone(&self.shared), self.addr(), control))
     }
 
+    /// Reports from now on that it is draining.
+    pub fn begin_leaving(&self) {
+        self.shared.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells the agent at `control` that it leaves.
+    pub async fn deregister(&self, control: SocketAddr) {
+        deregister(&self.shared, control).await;
+    }
+
     /// Returns the number of tasks in progress, including those that are being stopped.
     pub fn running(&self) -> usize {
         let state = lock(&self.shared.state);
@@ -163,6 +181,15 @@
         *lock(&self.lifetime)
     }
 
+    /// Returns the id of the present incarnation.
+    fn id(&self) -> String {
+        let id = &self.settings.id;
+        match self.settings.renews_id {
+            true => format!("{id}-{}", self.lifetime().incarnation),
+            false => id.clone(),
+        }
+    }
+
     /// Crashes if a task that is being started does so; returns whether it has crashed.
     fn crashes_under(self: &Arc<Self>, task: &str) -> bool {
         let crashed_by = lock(&self.faults).crashed_by;
@@ -294,6 +321,21 @@
     }
 }
 
+/// Refuses a call that is meant for another executor, and leaves it unanswered while the executor is
+/// unresponsive.
+async fn check_instance(
+    State(shared): State<Arc<Shared>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    shared.hang_if_unresponsive().await;
+    let expected = request.headers().get(EXPECT_INSTANCE);
+    if expected.is_some_and(|id| id.as_bytes() != shared.id().as_bytes()) {
+        return shared.response(StatusCode::MISDIRECTED_REQUEST, None);
+    }
+    next.run(request).await
+}
+
 async fn advance_runs(shared: Arc<Shared>) {
     loop {
         sleep(ADVANCE_PERIOD).await;
--- a/crates/emulator/src/platform_fake/executor/calls.rs
+++ b/crates/emulator/src/platform_fake/executor/calls.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -34,7 +34,6 @@
     State(shared): State<Arc<Shared>>,
     Json(body): Json<Value>,
 ) -> Response {
-    shared.hang_if_unresponsive().await;
     let task = body.get("task").and_then(Value::as_str).unwrap_or("");
     if shared.lifetime().is_down || shared.crashes_under(task) {
         std::future::pending::<()>().await;
@@ -57,7 +56,6 @@
     State(shared): State<Arc<Shared>>,
     Json(body): Json<Value>,
 ) -> Response {
-    shared.hang_if_unresponsive().await;
     if shared.is_next_order_late() {
         shared.carry_out_late(move |late| stop_run(late, &body));
         return std::future::pending().await;
@@ -97,7 +95,6 @@
     State(shared): State<Arc<Shared>>,
     Json(body): Json<Value>,
 ) -> Response {
-    shared.hang_if_unresponsive().await;
     shared.advance();
     let int_field = |field: &str| body.get(field).and_then(Value::as_u64).unwrap_or(0);
     {
@@ -140,7 +137,9 @@
             (announced, seq) = (lifetime.incarnation, 0);
         }
         seq += 1;
-        let state = if lock(&shared.faults).is_draining { "draining" } else { "ready" };
+        let is_leaving = shared.is_leaving.load(Ordering::Relaxed);
+        let is_draining = is_leaving || lock(&shared.faults).is_draining;
+        let state = if is_draining { "draining" } else { "ready" };
         let settings = &shared.settings;
         let body = json!({
             "service": settings.pool, "address": own_addr.to_string(), "zone": settings.zone,
@@ -148,7 +147,7 @@
             "capacity": { "cpu": settings.milli_cores, "memMb": 65_536, "gpu": 0 },
             "labels": ["a", "r1"], "clockMs": shared.clock_ms(), "seq": seq, "born": lifetime.incarnation,
         });
-        let path = format!("/-/Instances.Heartbeat/{}", settings.id);
+        let path = format!("/-/Instances.Heartbeat/{}", shared.id());
         let sent = timeout(HEARTBEAT_TIMEOUT, post_json(control, &path, &body.to_string())).await;
         if !matches!(sent, Ok(Ok(()))) {
             log::debug!("heartbeat of {} was not acknowledged", settings.id);
@@ -157,6 +156,14 @@
     }
 }
 
+pub(super) async fn deregister(shared: &Shared, control: SocketAddr) {
+    let path = format!("/-/Instances.Deregister/{}", shared.id());
+    let sent = timeout(HEARTBEAT_TIMEOUT, post_json(control, &path, "{}")).await;
+    if !matches!(sent, Ok(Ok(()))) {
+        log::debug!("the end of {} was not acknowledged", shared.settings.id);
+    }
+}
+
 /// Posts a body over a new connection, as an executor does after a failure.
 async fn post_json(addr: SocketAddr, path: &str, body: &str) -> std::io::Result<()> {
     let mut stream = TcpStream::connect(addr).await?;
--- a/crates/emulator/src/platform_fake/executor/settings.rs
+++ b/crates/emulator/src/platform_fake/executor/settings.rs
@@ -2,8 +2,10 @@
     /// Settings of a [`FakeExecutor`].
     #[derive(Eq)]
     pub struct FakeExecutorSettings {
-        /// Name of the executor.
+        /// Name of the executor's machine, and the executor's id unless that is renewed.
         pub id: String,
+        /// Whether each incarnation has an id of its own, which begins with that of the machine.
+        pub renews_id: bool,
         /// Pool to which it belongs.
         pub pool: String,
         /// Availability zone.
--- a/crates/emulator/tests/fake_executor.rs
+++ b/crates/emulator/tests/fake_executor.rs
@@ -30,6 +30,7 @@
             zone: "a".into(),
             milli_cores: 2_000,
             run_ms: LASTING_MS,
+            renews_id: false,
         };
         let executor = FakeExecutor::start(settings, ledger.clone()).await.unwrap();
         executor.set_faults(FakeExecutorFaults { stop_ms, stopping_runs, ..Default::default() });
@@ -38,9 +39,14 @@
     }
 
     async fn call(&self, path: &str, body: Value) -> (StatusCode, Value) {
+        self.call_instance(path, body, "executor").await
+    }
+
+    async fn call_instance(&self, path: &str, body: Value, id: &str) -> (StatusCode, Value) {
         let url = format!("http://{}/-/{path}", self.executor.addr());
         let reply = self.client.post(url).header("Content-Type", "application/json");
-        let reply = reply.body(body.to_string()).send().await.unwrap();
+        let reply =
+            reply.header("Expect-Instance", id).body(body.to_string()).send().await.unwrap();
         let status = reply.status();
         (status, serde_json::from_str(&reply.text().await.unwrap()).unwrap())
     }
@@ -106,6 +112,20 @@
     assert_eq!(called.start_run(4).await.0, StatusCode::OK);
 }
 
+#[tokio::test]
+async fn a_call_for_another_executor_is_refused() {
+    let called = Called::start(50, StoppingRuns::Running).await;
+    for path in ["run-start", "run-stop", "hold"] {
+        let body = json!({ "task": TASK, "run": 1, "spec": "", "deadlineMs": LASTING_MS,
+            "fencingToken": 7 });
+        let (status, _) = called.call_instance(path, body, "executor-2").await;
+        assert_eq!(status, StatusCode::MISDIRECTED_REQUEST, "{path}");
+    }
+    // Its token was not taken either.
+    assert_eq!(called.start_run(1).await.0, StatusCode::OK);
+    assert_eq!(called.ledger.count_runs(TASK), 1);
+}
+
 types::cases! {
     fn gaps_are_counted_by_the_end_of_the_earlier_run(is_stopped: bool, end: RunEnd, name: &str) {
         let runtime = tokio::runtime::Runtime::new().unwrap();
--- a/crates/node/tests/system/support.rs
+++ b/crates/node/tests/system/support.rs
@@ -108,6 +108,7 @@
             zone: "mid-a".into(),
             milli_cores: 4_000,
             run_ms,
+            renews_id: false,
         };
         let executor = FakeExecutor::start(settings, self.ledger.clone()).await;
         let executor = executor.expect("an executor starts");
