Count an overlap as the record's only where a line leads from the agent's end

Now an entry's presumed_lost of the task, or a settlement at that agent other than by the replacement of its executor, has to lie between the two.

--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -31,7 +31,8 @@
 //! - `SOAK_PROGRAM`: another build of the program. `SOAK_LINK_RELAYS`: 0 for one whose entries can't
 //!   advertise another address for links; faults of links have no effect then.
 //! - `SOAK_LOGS`: an existing folder for the decision lines of the processes. The lines of jobs that ran
-//!   twice at a time are printed too.
+//!   twice at a time are printed too. Only they show which overlaps have the record's shape: a line
+//!   leads from the loss of an agent to the later run.
 //! - `SOAK_RECORD`: a file for the record of these tasks in the users' form: the pairs of runs of each
 //!   case, then of two thirds of the entries the lines with the platform's name of a task, then their
 //!   changes. A summary counts the features of the users' record, and the pairs whose task, or job,
--- a/crates/ebonycroft/tests/soak/overlaps.rs
+++ b/crates/ebonycroft/tests/soak/overlaps.rs
@@ -27,6 +27,9 @@
     pub(crate) later: RecordedRun,
     /// Events of all processes shortly before, with the names of the processes.
     before: Vec<(Instant, String, Event)>,
+    /// Times of the lines that lead from a loss of the earlier run's agent to the later run, Unix
+    /// milliseconds.
+    pub(crate) losses: Vec<u64>,
 }
 
 /// Prints the number of overlaps of the system, and of those in the shape of the record, and writes
@@ -47,7 +50,7 @@
                 start.checked_duration_since(*at).is_some_and(|since| since <= CAUSE_BEFORE)
             };
             let before = events.iter().filter(is_before).cloned().collect();
-            Overlap { earlier, later, before }
+            Overlap { earlier, later, before, losses: Vec::new() }
         })
         .collect();
     found.sort_unstable_by_key(|overlap| overlap.later.from);
@@ -59,11 +62,13 @@
         found = within;
     }
     let started_ms = events.first().map_or(0, |(at, ..)| unix_ms(*at));
+    record::read_losses(&mut found, started_ms);
     record::write(system, &found, started_ms);
     let shaped: Vec<&Overlap> = found.iter().filter(|overlap| overlap.has_shape()).collect();
     let is_twin = |overlap: &&&Overlap| shaped.iter().any(|other| overlap.is_twin(other));
+    let known = if record::log_folder().is_some() { "" } else { " (not known without SOAK_LOGS)" };
     println!(
-        "overlaps: {}; in the record's shape: {}, of these beside one of another job: {}",
+        "overlaps: {}; in the record's shape{known}: {}, of these beside one of another job: {}",
         found.len(),
         shaped.len(),
         shaped.iter().filter(is_twin).count()
@@ -90,11 +95,14 @@
     }
 
     /// Returns whether the stopped run is the earlier one and was sent by an agent that has just
-    /// ended or resumed, and the later one was done without a stop.
+    /// ended or was suspended, a line leads from there to the later run, and that one was done without
+    /// a stop.
     pub(crate) fn has_shape(&self) -> bool {
         let agent = agent_of(&self.earlier);
-        let is_cause = |(_, process, event): &(Instant, String, Event)| {
-            *process == agent && matches!(event, Event::Killed | Event::Ended | Event::Resumed)
+        let is_cause = |(at, process, event): &(Instant, String, Event)| {
+            let is_end =
+                matches!(event, Event::Killed | Event::Ended | Event::Suspended | Event::Resumed);
+            *process == agent && is_end && self.losses.iter().any(|loss| *loss >= unix_ms(*at))
         };
         let is_done = self.later.stop.is_none() && self.later.end == Some(RunEnd::Done);
         self.earlier.stop.is_some() && is_done && self.before.iter().any(is_cause)
--- a/crates/ebonycroft/tests/soak/record.rs
+++ b/crates/ebonycroft/tests/soak/record.rs
@@ -76,6 +76,36 @@
     env::var_os("SOAK_RECORD").map(PathBuf::from)
 }
 
+/// Adds the times of the lines that lead from a loss of the earlier run's agent to the later run of
+/// each overlap: the entry presumes the order lost, or the agent settles the run in its next life. The
+/// replacement of an executor is no loss of its agent.
+pub(crate) fn read_losses(found: &mut [Overlap], since_ms: u64) {
+    let Some(dir) = log_folder() else { return };
+    let logs = read_logs(&dir, since_ms);
+    for pair in found {
+        let (agent, start_ms) = (agent_of(&pair.earlier), unix_ms(pair.later.from));
+        let (task, job) =
+            (format!(r#""task":"{}""#, pair.earlier.task), format!(r#""job":"{}""#, pair.job()));
+        let is_named = |line: &Line| {
+            // The lines of older builds name the job only.
+            let name = if line.text.contains(r#""task":"#) { &task } else { &job };
+            line.at_ms <= start_ms + 1 && line.text.contains(name)
+        };
+        let leads = |log: &Log, line: &Line| match &*line.event {
+            "presumed_lost" => line.agent == agent,
+            "settled" => {
+                let is_other = |name| line.text.contains(name);
+                log.process == agent
+                    && !["upstream_replaced", r#""done""#].into_iter().any(is_other)
+            }
+            _ => false,
+        };
+        let lines = logs.iter().flat_map(|log| log.lines.iter().map(move |line| (log, line)));
+        let losses = lines.filter(|(log, line)| is_named(line) && leads(log, line));
+        pair.losses = losses.map(|(_, line)| line.at_ms).collect();
+    }
+}
+
 /// Writes the record of the overlaps to `SOAK_RECORD`, if that is set, and prints its summary.
 pub(crate) fn write(system: &System, found: &[Overlap], since_ms: u64) {
     let (Some(path), Some(dir)) = (record_path(), log_folder()) else { return };
