--- a/crates/ebonycroft/tests/soak/faults.rs
+++ b/crates/ebonycroft/tests/soak/faults.rs
@@ -57,6 +57,7 @@
     KillExecutor,
     LoseHost,
     DrainHost,
+    RollAgents,
 }
 
 /// All faults, each with the same probability. Besides, one sequence has only those of callers.
@@ -96,8 +97,9 @@
 /// The same for faults of executors, and the number of these sequences unless it is stated.
 const FIRST_OF_EXECUTORS: u64 = 2_000;
 const EXECUTOR_SEQUENCES: u64 = 3;
-/// The same for changes of hosts.
+/// The same for changes of hosts, and for rolls of agents.
 const FIRST_OF_HOSTS: u64 = 3_000;
+const FIRST_ROLLS: u64 = 4_000;
 
 /// Length of a disturbance of callers, milliseconds: a part of which the second makes it end after
 /// the callers that give up early, or all callers, have submitted their jobs again.
@@ -127,9 +129,11 @@
     };
     let of_executors = FIRST_OF_EXECUTORS..FIRST_OF_EXECUTORS + of_executors;
     let of_hosts = FIRST_OF_HOSTS..FIRST_OF_HOSTS + env_number("SOAK_HOST_CHANGES", 0);
+    let rolls = FIRST_ROLLS..FIRST_ROLLS + env_number("SOAK_ROLLS", 0);
     let sequence = |n: u64| {
         let (kinds, gap_ms) = match n {
             0 => (&[Fault::Callers][..], MEAN_GAP_MS),
+            FIRST_ROLLS.. => (&[Fault::RollAgents][..], MEAN_GAP_MS),
             FIRST_OF_HOSTS.. => (&OF_HOSTS[..], MEAN_GAP_MS),
             FIRST_OF_EXECUTORS.. => (&OF_EXECUTORS[..], MEAN_GAP_MS),
             FIRST_RESTARTS.. => (&OF_AGENTS[..], env_number("SOAK_RESTART_MS", MEAN_GAP_MS)),
@@ -141,7 +145,7 @@
         .chain(restarts)
         .chain(of_executors)
         .chain(of_hosts)
-        
+        .chain(rolls)
         .map(sequence);
     let counts = futures::future::join_all(all).await;
     let mut sums = BTreeMap::new();
@@ -277,6 +281,9 @@
             | Fault::StarveHost
             | Fault::KillExecutor => executors::disturb(system, fault, &mut rng).await,
             Fault::LoseHost | Fault::DrainHost => hosts::replace(system, fault, &mut rng).await,
+            Fault::RollAgents => {
+                hosts::roll(system, length.saturating_sub(start.elapsed()), &mut rng).await;
+            }
         }
     }
     counts
--- a/crates/ebonycroft/tests/soak/hosts.rs
+++ b/crates/ebonycroft/tests/soak/hosts.rs
@@ -1,15 +1,16 @@
 //! Hosts, each an agent with its executor, that are lost or leave in order, with others that come in
-//! their place.
+//! their place, and planned ends of all agents in turn.
 
 use std::{ops::Range, sync::Mutex, time::Duration};
 
+use futures::future::join_all;
 use rand::{RngExt, rngs::StdRng};
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep};
 
 use crate::{
     env_number,
-    faults::{Fault, lock},
+    faults::{Fault, end, lock},
     process::Process,
     system::System,
 };
@@ -25,6 +26,12 @@
 const END_TIMEOUT: Duration = Duration::from_secs(7);
 /// Time until another host comes, milliseconds.
 const ABSENCE_MS: Range<u64> = 1_000..4_000;
+/// Time from one step of a roll to the next, and from an agent's end until it is back.
+const ROLL_PERIOD: Duration = Duration::from_millis(1_200);
+const ROLL_PAUSE: Duration = Duration::from_millis(500);
+/// Number of agents in each step of a roll.
+const ROLL_GROUPS: [usize; 2] = [1, 3];
+
 /// Returns how long executors serve on before a planned end, milliseconds.
 pub(crate) fn drain_ms() -> u64 {
     env_number("SOAK_DRAIN_MS", DRAIN_MS)
@@ -57,6 +64,18 @@
     system.replace_host(slot).await;
 }
 
+/// Stops the agents in turn, one or three at a time, until the time is over.
+pub(crate) async fn roll(system: &System, time: Duration, rng: &mut StdRng) {
+    let group = ROLL_GROUPS[rng.random_range(0..ROLL_GROUPS.len())];
+    let steps = system.agents.chunks(group).zip(0_u32..);
+    let steps = steps.map(|(agents, i)| (agents, ROLL_PERIOD * i));
+    let steps = steps.take_while(|(_, after)| *after < time).map(async |(agents, after)| {
+        sleep(after).await;
+        join_all(agents.iter().map(|agent| end(agent, Signal::TERM, ROLL_PAUSE))).await;
+    });
+    join_all(steps).await;
+}
+
 async fn until_ended(process: &Mutex<Process>, limit: Duration) {
     let start = Instant::now();
     while !lock(process).has_ended() && start.elapsed() < limit {
--- a/crates/ebonycroft/tests/soak/main.rs
+++ b/crates/ebonycroft/tests/soak/main.rs
@@ -30,6 +30,7 @@
 //!   process, is lost at once or leaves in order, and 1 to 4 s later another one comes, with another
 //!   name and other addresses. `SOAK_DRAIN_MS`: how long executors serve on before they leave, by
 //!   default longer than all runs. Half of their agents are stopped then, half afterwards.
+//! - `SOAK_ROLLS`: sequences of planned ends of all agents in turn, one or three at a time.
 //! - `SOAK_KEEPER_RESTARTS`: 1 lets entries learn late of callers that give up, and restarts two agents
 //!   when such a caller submits its job again. Few processes make these the agents that keep its claim.
 //! - `SOAK_PROGRAM`: another build of the program. `SOAK_LINK_RELAYS`: 0 for one whose entries can't
