Name the runs in the last line of an agent

An agent that ends said only that it was not idle, and is_idle counts neither found runs nor tells which of its own were being stopped. The line stop now names the tasks of its runs, of unanswered starts and of those being stopped. It is written once in a process. an_agent_that_ends_names_its_runs_* failed before.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -158,6 +158,20 @@
             || self.runs.values().any(|run| matches!(run.phase, Phase::Stopping { .. }))
     }
 
+    /// Returns the tasks of the runs whose start is unanswered.
+    pub fn starting(&self) -> Vec<TaskId> {
+        let starting = |(_, run): &(&TaskId, &Run)| matches!(run.phase, Phase::Starting { .. });
+        self.runs.iter().filter(starting).map(|(task, _)| task.clone()).collect()
+    }
+
+    /// Returns the tasks of the runs that are being stopped, with those that the agent found: their
+    /// stop is unanswered, or their end is not confirmed by a list.
+    pub fn stopping(&self) -> Vec<TaskId> {
+        let stopping = |(_, run): &(&TaskId, &Run)| matches!(run.phase, Phase::Stopping { .. });
+        let own = self.runs.iter().filter(stopping).map(|(task, _)| task);
+        own.chain(self.orphans.keys().map(|(task, _)| task)).cloned().collect()
+    }
+
     /// Returns whether the upstream answers calls.
     pub fn is_responsive(&self) -> bool {
         !self.response_monitor.is_unresponsive()
--- a/crates/ebonycroft/tests/direct_roles/fleet.rs
+++ b/crates/ebonycroft/tests/direct_roles/fleet.rs
@@ -35,6 +35,8 @@
     pub(crate) ledger: RunLedger,
     pub(crate) entries: Vec<Role>,
     pub(crate) hosts: Vec<Host>,
+    /// Grace period of the processes that are started from now on, milliseconds.
+    pub(crate) grace_ms: u64,
     /// Output of the agents that were replaced.
     replaced_output: String,
 }
@@ -80,6 +82,7 @@
             ledger,
             entries: Vec::new(),
             hosts: Vec::new(),
+            grace_ms: 3_000,
             replaced_output: String::new(),
         };
         for index in 0..entries {
@@ -94,7 +97,7 @@
 
     fn process(&self, name: &str) -> Value {
         let store = json!({ "address": self.store.addr().to_string() });
-        json!({ "name": name, "store": store, "grace_ms": 3_000 })
+        json!({ "name": name, "store": store, "grace_ms": self.grace_ms })
     }
 
     fn dir_of(&self, process: &str) -> PathBuf {
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -21,3 +21,4 @@
 mod suspensions;
 mod task_names;
 mod templates;
+mod unsettled_runs;
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -101,7 +101,7 @@
         }
         let stop_result = stop.await;
         drain(&state).await;
-        state.events.emit(Level::Notable, "stop", &[("is_idle", json!(state.is_idle()))]);
+        state.emit_stop();
         state.events.close();
         stop_result
     }
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -7,7 +7,12 @@
 use platform::{CallError, CallFailure, encode_task_name};
 use serde_json::{Value, json};
 
-use crate::{agent::state::AgentState, clock, events::Level, task_names::task_fields};
+use crate::{
+    agent::state::AgentState,
+    clock,
+    events::Level,
+    task_names::{names, task_fields},
+};
 
 /// Number of runs that the line about an unresponsive upstream lists.
 const MAX_LISTED_RUNS: usize = 6;
@@ -95,6 +100,21 @@
         self.events.flush_early();
     }
 
+    /// Writes the line about the end of the process, with the runs that it leaves to the executor and
+    /// to its successor.
+    pub(crate) fn emit_stop(&self) {
+        let supervisor = self.supervisor.borrow();
+        let runs = supervisor.runs_by_age(clock::now_ms());
+        let fields = [
+            ("is_idle", json!(runs.is_empty())),
+            ("is_open", json!(self.is_open())),
+            ("tasks", names(runs.into_iter().map(|(task, _)| task))),
+            ("unanswered_starts", names(supervisor.starting())),
+            ("stopping", names(supervisor.stopping())),
+        ];
+        self.events.emit(Level::Notable, "stop", &fields);
+    }
+
     /// Records up to which sequence number ended runs were listed.
     pub(crate) fn record_last_ended(&self, incarnation: Option<u64>, last_ended_seq: Option<u64>) {
         let mut position = self.list_position.get();
