Name the executor's life that has replaced that of a run

The line settled with upstream_replaced had no born, and the line upstream of the next life may come before or after it. a_run_that_is_lost_with_its_upstream_* failed before.

--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -68,6 +68,8 @@
     is_resumed: Cell<bool>,
     /// Whether the runs of an earlier agent have ended, so that entries may be dialled.
     is_open: Cell<bool>,
+    /// Incarnation of the upstream by its last list.
+    listed_born: Cell<Option<u64>>,
     /// Position in the upstream's list of ended runs.
     pub(crate) list_position: Cell<ListPosition>,
     /// What the lines name of the time before the agent opens.
@@ -112,6 +114,7 @@
             suspension_count: Cell::new(0),
             is_resumed: Cell::new(false),
             is_open: Cell::new(false),
+            listed_born: Cell::new(None),
             list_position: Cell::default(),
             opening: Opening::default(),
         }))
@@ -437,6 +440,7 @@
                         let entry = attempt.and_then(|(key, _)| self.entry_name(key));
                         fields.push(("entry", json!(entry)));
                         fields.push(("by", json!(by.name())));
+                        fields.extend(self.replacement_field(by));
                     }
                     self.events.emit(level, "settled", &fields);
                 }
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use direct::{RunList, StartResult, StopCause, TaskId};
+use direct::{RunList, SettledBy, StartResult, StopCause, TaskId};
 use metrics::counter;
 use platform::{CallError, CallFailure, encode_task_name};
 use serde_json::{Value, json};
@@ -76,6 +76,7 @@
             opening.first_list_ms.set(opening.first_list_ms.get().or(Some(result.received_ms)));
         }
         opening.list_sent_ms.set(Some(result.sent_ms));
+        self.listed_born.set(result.incarnation.or(self.listed_born.get()));
         let was_answering = self.supervisor.borrow().is_responsive();
         let effects = self.supervisor.borrow_mut().on_run_list(result);
         if !was_answering && self.supervisor.borrow().is_responsive() {
@@ -115,6 +116,12 @@
         self.events.emit(Level::Notable, "stop", &fields);
     }
 
+    /// Returns the field that tells which life of the executor has replaced that of a run, if this
+    /// has settled the run.
+    pub(super) fn replacement_field(&self, by: SettledBy) -> Option<(&'static str, Value)> {
+        (by == SettledBy::UpstreamReplaced).then(|| ("born", json!(self.listed_born.get())))
+    }
+
     /// Records up to which sequence number ended runs were listed.
     pub(crate) fn record_last_ended(&self, incarnation: Option<u64>, last_ended_seq: Option<u64>) {
         let mut position = self.list_position.get();
