--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -2,12 +2,17 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use direct::{RunList, StartResult, StopCause, TaskId};
+use direct::{RunList, SettledBy, StartResult, StopCause, TaskId};
 use metrics::counter;
 use platform::{CallError, CallFailure, encode_task_name};
 use serde_json::{Value, json};
 
-use crate::{agent::state::AgentState, clock, events::Level, task_names::task_fields};
+use crate::{
+    agent::state::AgentState,
+    clock,
+    events::Level,
+    task_names::{names, task_fields},
+};
 
 /// Number of runs that the line about an unresponsive upstream lists.
 const MAX_LISTED_RUNS: usize = 6;
@@ -79,6 +84,7 @@
             opening.first_list_ms.set(opening.first_list_ms.get().or(Some(result.received_ms)));
         }
         opening.list_sent_ms.set(Some(result.sent_ms));
+        self.listed_born.set(result.incarnation.or(self.listed_born.get()));
         let was_answering = self.supervisor.borrow().is_responsive();
         let effects = self.supervisor.borrow_mut().on_run_list(result);
         if !was_answering && self.supervisor.borrow().is_responsive() {
@@ -103,6 +109,27 @@
         self.events.flush_early();
     }
 
+    /// Writes the line about the end of the process, with the runs that it leaves to the executor and
+    /// to its successor.
+    pub(crate) fn emit_stop(&self) {
+        let supervisor = self.supervisor.borrow();
+        let runs = supervisor.runs_by_age(clock::now_ms());
+        let fields = [
+            ("is_idle", json!(runs.is_empty())),
+            ("is_open", json!(self.is_open())),
+            ("tasks", names(runs.into_iter().map(|(task, _)| task))),
+            ("unanswered_starts", names(supervisor.starting())),
+            ("stopping", names(supervisor.stopping())),
+        ];
+        self.events.emit(Level::Notable, "stop", &fields);
+    }
+
+    /// Returns the field that tells which life of the executor has replaced that of a run, if this
+    /// has settled the run.
+    pub(super) fn replacement_field(&self, by: SettledBy) -> Option<(&'static str, Value)> {
+        (by == SettledBy::UpstreamReplaced).then(|| ("born", json!(self.listed_born.get())))
+    }
+
     /// Records up to which sequence number ended runs were listed, unless the list was ignored because
     /// another incarnation answers now.
     pub(crate) fn record_last_ended(&self, incarnation: Option<u64>, last_ended_seq: Option<u64>) {
