Find a run that goes on after its settlement beside the ends of others

What callers saw: a task ran twice until both runs ended; the earlier run was never stopped.

Cause: a row of a task that has ended counts as outdated if its list was requested before the last list with an end, of any run, had arrived. On a busy executor each list shows an end and the next poll is sent in the same millisecond, so such a row was passed over again and again.

A row is now outdated only if the end of this very run was listed since.

Evidence: a_settled_run_that_is_listed_is_stopped_beside_the_ends_of_others fails without the change and passes with it.

--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -37,7 +37,7 @@
         lease_record::LeaseRecord,
         orphans::Orphan,
         response_monitor::ResponseMonitor,
-        run::{Phase, Run},
+        run::{EndedRun, Phase, Run},
         sent_reports::SentReports,
         session::Session,
         start_timer::StartTimer,
@@ -71,9 +71,7 @@
     is_capacity_outdated: bool,
     runs: IndexMap<TaskId, Run>,
     /// Highest run number known for each ended task; the task's next run gets a higher one.
-    run_numbers: IndexMap<TaskId, u32>,
-    /// Time at which the last list arrived that shows an end, milliseconds.
-    last_end_ms: u64,
+    run_numbers: IndexMap<TaskId, EndedRun>,
     sessions: IndexMap<Arc<str>, (SessionKey, Session)>,
     next_session: u32,
     /// Whether all runs of earlier agents have ended; no attempts are accepted before.
@@ -109,7 +107,6 @@
             is_capacity_outdated: false,
             runs: IndexMap::new(),
             run_numbers: IndexMap::new(),
-            last_end_ms: 0,
             sessions: IndexMap::new(),
             next_session: 0,
             is_open: false,
--- a/crates/direct/src/supervisor/orphans.rs
+++ b/crates/direct/src/supervisor/orphans.rs
@@ -48,8 +48,8 @@
 
     /// Returns whether a row is older than the end of its run: lists overtake each other.
     fn is_outdated_row(&self, list: &RunList, task: &TaskId, number: u32) -> bool {
-        let has_ended = self.run_numbers.get(task).is_some_and(|ended| number <= *ended);
-        has_ended && list.sent_ms <= self.last_end_ms
+        let ended = self.run_numbers.get(task).filter(|ended| number <= ended.number);
+        ended.and_then(|ended| ended.listed_ms).is_some_and(|ms| list.sent_ms <= ms)
     }
 
     /// Returns the time from which a list can show that no run of an earlier agent is left,
--- a/crates/direct/src/supervisor/run.rs
+++ b/crates/direct/src/supervisor/run.rs
@@ -75,6 +75,16 @@
     }
 }
 
+types::plain! {
+    /// Highest run of a task that has ended.
+    #[derive(Copy, Eq, Default)]
+    pub(crate) struct EndedRun {
+        pub(crate) number: u32,
+        /// Time at which the list arrived that shows its end, milliseconds; `None` if none did.
+        pub(crate) listed_ms: Option<u64>,
+    }
+}
+
 impl Phase {
     /// Phase of a run whose start is being sent for the first time.
     pub(crate) const STARTING: Self = Self::Starting { sends: 1, open_calls: 1 };
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -4,7 +4,7 @@
     AttemptId, AttemptOutcome, RunList, RunOutcome, SessionKey, SettledBy, TaskId, Upstream,
     supervisor::{
         Supervisor, SupervisorEffect,
-        run::{Phase, StopReport},
+        run::{EndedRun, Phase, StopReport},
     },
 };
 
@@ -24,8 +24,7 @@
         effects: &mut Vec<SupervisorEffect>,
     ) {
         self.orphans.shift_remove(&(task.clone(), number));
-        self.last_end_ms = self.last_end_ms.max(now_ms);
-        self.record_run_number(task, number);
+        self.record_run_number(task, number, Some(now_ms));
         let Some(run) = self.runs.get(task).filter(|run| run.number == number) else {
             return;
         };
@@ -156,17 +155,22 @@
         effects: &mut Vec<SupervisorEffect>,
     ) {
         let Some(run) = self.runs.shift_remove(task) else { return };
-        self.record_run_number(task, run.number);
+        self.record_run_number(task, run.number, None);
         self.settle(task, run.attempt, outcome, by, effects);
         if let Some((key, _)) = run.attempt {
             effects.push(SupervisorEffect::Report(key));
         }
     }
 
-    /// Records that the run of a task with this number has ended.
-    fn record_run_number(&mut self, task: &TaskId, number: u32) {
-        let highest = self.run_numbers.entry(task.clone()).or_insert(0);
-        *highest = number.max(*highest);
+    /// Records that the run of a task with this number has ended, and when the list arrived that shows
+    /// its end.
+    fn record_run_number(&mut self, task: &TaskId, number: u32, listed_ms: Option<u64>) {
+        let ended = self.run_numbers.entry(task.clone()).or_default();
+        if number > ended.number {
+            *ended = EndedRun { number, listed_ms };
+        } else if number == ended.number {
+            ended.listed_ms = ended.listed_ms.or(listed_ms);
+        }
         if self.run_numbers.len() > MAX_RUN_NUMBERS {
             self.run_numbers.shift_remove_index(0);
         }
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -8,7 +8,7 @@
     supervisor::{
         Supervisor, SupervisorEffect,
         absence::Absence,
-        run::{Phase, Run, StopReport},
+        run::{EndedRun, Phase, Run, StopReport},
     },
 };
 
@@ -42,7 +42,9 @@
                 && !self.runs.contains_key(&task)
             {
                 let phase = self.first_phase(batch, now_ms);
-                let number = attempt.run.max(self.run_numbers.get(&task).map_or(0, |n| n + 1));
+                let number = attempt
+                    .run
+                    .max(self.run_numbers.get(&task).map_or(0, |ended| ended.number + 1));
                 let run = Run {
                     number,
                     need: batch.need,
@@ -201,7 +203,8 @@
                 &mut effects,
             ),
             StartResult::OldRun => {
-                self.run_numbers.insert(task.clone(), number + 1);
+                let ended = EndedRun { number: number + 1, listed_ms: None };
+                self.run_numbers.insert(task.clone(), ended);
                 self.finish(task, AttemptOutcome::NotStarted, by, &mut effects);
             }
             StartResult::Refused | StartResult::Undelivered => {
--- a/crates/direct/tests/late_upstreams.rs
+++ b/crates/direct/tests/late_upstreams.rs
@@ -443,6 +443,25 @@
     assert!(agent.on_run_list(&run_list(end_ms, &[(&t, 1)])).contains(&stop));
 }
 
+/// Guards against a run that is never stopped because it counts as an outdated row: each list of a busy upstream shows an
+/// end of some other run.
+#[test]
+fn a_settled_run_that_is_listed_is_stopped_beside_the_ends_of_others() {
+    let (mut agent, entry) = replaced(1);
+    agent.on_run_list(&next_list(234, &[]));
+    assert_eq!(outcomes(&mut agent, entry), [(AttemptId(1), AttemptOutcome::Crashed)]);
+    let t = task("j", 0);
+    let others = RunList {
+        received_ms: 240,
+        ended: vec![(task("other", 0), 1, RunOutcome::Done)],
+        ..next_list(236, &[])
+    };
+    agent.on_run_list(&others);
+    let effects = agent.on_run_list(&next_list(240, &[(&t, 1)]));
+    let stop = SupervisorEffect::Stop(t, 1, direct::StopCause::Found);
+    assert!(effects.contains(&stop), "{effects:?}");
+}
+
 /// Guards against a run that counts as not started because one of its calls was refused: another one may have started it.
 #[test]
 fn a_refused_repetition_does_not_settle_the_start_for_an_earlier_life() {
