Tell a silent holder that its claim was passed on

Trace: a waiting claim reached two new agents 105 ms before that of the entry that ran the job, and kept its grants there. It does not renew them while it waits, so 1,300 ms later both agents passed the job on to the entry that ran it, without a word to the first one. When the agents that had said "contested" were replaced, only its two grants were left, and it started beside the run of the other entry.

An agent now says "contested" to the entry whose claim it passes on, and that one claims the job there again, so that it gets its turn. An entry that has started goes on as before: it heeds "contested" only from an agent without whose answer it has started.

--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -315,6 +315,7 @@
             state.claim.keepers.push(Keeper { agent, answer: Answer::Waiting, lost_ms: None });
         }
         let Some(keeper) = state.claim.keeper_mut(agent) else { return };
+        let was_granted = keeper.answer == Answer::Granted;
         keeper.answer = Answer::Contested;
         // An agent that has granted the claim may have been replaced and have forgotten it.
         let is_late = state.claim.is_settled && is_unanswered;
@@ -331,6 +332,10 @@
         if is_late {
             self.withdraw(JobKey(id.0), effects);
         }
+        if was_granted && let Some(state) = self.jobs.get(&JobKey(id.0)) {
+            // An agent that has passed the job on does not know that it is still waited for.
+            effects.push(DispatcherEffect::Send(agent, claim_message(JobKey(id.0), state)));
+        }
         self.yield_claim(JobKey(id.0), effects);
     }
 
--- a/crates/direct/src/supervisor/claims.rs
+++ b/crates/direct/src/supervisor/claims.rs
@@ -256,8 +256,12 @@
             self.claims.jobs.swap_remove(name);
             return;
         };
-        let (job, holder) = (name.clone(), holder.session);
-        effects.push(SupervisorEffect::ClaimEnded { job, holder, end });
+        let (job, session) = (name.clone(), holder.session);
+        effects.push(SupervisorEffect::ClaimEnded { job, holder: session, end });
+        if end.is_none() {
+            // A job that waits elsewhere must not start later by the grant that it has lost here.
+            self.tell(session, ClaimNews::Contested(holder.id), effects);
+        }
         self.tell(next.session, ClaimNews::Granted(next.id), effects);
         if is_contested {
             self.ask(name, now_ms, effects);
--- a/crates/direct/tests/claims.rs
+++ b/crates/direct/tests/claims.rs
@@ -323,3 +323,27 @@
         [ClaimNews::Granted(ClaimId(3)), ClaimNews::Asked(ClaimId(3))]
     );
 }
+
+/// Guards against a job that waits elsewhere and starts later by a grant that the agent has passed on.
+#[test]
+fn a_silent_holder_is_told_that_its_claim_was_passed_on_and_waits_there() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 60);
+    agent.on_claim(two, &claim(3), 1_000);
+    news(&mut agent, one);
+    agent.tick(1_000 + Timing::default().lost_after_ms());
+    let told = news(&mut agent, one);
+    assert_eq!(told, [ClaimNews::Contested(ClaimId(7))]);
+    // The entry has the job's grant of this agent, and waits for that of the other one.
+    let (mut entry, _) = entry(&["a", "b"]);
+    let (_, keepers, id) = submit_at_all(&mut entry, "j", 0);
+    entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 1);
+    entry.on_claims(keepers[1], &[ClaimNews::Contested(id)], 1);
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::Contested(id)], 400);
+    let to: Vec<AgentKey> = claims_in(&effects).into_iter().map(|(agent, _)| agent).collect();
+    assert_eq!(to, [keepers[0]], "it waits there from now on");
+    let effects = entry.on_claims(keepers[1], &[ClaimNews::Granted(id)], 410);
+    assert!(attempts(&effects).is_empty(), "it starts by the grant that it has lost");
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 420);
+    assert_eq!(attempts(&effects).len(), 1);
+}
