Leave a grant to the entry that runs the job

Trace: both keepers were killed as the second submission came. The entry that waited claimed the job at the two next agents in the same 5 ms as the one that ran it, and before it, so both agents granted it. They asked it; it kept the grants, and started 100 ms after the loss, beside the run of the other one, which heeds no "contested" of an agent that it had not started without.

An agent now tells the holder that the other entry may run the job (AskedByRunning), with the question and with each renewal of such a claim. A holder whose job waits and of which nothing is outstanding releases its grant there. One that has started keeps it, so what unanswered_starts guards is as before: it can't take a grant by having started, unless the other entry has started nothing. A renewal asks again because the holder's runs may have been stopped since; it does not count as a question that the holder has to answer in time.

Costs: no message but in such a contest.

--- a/crates/direct/src/claim.rs
+++ b/crates/direct/src/claim.rs
@@ -36,6 +36,9 @@
         Asked(ClaimId),
         /// A caller has cancelled the job at another entry.
         Cancelled(ClaimId),
+        /// Like `Asked`, and tasks of the job may run at the other entry: a holder that waits
+        /// elsewhere leaves the job to it.
+        AskedByRunning(ClaimId),
     }
 
     /// How the holder of a claim has ended its job. No run of the job is left at its agents.
--- a/crates/direct/src/dispatcher/claim_contests.rs
+++ b/crates/direct/src/dispatcher/claim_contests.rs
@@ -75,6 +75,11 @@
         let is_before = |keeper: &Keeper| {
             keeper.answer == Answer::Contested && weight_of(keeper.agent) > weight_of(agent)
         };
-        state.claim.is_open() && state.outstanding == 0 && state.claim.keepers.iter().any(is_before)
+        self.has_started_nothing(key) && state.claim.keepers.iter().any(is_before)
+    }
+
+    /// Returns whether a job waits and nothing of it runs here.
+    pub(crate) fn has_started_nothing(&self, key: JobKey) -> bool {
+        self.jobs.get(&key).is_some_and(|state| state.claim.is_open() && state.outstanding == 0)
     }
 }
--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -49,7 +49,8 @@
                 ClaimNews::Granted(id) => self.on_granted(id, agent, now_ms),
                 ClaimNews::Contested(id) => self.on_contested(id, agent, now_ms, effects),
                 ClaimNews::Shared(id, end) => self.on_shared(id, agent, end, effects),
-                ClaimNews::Asked(id) => self.on_asked(id, agent, effects),
+                ClaimNews::Asked(id) => self.on_asked(id, agent, false, effects),
+                ClaimNews::AskedByRunning(id) => self.on_asked(id, agent, true, effects),
                 ClaimNews::Cancelled(id) => {
                     self.answer(JobKey(id.0), JobOutcome::Cancelled, effects);
                 }
@@ -361,9 +362,15 @@
 
     /// Handles the question of an agent at which another entry claims a job. The claim is renewed
     /// until the job, and every run of it, has ended.
-    fn on_asked(&mut self, id: ClaimId, agent: AgentKey, effects: &mut Vec<DispatcherEffect>) {
+    fn on_asked(
+        &mut self,
+        id: ClaimId,
+        agent: AgentKey,
+        by_running: bool,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
         let key = JobKey(id.0);
-        if self.must_yield(key, agent) {
+        if self.must_yield(key, agent) || (by_running && self.has_started_nothing(key)) {
             self.release_to_others(key, agent, effects);
             return;
         }
--- a/crates/direct/src/supervisor/claims.rs
+++ b/crates/direct/src/supervisor/claims.rs
@@ -69,6 +69,12 @@
     fn is_contested(&self) -> bool {
         self.claimants.len() > 1
     }
+
+    /// Returns the question to the holder of a contested claim.
+    fn question(&self, id: ClaimId) -> ClaimNews {
+        let is_running = self.claimants.iter().skip(1).any(|waiting| waiting.is_running);
+        if is_running { ClaimNews::AskedByRunning(id) } else { ClaimNews::Asked(id) }
+    }
 }
 
 impl Supervisor {
@@ -120,17 +126,22 @@
         let is_renewal = known_id.is_some_and(|id| id >= claim.id);
         let (holder, is_contested) = (job.claimants[0], job.is_contested());
         if holder.session == key {
+            let question = job.question(claim.id);
             self.tell(key, ClaimNews::Granted(claim.id), &mut effects);
             if is_contested && !is_renewal {
-                self.tell(key, ClaimNews::Asked(claim.id), &mut effects);
+                self.tell(key, question, &mut effects);
             }
             return effects;
         }
+        let question = job.question(holder.id);
         self.tell(key, ClaimNews::Contested(claim.id), &mut effects);
         if known_id.is_none() {
             self.ask(&claim.job, now_ms, &mut effects);
             let (job, holder) = (claim.job.clone(), holder.session);
             effects.push(SupervisorEffect::ClaimContested { job, holder, claimant: key });
+        } else if claim.is_running {
+            // It may have started since, or the holder has ended its runs since the last question.
+            self.tell(holder.session, question, &mut effects);
         }
         effects
     }
@@ -273,7 +284,8 @@
         let Some(job) = self.claims.jobs.get_mut(name) else { return };
         job.asked_ms = now_ms;
         let Some(holder) = job.claimants.front().copied() else { return };
-        self.tell(holder.session, ClaimNews::Asked(holder.id), effects);
+        let question = job.question(holder.id);
+        self.tell(holder.session, question, effects);
     }
 
     /// Repeats what an entry must know of contested claims: it may have been lost with an earlier
@@ -284,7 +296,7 @@
             .filter_map(|job| {
                 let place = job.claimants.iter().position(|claimant| claimant.session == key)?;
                 let id = job.claimants[place].id;
-                Some(if place == 0 { ClaimNews::Asked(id) } else { ClaimNews::Contested(id) })
+                Some(if place == 0 { job.question(id) } else { ClaimNews::Contested(id) })
             })
             .collect();
         if let Some(session) = self.session_mut(key) {
--- a/crates/direct/tests/claims.rs
+++ b/crates/direct/tests/claims.rs
@@ -347,3 +347,40 @@
     let effects = entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 420);
     assert_eq!(attempts(&effects).len(), 1);
 }
+
+/// Guards against a waiting job that reaches an agent before the entry that runs it, and keeps its grant there.
+#[test]
+fn a_holder_that_has_started_nothing_leaves_its_grant_to_the_entry_that_runs_the_job() {
+    let (mut agent, one, two) = agent();
+    let (mut entry, _) = entry(&["a", "b"]);
+    let (_, keepers, id) = submit_at_all(&mut entry, "j", 0);
+    agent.on_claim(one, &Claim { id, ..claim(0) }, 60);
+    agent.on_claim(two, &Claim { is_running: true, ..claim(3) }, 70);
+    let told = news(&mut agent, one);
+    let effects = entry.on_claims(keepers[0], &told, 71);
+    assert_eq!(ends(&effects), [(keepers[0], ClaimEnd::Released)]);
+    agent.on_claim_end(one, id, ClaimEnd::Released, 72);
+    assert_eq!(news(&mut agent, two).last(), Some(&ClaimNews::Granted(ClaimId(3))));
+    // One that has started keeps it.
+    let (_, keepers, id) = submit_at_all(&mut entry, "k", 80);
+    let grants = keepers.iter().map(|agent| entry.on_claims(*agent, &[ClaimNews::Granted(id)], 81));
+    let started: usize = grants.map(|effects| attempts(&effects).len()).sum();
+    assert_eq!(started, 1);
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::AskedByRunning(id)], 82);
+    assert_eq!(ends(&effects), []);
+}
+
+/// Guards against a holder that keeps its grant because it was asked before the other entry started, or
+/// while its own runs were being stopped.
+#[test]
+fn a_renewal_of_a_waiting_claim_that_runs_asks_the_holder_again() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 60);
+    agent.on_claim(two, &claim(3), 70);
+    let told = news(&mut agent, one);
+    assert_eq!(told, [ClaimNews::Granted(ClaimId(7)), ClaimNews::Asked(ClaimId(7))]);
+    for now_ms in [270, 470] {
+        agent.on_claim(two, &Claim { is_running: true, ..claim(3) }, now_ms);
+        assert_eq!(news(&mut agent, one), [ClaimNews::AskedByRunning(ClaimId(7))]);
+    }
+}
--- a/crates/direct/tests/fuzz_links.rs
+++ b/crates/direct/tests/fuzz_links.rs
@@ -107,7 +107,8 @@
         id().prop_map(ClaimNews::Granted),
         id().prop_map(ClaimNews::Contested),
         (id(), claim_end()).prop_map(|(id, end)| ClaimNews::Shared(id, end)),
-        id().prop_map(ClaimNews::Asked)
+        id().prop_map(ClaimNews::Asked),
+        id().prop_map(ClaimNews::AskedByRunning)
     ]
 }
 
