Let agents say whether they know the claims of all entries

An entry took an agent for new for 1,300 ms since its process had connected.

A report now says whether the agent awaits entries: one that it knows has not connected since its start, or did less than 50 ms ago, so that its claims may not have been read. In the process, the addresses of the settings, the store and the entries' handshakes and heartbeats count, unless the connection is refused or 120 attempts have failed. Until its first report an agent counts as new.

Costs: a byte in each report; a report to each entry when the last awaited one has connected; a claim and its answer at one or two more agents for a job at an agent that awaits entries, as before for 1,300 ms. While an entry's host is without power, agents that start do so for about a minute (reckoned from the pauses, not measured).

--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -23,8 +23,8 @@
     /// handshake that was held up may be of an agent that has ended since.
     pub(crate) announced: Option<u64>,
     pub(crate) is_connected: bool,
-    /// Incarnation of the last handshake and the time of its first one, milliseconds.
-    known: (u64, u64),
+    /// Incarnation of the last handshake.
+    known_incarnation: u64,
     /// Time at which its last connection was found to have ended, milliseconds.
     pub(crate) lost_ms: Option<u64>,
     /// Whether it has left a claim unanswered and has not reported since.
@@ -58,7 +58,7 @@
             incarnation,
             announced: None,
             is_connected: true,
-            known: (incarnation, now_ms),
+            known_incarnation: incarnation,
             lost_ms: None,
             leaves_claims: false,
             is_active: false,
@@ -71,6 +71,7 @@
                 batches_seen: 0,
                 switches_seen: 0,
                 is_open: false,
+                awaits_entries: true,
             },
             batches_sent: 0,
             switches_sent: 0,
@@ -86,9 +87,9 @@
     pub(crate) fn on_connected(&mut self, incarnation: u64, now_ms: u64) {
         self.is_connected = true;
         self.lost_ms = None;
-        if self.known.0 != incarnation {
-            self.known = (incarnation, now_ms);
-        }
+        // Another process says in its first report which entries have connected to it.
+        self.load.awaits_entries |= self.known_incarnation != incarnation;
+        self.known_incarnation = incarnation;
         self.leaves_claims = false;
         self.is_active = false;
         self.last_heard_ms = now_ms;
@@ -100,9 +101,9 @@
         self.load.is_open = false;
     }
 
-    /// Returns whether the agent's process connected for the first time so short a time ago.
-    pub(crate) fn is_new(&self, now_ms: u64, time_ms: u64) -> bool {
-        now_ms.saturating_sub(self.known.1) < time_ms
+    /// Returns whether the agent may not know yet which jobs other entries have, by its last report.
+    pub(crate) fn awaits_entries(&self) -> bool {
+        self.load.awaits_entries
     }
 
     /// Applies a load report and drops the charges of the batches that it accounts for.
--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -69,7 +69,7 @@
     /// Sends the claim of a job to further agents until enough of them keep it.
     fn add_keepers(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
-        let best = self.best_keepers(state.name(), now_ms);
+        let best = self.best_keepers(state.name());
         let lost_ms = self.keeper_lost_ms(state.name(), now_ms);
         let Some(state) = self.jobs.get_mut(&key) else { return };
         if let Some(lost_ms) = lost_ms {
@@ -91,7 +91,7 @@
     /// Renews the claim of a job that may have started, at the agents that keep it from now on.
     fn renew_claim(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
-        let best = self.best_keepers(state.name(), now_ms);
+        let best = self.best_keepers(state.name());
         let Some(state) = self.jobs.get_mut(&key) else { return };
         let keeper = |agent| Keeper { agent, answer: Answer::Waiting, lost_ms: None };
         state.claim.keepers = best.into_iter().map(keeper).collect();
@@ -105,13 +105,13 @@
     /// Returns the agents that keep the claims of a job. An agent that has left a claim unanswered is
     /// passed over until it reports. An agent that has just started may not know yet which jobs the
     /// other entries have, so those that keep the claims without it are asked, too.
-    fn best_keepers(&self, job: &JobName, now_ms: u64) -> Vec<AgentKey> {
+    fn best_keepers(&self, job: &JobName) -> Vec<AgentKey> {
         let job_hash = job_hash(job);
         let is_able = |view: &AgentView| view.is_connected && !view.leaves_claims;
-        let is_new = |view: &AgentView| view.is_new(now_ms, self.timing.lost_after_ms());
         let mut best = self.first_choices(job_hash, is_able);
-        if best.iter().any(|agent| is_new(&self.agents[agent.0 as usize])) {
-            let others = self.first_choices(job_hash, |view| is_able(view) && !is_new(view));
+        if best.iter().any(|agent| self.agents[agent.0 as usize].awaits_entries()) {
+            let knows_claims = |view: &AgentView| is_able(view) && !view.awaits_entries();
+            let others = self.first_choices(job_hash, knows_claims);
             for agent in others {
                 if !best.contains(&agent) {
                     best.push(agent);
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -122,6 +122,9 @@
         pub switches_seen: u64,
         /// Whether the agent accepts new attempts at all.
         pub is_open: bool,
+        /// Whether some entry that the agent knows has not connected since its start: the agent may
+        /// not know which jobs that entry has.
+        pub awaits_entries: bool,
     }
 
     /// Outcome of an attempt.
--- a/crates/direct/src/supervisor/claims.rs
+++ b/crates/direct/src/supervisor/claims.rs
@@ -40,6 +40,11 @@
         /// Time of the first handshake of an entry, milliseconds.
         first_hello_ms: Option<u64>,
         is_answering: bool,
+        /// Whether some known entry has not connected since the start of this process.
+        has_unconnected: bool,
+        /// Time of the handshake that was awaited last, until the claims that follow it have been
+        /// read, milliseconds.
+        awaited_hello_ms: Option<u64>,
     }
 }
 
@@ -53,6 +58,14 @@
     pub(crate) fn on_hello(&mut self, key: SessionKey, now_ms: u64) {
         self.gone.swap_remove(&key);
         self.first_hello_ms.get_or_insert(now_ms);
+        if self.has_unconnected {
+            self.awaited_hello_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns whether some entry may have jobs of which this agent does not know.
+    pub(crate) fn awaits_entries(&self) -> bool {
+        self.has_unconnected || self.awaited_hello_ms.is_some()
     }
 }
 
@@ -146,6 +159,15 @@
         effects
     }
 
+    /// Sets whether some entry that this agent knows, and that may have jobs, has not connected since
+    /// the start of this process.
+    pub fn set_has_unconnected(&mut self, has_unconnected: bool) -> Vec<SupervisorEffect> {
+        let was_known = !self.claims.awaits_entries();
+        self.claims.has_unconnected = has_unconnected;
+        // The end is reported by `tick`, when the claims of the last entry have been read.
+        if was_known && has_unconnected { self.report_all() } else { Vec::new() }
+    }
+
     /// Returns whether claims are answered: a process that has just started first learns which jobs
     /// the entries have.
     pub fn answers_claims(&self) -> bool {
@@ -233,6 +255,12 @@
         if !self.claims.is_answering && is_known {
             self.begin_answering(now_ms, effects);
         }
+        let has_awaited = self.claims.awaits_entries();
+        self.claims.awaited_hello_ms =
+            self.claims.awaited_hello_ms.filter(|ms| now_ms < ms + grace_ms);
+        if has_awaited && !self.claims.awaits_entries() {
+            effects.extend(self.report_all());
+        }
         self.note_gone_sessions(now_ms);
         let ttl_ms = self.timing.claim_ttl_ms();
         let mut lost = Vec::new();
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -488,12 +488,13 @@
         let is_open = self.accepts_attempts() && self.isolation.is_none();
         let free = self.free();
         let upstream = self.upstream.clone().filter(|_| with_upstream);
+        let awaits_entries = self.claims.awaits_entries();
         let session = self.session_mut(key).filter(|session| session.is_connected)?;
         let outcomes = std::mem::take(&mut session.unsent);
         let crashes = std::mem::take(&mut session.unsent_crashes);
         let claims = std::mem::take(&mut session.unsent_claims);
         let (batches_seen, switches_seen) = (session.batches_seen, session.switches_seen);
-        let load = Load { free, batches_seen, switches_seen, is_open };
+        let load = Load { free, batches_seen, switches_seen, is_open, awaits_entries };
         Some(Report { upstream, load, outcomes, crashes, claims })
     }
 
--- a/crates/direct/tests/claims.rs
+++ b/crates/direct/tests/claims.rs
@@ -384,3 +384,56 @@
         assert_eq!(news(&mut agent, one), [ClaimNews::AskedByRunning(ClaimId(7))]);
     }
 }
+
+/// Guards against an agent that counts as informed after some time although an entry has not connected to it.
+#[test]
+fn an_agent_says_until_when_it_awaits_entries() {
+    let grace_ms = Timing::default().claim_grace_ms();
+    let (mut agent, one, _) = agent();
+    let awaits = |agent: &mut Supervisor| agent.report(one, false).unwrap().load.awaits_entries;
+    assert!(!awaits(&mut agent));
+    let effects = agent.set_has_unconnected(true);
+    assert!(effects.contains(&SupervisorEffect::Report(one)));
+    agent.tick(10_000);
+    assert!(awaits(&mut agent));
+    agent.on_entry_hello(&"e3".into(), 1, &UnsettledAttempts::default(), 10_010, 10_010);
+    agent.set_has_unconnected(false);
+    agent.tick(10_010 + grace_ms - 1);
+    assert!(awaits(&mut agent), "the claims of the last entry may be under way");
+    let effects = agent.tick(10_010 + grace_ms);
+    assert!(effects.contains(&SupervisorEffect::Report(one)));
+    assert!(!awaits(&mut agent));
+}
+
+/// Guards against the word of an agent that does not know the claims of all entries, however long it has been
+/// connected, and of one that has not said yet whether it does.
+#[test]
+fn beside_agents_that_await_entries_the_best_others_are_asked() {
+    let (mut entry, agents) = entry(&["a", "b", "c", "d"]);
+    let (key, keepers, _) = submit_at_all(&mut entry, "j", 0);
+    entry.cancel(key, 1);
+    let mut number_asked = |awaiting: &[AgentKey]| {
+        for agent in &agents {
+            let mut sent = report(None, cores(8), 0);
+            sent.load.awaits_entries = awaiting.contains(agent);
+            entry.on_report(*agent, sent, 9_000);
+        }
+        let (key, asked, _) = submit_at_all(&mut entry, "j", 9_001);
+        entry.cancel(key, 9_002);
+        assert_eq!(asked[..2], keepers);
+        asked.len()
+    };
+    assert_eq!(number_asked(&[]), 2);
+    assert_eq!(number_asked(&keepers[..1]), 3);
+    assert_eq!(number_asked(&keepers), 4);
+    assert_eq!(number_asked(&agents), 2, "if all await entries, their word is enough");
+    // The next process of an agent has not said yet what it knows.
+    let name = entry.agent_name(keepers[0]).unwrap().to_string();
+    let hello = AgentHello { agent: name.as_str().into(), incarnation: 2, entries: Vec::new() };
+    for agent in &agents {
+        entry.on_report(*agent, report(None, cores(8), 0), 9_010);
+    }
+    entry.on_agent_hello(&hello, 9_011);
+    let (_, asked, _) = submit_at_all(&mut entry, "j", 9_012);
+    assert_eq!(asked.len(), 3);
+}
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -117,7 +117,13 @@
 pub fn report(upstream: Option<Upstream>, free: Resources, batches_seen: u64) -> Report {
     Report {
         upstream,
-        load: Load { free, batches_seen, switches_seen: u64::MAX, is_open: true },
+        load: Load {
+            free,
+            batches_seen,
+            switches_seen: u64::MAX,
+            is_open: true,
+            awaits_entries: false,
+        },
         outcomes: Vec::new(),
         crashes: Vec::new(),
         claims: Vec::new(),
--- a/crates/direct/tests/common/simulation.rs
+++ b/crates/direct/tests/common/simulation.rs
@@ -99,6 +99,8 @@
     dial_ms: u64,
     /// Time from the opening of an agent until it dials the entry, milliseconds.
     open_delay_ms: u64,
+    /// Whether the entry has connected since the start of the agent's process.
+    was_connected: bool,
 }
 
 impl Link {
@@ -197,6 +199,8 @@
         self.is_up = true;
         self.busy_until_ms = now_ms;
         self.supervisor = Supervisor::new(Timing::default(), now_ms);
+        self.links.iter_mut().for_each(|link| link.was_connected = false);
+        self.note_unconnected(now_ms);
         let upstream = upstream(&format!("u{}", self.n), 1);
         let seq = i64::try_from(now_ms).expect("a simulation is short");
         let effects = self.supervisor.on_heartbeat(upstream, seq, now_ms);
@@ -225,6 +229,7 @@
             return;
         }
         self.call_executor(now_ms);
+        self.note_unconnected(now_ms);
         let effects = self.supervisor.tick(now_ms);
         self.apply(effects, now_ms);
         for e in 0..self.links.len() {
@@ -235,6 +240,13 @@
         }
     }
 
+    /// Tells the agent whether some entry has not connected since its start.
+    fn note_unconnected(&mut self, now_ms: u64) {
+        let has_unconnected = self.links.iter().any(|link| !link.was_connected);
+        let effects = self.supervisor.set_has_unconnected(has_unconnected);
+        self.apply(effects, now_ms);
+    }
+
     fn dial(&mut self, e: usize, now_ms: u64) {
         let link = &mut self.links[e];
         if !self.is_open || link.open_connection().is_some() || now_ms < link.dial_ms {
@@ -286,6 +298,7 @@
                     now_ms,
                 );
                 connection.session = Some(key);
+                self.links[e].was_connected = true;
                 effects
             }
             (message, Some(key)) => {
--- a/crates/direct/tests/fuzz_links.rs
+++ b/crates/direct/tests/fuzz_links.rs
@@ -119,6 +119,7 @@
             batches_seen,
             switches_seen,
             is_open,
+            awaits_entries: is_open,
         },
     );
     let up = proptest::option::of((resources(), resources(), any::<bool>(), number()));
--- a/crates/node/src/agent/entry_links.rs
+++ b/crates/node/src/agent/entry_links.rs
@@ -55,6 +55,7 @@
             Ok(stream) => serve(stream, addr, &state, &mut session).await,
             Err(e) => {
                 if e.is_refused {
+                    state.known_entries.set_absent(addr);
                     last_session.take().into_iter().for_each(|key| state.on_entry_gone(key));
                 }
                 Err(e.into())
@@ -69,6 +70,9 @@
             failures = 0;
         }
         failures += 1;
+        if failures >= RARE_ATTEMPTS {
+            state.known_entries.set_absent(addr);
+        }
         let pause_ms = pause_ms(failures, state.known_entries.unconnected());
         let jittered_ms = rand::rng().random_range(pause_ms / 2..=pause_ms);
         sleep(Duration::from_millis(jittered_ms)).await;
@@ -99,6 +103,7 @@
 ) -> Result<(), StepError> {
     let (mut tx, rx) = frames::split::<FirstMessage, EntryMessage>(stream, addr)?;
     let hello_ms = clock::now_ms();
+    state.note_unconnected();
     tx.feed(&FirstMessage::Agent(state.hello())).await?;
     tx.flush().await?;
     let mut rx: FrameRx<EntryMessage> = rx;
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -225,11 +225,19 @@
     pub(crate) fn tick(self: &Rc<Self>) {
         let now_ms = self.now_ms();
         let mut effects = self.resume(now_ms);
+        self.note_unconnected();
         effects.extend(self.supervisor.borrow_mut().tick(now_ms));
         self.apply(effects);
         self.events.flush();
     }
 
+    /// Tells the supervisor whether some entry has not connected since the start of this process.
+    pub(crate) fn note_unconnected(self: &Rc<Self>) {
+        let has_unconnected = self.known_entries.has_unconnected();
+        let effects = self.supervisor.borrow_mut().set_has_unconnected(has_unconnected);
+        self.apply(effects);
+    }
+
     pub(crate) fn hello(&self) -> AgentHello {
         AgentHello {
             agent: Arc::clone(&self.name),
@@ -260,6 +268,7 @@
         fields.extend(events::unsettled_fields(&hello.attempts));
         self.events.emit(Level::Notable, "entry_connected", &fields);
         self.apply(effects);
+        self.note_unconnected();
         (key, wake)
     }
 
--- a/crates/node/src/known_entries.rs
+++ b/crates/node/src/known_entries.rs
@@ -21,6 +21,10 @@
     /// Whether a task dials the address; set by [`KnownEntries::take_undialled`].
     is_dialled: bool,
     is_connected: bool,
+    /// Whether it has connected since the start of this process.
+    was_connected: bool,
+    /// Whether its process is gone, or has probably been for long.
+    is_absent: bool,
     failed_attempts: u32,
     /// Time before which the address is not dialled again, milliseconds.
     retry_at_ms: u64,
@@ -96,7 +100,24 @@
     }
 
     pub(crate) fn set_connected(&self, addr: SocketAddr, is_connected: bool) {
-        self.addrs.borrow_mut().entry(addr).or_default().is_connected = is_connected;
+        let mut addrs = self.addrs.borrow_mut();
+        let status = addrs.entry(addr).or_default();
+        status.is_connected = is_connected;
+        status.was_connected |= is_connected;
+    }
+
+    /// Records that no process answers at an address.
+    pub(crate) fn set_absent(&self, addr: SocketAddr) {
+        if let Some(status) = self.addrs.borrow_mut().get_mut(&addr) {
+            status.is_absent = true;
+        }
+    }
+
+    /// Returns whether some entry has not connected since the start of this process although its own
+    /// process may run.
+    pub(crate) fn has_unconnected(&self) -> bool {
+        let is_awaited = |status: &EntryStatus| !status.was_connected && !status.is_absent;
+        self.addrs.borrow().values().any(is_awaited)
     }
 
     /// Removes an address that could not be reached; it may be added again.
@@ -115,3 +136,6 @@
         addrs.iter().filter(|(_, status)| status.is_connected).map(|(addr, _)| *addr).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
