Do not start a contested job again while another entry may run it

Trace: two entries had each been granted the job by agents that the other one had not reached. Later they met, and each was "contested" at one agent, which an entry that has started does not heed. The run of one was lost with its agent and counted as ended 1,300 ms later; the entry started the task again although the agent had said four times that another entry has the job, whose run had begun meanwhile.

When the last attempt of a contested job ends, and when "contested" comes while nothing is outstanding, the job now waits as if it had not started. Renewals keep the answer "contested" until the agent says otherwise. A run that goes on is not stopped.

--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -68,6 +68,7 @@
                 if has_next {
                     self.queue.insert(place);
                 }
+                self.wait_for_others(attempt.job, now_ms);
                 self.yield_claim(attempt.job, effects);
                 return;
             }
@@ -93,6 +94,7 @@
         let Some(state) = self.jobs.get_mut(&attempt.job) else { return };
         state.steps[usize::from(attempt.step)].pending.push(attempt.index);
         self.queue.insert(state.queue_place(attempt.job));
+        self.wait_for_others(attempt.job, now_ms);
         self.yield_claim(attempt.job, effects);
     }
 
--- a/crates/direct/src/dispatcher/claim_contests.rs
+++ b/crates/direct/src/dispatcher/claim_contests.rs
@@ -38,6 +38,18 @@
         effects.extend(askers.map(|to| DispatcherEffect::Send(*to, message.clone())));
     }
 
+    /// Lets a job wait that is contested and of which nothing runs here: another entry may run it, and
+    /// this one must not start it again beside that.
+    pub(crate) fn wait_for_others(&mut self, key: JobKey, now_ms: u64) {
+        let Some(state) = self.jobs.get_mut(&key) else { return };
+        let claim = &mut state.claim;
+        if claim.is_settled && claim.is_contested() && state.outstanding == 0 {
+            claim.is_settled = false;
+            claim.until_ms = now_ms + self.timing.claim_wait_ms;
+            claim.checks = 0;
+        }
+    }
+
     /// Leaves a job to other entries at the agents where these wait for it, if this one has to.
     pub(crate) fn yield_claim(&mut self, key: JobKey, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -93,8 +93,14 @@
         let Some(state) = self.jobs.get(&key) else { return };
         let best = self.best_keepers(state.name());
         let Some(state) = self.jobs.get_mut(&key) else { return };
-        let keeper = |agent| Keeper { agent, answer: Answer::Waiting, lost_ms: None };
-        state.claim.keepers = best.into_iter().map(keeper).collect();
+        let claim = &mut state.claim;
+        // What another entry has stays in force until the agent says otherwise.
+        let answer = |agent| match claim.keepers.iter().find(|known| known.agent == agent) {
+            Some(Keeper { answer: Answer::Contested, .. }) => Answer::Contested,
+            _ => Answer::Waiting,
+        };
+        let keeper = |agent| Keeper { agent, answer: answer(agent), lost_ms: None };
+        claim.keepers = best.into_iter().map(keeper).collect();
         state.claim.sent_ms = now_ms;
         let message = claim_message(key, state);
         // An agent that has asked goes by the renewals, also if it keeps the claim no longer.
@@ -321,6 +327,7 @@
         // An agent that has granted the claim may have been replaced and have forgotten it.
         let is_late = state.claim.is_settled && is_unanswered;
         if !state.claim.is_open() && !is_late {
+            self.wait_for_others(JobKey(id.0), now_ms);
             return;
         }
         let after_ms = now_ms.saturating_sub(state.claim.sent_ms);
--- a/crates/direct/tests/claims.rs
+++ b/crates/direct/tests/claims.rs
@@ -437,3 +437,27 @@
     let (_, asked, _) = submit_at_all(&mut entry, "j", 9_012);
     assert_eq!(asked.len(), 3);
 }
+
+/// Guards against an entry whose run is lost and that starts the task again beside the entry that has the job meanwhile.
+#[test]
+fn a_contested_job_does_not_start_again_when_its_runs_have_ended() {
+    let (mut entry, _) = entry(&["a", "b"]);
+    let (_, keepers, id) = submit_at_all(&mut entry, "j", 0);
+    entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 1);
+    let started = attempts(&entry.on_claims(keepers[1], &[ClaimNews::Granted(id)], 1));
+    let [(to, attempt)] = started[..] else { panic!("the task starts") };
+    // An agent that has been replaced knows only the other entry. Its answer does not stop the run.
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::Contested(id)], 100);
+    assert!(!effects.iter().any(|e| matches!(e, DispatcherEffect::Withdrawn { .. })));
+    entry.on_claims(keepers[1], &[ClaimNews::Granted(id)], 100);
+    let outcomes = vec![(attempt, AttemptOutcome::Lost)];
+    let effects = entry.on_report(to, Report { outcomes, ..report(None, cores(8), 1) }, 200);
+    assert!(attempts(&effects).is_empty(), "it starts beside the other entry");
+    for now_ms in (212..700).step_by(12) {
+        for keeper in &keepers {
+            entry.on_report(*keeper, report(None, cores(8), 1), now_ms);
+        }
+        assert!(attempts(&entry.tick(now_ms)).is_empty(), "it starts at {now_ms} ms");
+    }
+    assert_eq!(attempts(&entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 710)).len(), 1);
+}
