--- a/crates/direct/src/dispatcher/claims.rs
+++ b/crates/direct/src/dispatcher/claims.rs
@@ -49,7 +49,8 @@
                 ClaimNews::Granted(id) => self.on_granted(id, agent, now_ms),
                 ClaimNews::Contested(id) => self.on_contested(id, agent, now_ms, effects),
                 ClaimNews::Shared(id, end) => self.on_shared(id, agent, end, effects),
-                ClaimNews::Asked(id) => self.on_asked(id, agent, effects),
+                ClaimNews::Asked(id) => self.on_asked(id, agent, false, effects),
+                ClaimNews::AskedByRunning(id) => self.on_asked(id, agent, true, effects),
                 ClaimNews::Cancelled(id) => {
                     self.answer(JobKey(id.0), JobOutcome::Cancelled, effects);
                 }
@@ -68,7 +69,7 @@
     /// Sends the claim of a job to further agents until enough of them keep it.
     fn add_keepers(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
-        let best = self.best_keepers(state.name(), now_ms);
+        let best = self.best_keepers(state.name());
         let lost_ms = self.keeper_lost_ms(state.name(), now_ms);
         let Some(state) = self.jobs.get_mut(&key) else { return };
         if let Some(lost_ms) = lost_ms {
@@ -90,10 +91,16 @@
     /// Renews the claim of a job that may have started, at the agents that keep it from now on.
     fn renew_claim(&mut self, key: JobKey, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
         let Some(state) = self.jobs.get(&key) else { return };
-        let best = self.best_keepers(state.name(), now_ms);
+        let best = self.best_keepers(state.name());
         let Some(state) = self.jobs.get_mut(&key) else { return };
-        let keeper = |agent| Keeper { agent, answer: Answer::Waiting, lost_ms: None };
-        state.claim.keepers = best.into_iter().map(keeper).collect();
+        let claim = &mut state.claim;
+        // What another entry has stays in force until the agent says otherwise.
+        let answer = |agent| match claim.keepers.iter().find(|known| known.agent == agent) {
+            Some(Keeper { answer: Answer::Contested, .. }) => Answer::Contested,
+            _ => Answer::Waiting,
+        };
+        let keeper = |agent| Keeper { agent, answer: answer(agent), lost_ms: None };
+        claim.keepers = best.into_iter().map(keeper).collect();
         state.claim.sent_ms = now_ms;
         let message = claim_message(key, state);
         // An agent that has asked goes by the renewals, also if it keeps the claim no longer.
@@ -104,13 +111,13 @@
     /// Returns the agents that keep the claims of a job. An agent that has left a claim unanswered is
     /// passed over until it reports. An agent that has just started may not know yet which jobs the
     /// other entries have, so those that keep the claims without it are asked, too.
-    fn best_keepers(&self, job: &JobName, now_ms: u64) -> Vec<AgentKey> {
+    fn best_keepers(&self, job: &JobName) -> Vec<AgentKey> {
         let job_hash = job_hash(job);
         let is_able = |view: &AgentView| view.is_connected && !view.leaves_claims;
-        let is_new = |view: &AgentView| view.is_new(now_ms, self.timing.lost_after_ms());
         let mut best = self.first_choices(job_hash, is_able);
-        if best.iter().any(|agent| is_new(&self.agents[agent.0 as usize])) {
-            let others = self.first_choices(job_hash, |view| is_able(view) && !is_new(view));
+        if best.iter().any(|agent| self.agents[agent.0 as usize].awaits_entries()) {
+            let knows_claims = |view: &AgentView| is_able(view) && !view.awaits_entries();
+            let others = self.first_choices(job_hash, knows_claims);
             for agent in others {
                 if !best.contains(&agent) {
                     best.push(agent);
@@ -183,6 +190,21 @@
         }
     }
 
+    /// Claims jobs anew whose agents await entries, when another agent has heard from all entries.
+    pub(crate) fn claim_at_informed(&mut self, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
+        let awaits = |keeper: &Keeper| self.agents[keeper.agent.0 as usize].awaits_entries();
+        let is_concerned = |state: &JobState| state.claim.keepers.iter().any(awaits);
+        let jobs = self.jobs.iter().filter(|(_, state)| is_concerned(state));
+        let keys: Vec<JobKey> = jobs.map(|(key, _)| *key).collect();
+        for key in keys {
+            if self.jobs.get(&key).is_some_and(|state| state.claim.is_settled) {
+                self.renew_claim(key, now_ms, effects);
+            } else {
+                self.add_keepers(key, now_ms, effects);
+            }
+        }
+    }
+
     /// Lets jobs start whose claims stay unanswered, renews claims, and moves those of agents that
     /// have gone to other agents.
     pub(crate) fn tend_claims(&mut self, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
@@ -315,10 +337,12 @@
             state.claim.keepers.push(Keeper { agent, answer: Answer::Waiting, lost_ms: None });
         }
         let Some(keeper) = state.claim.keeper_mut(agent) else { return };
+        let was_granted = keeper.answer == Answer::Granted;
         keeper.answer = Answer::Contested;
         // An agent that has granted the claim may have been replaced and have forgotten it.
         let is_late = state.claim.is_settled && is_unanswered;
         if !state.claim.is_open() && !is_late {
+            self.wait_for_others(JobKey(id.0), now_ms);
             return;
         }
         let after_ms = now_ms.saturating_sub(state.claim.sent_ms);
@@ -331,6 +355,10 @@
         if is_late {
             self.withdraw(JobKey(id.0), effects);
         }
+        if was_granted && let Some(state) = self.jobs.get(&JobKey(id.0)) {
+            // An agent that has passed the job on does not know that it is still waited for.
+            effects.push(DispatcherEffect::Send(agent, claim_message(JobKey(id.0), state)));
+        }
         self.yield_claim(JobKey(id.0), effects);
     }
 
@@ -356,9 +384,15 @@
 
     /// Handles the question of an agent at which another entry claims a job. The claim is renewed
     /// until the job, and every run of it, has ended.
-    fn on_asked(&mut self, id: ClaimId, agent: AgentKey, effects: &mut Vec<DispatcherEffect>) {
+    fn on_asked(
+        &mut self,
+        id: ClaimId,
+        agent: AgentKey,
+        by_running: bool,
+        effects: &mut Vec<DispatcherEffect>,
+    ) {
         let key = JobKey(id.0);
-        if self.must_yield(key, agent) {
+        if self.must_yield(key, agent) || (by_running && self.has_started_nothing(key)) {
             self.release_to_others(key, agent, effects);
             return;
         }
--- a/crates/direct/src/supervisor/claims.rs
+++ b/crates/direct/src/supervisor/claims.rs
@@ -40,6 +40,11 @@
         /// Time of the first handshake of an entry, milliseconds.
         first_hello_ms: Option<u64>,
         is_answering: bool,
+        /// Whether some known entry has not connected since the start of this process.
+        has_unconnected: bool,
+        /// Time of the handshake that was awaited last, until the claims that follow it have been
+        /// read, milliseconds.
+        awaited_hello_ms: Option<u64>,
     }
 }
 
@@ -53,6 +58,14 @@
     pub(crate) fn on_hello(&mut self, key: SessionKey, now_ms: u64) {
         self.gone.swap_remove(&key);
         self.first_hello_ms.get_or_insert(now_ms);
+        if self.has_unconnected {
+            self.awaited_hello_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns whether some entry may have jobs of which this agent does not know.
+    pub(crate) fn awaits_entries(&self) -> bool {
+        self.has_unconnected || self.awaited_hello_ms.is_some()
     }
 }
 
@@ -69,6 +82,12 @@
     fn is_contested(&self) -> bool {
         self.claimants.len() > 1
     }
+
+    /// Returns the question to the holder of a contested claim.
+    fn question(&self, id: ClaimId) -> ClaimNews {
+        let is_running = self.claimants.iter().skip(1).any(|waiting| waiting.is_running);
+        if is_running { ClaimNews::AskedByRunning(id) } else { ClaimNews::Asked(id) }
+    }
 }
 
 impl Supervisor {
@@ -120,21 +139,35 @@
         let is_renewal = known_id.is_some_and(|id| id >= claim.id);
         let (holder, is_contested) = (job.claimants[0], job.is_contested());
         if holder.session == key {
+            let question = job.question(claim.id);
             self.tell(key, ClaimNews::Granted(claim.id), &mut effects);
             if is_contested && !is_renewal {
-                self.tell(key, ClaimNews::Asked(claim.id), &mut effects);
+                self.tell(key, question, &mut effects);
             }
             return effects;
         }
+        let question = job.question(holder.id);
         self.tell(key, ClaimNews::Contested(claim.id), &mut effects);
         if known_id.is_none() {
             self.ask(&claim.job, now_ms, &mut effects);
             let (job, holder) = (claim.job.clone(), holder.session);
             effects.push(SupervisorEffect::ClaimContested { job, holder, claimant: key });
+        } else if claim.is_running {
+            // It may have started since, or the holder has ended its runs since the last question.
+            self.tell(holder.session, question, &mut effects);
         }
         effects
     }
 
+    /// Sets whether some entry that this agent knows, and that may have jobs, has not connected since
+    /// the start of this process.
+    pub fn set_has_unconnected(&mut self, has_unconnected: bool) -> Vec<SupervisorEffect> {
+        let was_known = !self.claims.awaits_entries();
+        self.claims.has_unconnected = has_unconnected;
+        // The end is reported by `tick`, when the claims of the last entry have been read.
+        if was_known && has_unconnected { self.report_all() } else { Vec::new() }
+    }
+
     /// Returns whether claims are answered: a process that has just started first learns which jobs
     /// the entries have.
     pub fn answers_claims(&self) -> bool {
@@ -222,6 +255,12 @@
         if !self.claims.is_answering && is_known {
             self.begin_answering(now_ms, effects);
         }
+        let has_awaited = self.claims.awaits_entries();
+        self.claims.awaited_hello_ms =
+            self.claims.awaited_hello_ms.filter(|ms| now_ms < ms + grace_ms);
+        if has_awaited && !self.claims.awaits_entries() {
+            effects.extend(self.report_all());
+        }
         self.note_gone_sessions(now_ms);
         let ttl_ms = self.timing.claim_ttl_ms();
         let mut lost = Vec::new();
@@ -256,8 +295,12 @@
             self.claims.jobs.swap_remove(name);
             return;
         };
-        let (job, holder) = (name.clone(), holder.session);
-        effects.push(SupervisorEffect::ClaimEnded { job, holder, end });
+        let (job, session) = (name.clone(), holder.session);
+        effects.push(SupervisorEffect::ClaimEnded { job, holder: session, end });
+        if end.is_none() {
+            // A job that waits elsewhere must not start later by the grant that it has lost here.
+            self.tell(session, ClaimNews::Contested(holder.id), effects);
+        }
         self.tell(next.session, ClaimNews::Granted(next.id), effects);
         if is_contested {
             self.ask(name, now_ms, effects);
@@ -269,7 +312,8 @@
         let Some(job) = self.claims.jobs.get_mut(name) else { return };
         job.asked_ms = now_ms;
         let Some(holder) = job.claimants.front().copied() else { return };
-        self.tell(holder.session, ClaimNews::Asked(holder.id), effects);
+        let question = job.question(holder.id);
+        self.tell(holder.session, question, effects);
     }
 
     /// Repeats what an entry must know of contested claims: it may have been lost with an earlier
@@ -280,7 +324,7 @@
             .filter_map(|job| {
                 let place = job.claimants.iter().position(|claimant| claimant.session == key)?;
                 let id = job.claimants[place].id;
-                Some(if place == 0 { ClaimNews::Asked(id) } else { ClaimNews::Contested(id) })
+                Some(if place == 0 { job.question(id) } else { ClaimNews::Contested(id) })
             })
             .collect();
         if let Some(session) = self.session_mut(key) {
--- a/crates/direct/tests/claims.rs
+++ b/crates/direct/tests/claims.rs
@@ -323,3 +323,164 @@
         [ClaimNews::Granted(ClaimId(3)), ClaimNews::Asked(ClaimId(3))]
     );
 }
+
+/// Guards against a job that waits elsewhere and starts later by a grant that the agent has passed on.
+#[test]
+fn a_silent_holder_is_told_that_its_claim_was_passed_on_and_waits_there() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 60);
+    agent.on_claim(two, &claim(3), 1_000);
+    news(&mut agent, one);
+    agent.tick(1_000 + Timing::default().lost_after_ms());
+    let told = news(&mut agent, one);
+    assert_eq!(told, [ClaimNews::Contested(ClaimId(7))]);
+    // The entry has the job's grant of this agent, and waits for that of the other one.
+    let (mut entry, _) = entry(&["a", "b"]);
+    let (_, keepers, id) = submit_at_all(&mut entry, "j", 0);
+    entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 1);
+    entry.on_claims(keepers[1], &[ClaimNews::Contested(id)], 1);
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::Contested(id)], 400);
+    let to: Vec<AgentKey> = claims_in(&effects).into_iter().map(|(agent, _)| agent).collect();
+    assert_eq!(to, [keepers[0]], "it waits there from now on");
+    let effects = entry.on_claims(keepers[1], &[ClaimNews::Granted(id)], 410);
+    assert!(attempts(&effects).is_empty(), "it starts by the grant that it has lost");
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 420);
+    assert_eq!(attempts(&effects).len(), 1);
+}
+
+/// Guards against a waiting job that reaches an agent before the entry that runs it, and keeps its grant there.
+#[test]
+fn a_holder_that_has_started_nothing_leaves_its_grant_to_the_entry_that_runs_the_job() {
+    let (mut agent, one, two) = agent();
+    let (mut entry, _) = entry(&["a", "b"]);
+    let (_, keepers, id) = submit_at_all(&mut entry, "j", 0);
+    agent.on_claim(one, &Claim { id, ..claim(0) }, 60);
+    agent.on_claim(two, &Claim { is_running: true, ..claim(3) }, 70);
+    let told = news(&mut agent, one);
+    let effects = entry.on_claims(keepers[0], &told, 71);
+    assert_eq!(ends(&effects), [(keepers[0], ClaimEnd::Released)]);
+    agent.on_claim_end(one, id, ClaimEnd::Released, 72);
+    assert_eq!(news(&mut agent, two).last(), Some(&ClaimNews::Granted(ClaimId(3))));
+    // One that has started keeps it.
+    let (_, keepers, id) = submit_at_all(&mut entry, "k", 80);
+    let grants = keepers.iter().map(|agent| entry.on_claims(*agent, &[ClaimNews::Granted(id)], 81));
+    let started: usize = grants.map(|effects| attempts(&effects).len()).sum();
+    assert_eq!(started, 1);
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::AskedByRunning(id)], 82);
+    assert_eq!(ends(&effects), []);
+}
+
+/// Guards against a holder that keeps its grant because it was asked before the other entry started, or
+/// while its own runs were being stopped.
+#[test]
+fn a_renewal_of_a_waiting_claim_that_runs_asks_the_holder_again() {
+    let (mut agent, one, two) = agent();
+    agent.on_claim(one, &claim(7), 60);
+    agent.on_claim(two, &claim(3), 70);
+    let told = news(&mut agent, one);
+    assert_eq!(told, [ClaimNews::Granted(ClaimId(7)), ClaimNews::Asked(ClaimId(7))]);
+    for now_ms in [270, 470] {
+        agent.on_claim(two, &Claim { is_running: true, ..claim(3) }, now_ms);
+        assert_eq!(news(&mut agent, one), [ClaimNews::AskedByRunning(ClaimId(7))]);
+    }
+}
+
+/// Guards against an agent that counts as informed after some time although an entry has not connected to it.
+#[test]
+fn an_agent_says_until_when_it_awaits_entries() {
+    let grace_ms = Timing::default().claim_grace_ms();
+    let (mut agent, one, _) = agent();
+    let awaits = |agent: &mut Supervisor| agent.report(one, false).unwrap().load.awaits_entries;
+    assert!(!awaits(&mut agent));
+    let effects = agent.set_has_unconnected(true);
+    assert!(effects.contains(&SupervisorEffect::Report(one)));
+    agent.tick(10_000);
+    assert!(awaits(&mut agent));
+    agent.on_entry_hello(&"e3".into(), 1, &UnsettledAttempts::default(), 10_010, 10_010);
+    agent.set_has_unconnected(false);
+    agent.tick(10_010 + grace_ms - 1);
+    assert!(awaits(&mut agent), "the claims of the last entry may be under way");
+    let effects = agent.tick(10_010 + grace_ms);
+    assert!(effects.contains(&SupervisorEffect::Report(one)));
+    assert!(!awaits(&mut agent));
+}
+
+/// Guards against the word of an agent that does not know the claims of all entries, however long it has been
+/// connected, and of one that has not said yet whether it does.
+#[test]
+fn beside_agents_that_await_entries_the_best_others_are_asked() {
+    let (mut entry, agents) = entry(&["a", "b", "c", "d"]);
+    let (key, keepers, _) = submit_at_all(&mut entry, "j", 0);
+    entry.cancel(key, 1);
+    let mut number_asked = |awaiting: &[AgentKey]| {
+        for agent in &agents {
+            let mut sent = report(None, cores(8), 0);
+            sent.load.awaits_entries = awaiting.contains(agent);
+            entry.on_report(*agent, sent, 9_000);
+        }
+        let (key, asked, _) = submit_at_all(&mut entry, "j", 9_001);
+        entry.cancel(key, 9_002);
+        assert_eq!(asked[..2], keepers);
+        asked.len()
+    };
+    assert_eq!(number_asked(&[]), 2);
+    assert_eq!(number_asked(&keepers[..1]), 3);
+    assert_eq!(number_asked(&keepers), 4);
+    assert_eq!(number_asked(&agents), 2, "if all await entries, their word is enough");
+    // The next process of an agent has not said yet what it knows.
+    let name = entry.agent_name(keepers[0]).unwrap().to_string();
+    let hello = AgentHello { agent: name.as_str().into(), incarnation: 2, entries: Vec::new() };
+    for agent in &agents {
+        entry.on_report(*agent, report(None, cores(8), 0), 9_010);
+    }
+    entry.on_agent_hello(&hello, 9_011);
+    let (_, asked, _) = submit_at_all(&mut entry, "j", 9_012);
+    assert_eq!(asked.len(), 3);
+}
+
+/// Guards against an entry whose run is lost and that starts the task again beside the entry that has the job meanwhile.
+#[test]
+fn a_contested_job_does_not_start_again_when_its_runs_have_ended() {
+    let (mut entry, _) = entry(&["a", "b"]);
+    let (_, keepers, id) = submit_at_all(&mut entry, "j", 0);
+    entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 1);
+    let started = attempts(&entry.on_claims(keepers[1], &[ClaimNews::Granted(id)], 1));
+    let [(to, attempt)] = started[..] else { panic!("the task starts") };
+    // An agent that has been replaced knows only the other entry. Its answer does not stop the run.
+    let effects = entry.on_claims(keepers[0], &[ClaimNews::Contested(id)], 100);
+    assert!(!effects.iter().any(|e| matches!(e, DispatcherEffect::Withdrawn { .. })));
+    entry.on_claims(keepers[1], &[ClaimNews::Granted(id)], 100);
+    let outcomes = vec![(attempt, AttemptOutcome::Lost)];
+    let effects = entry.on_report(to, Report { outcomes, ..report(None, cores(8), 1) }, 200);
+    assert!(attempts(&effects).is_empty(), "it starts beside the other entry");
+    for now_ms in (212..700).step_by(12) {
+        for keeper in &keepers {
+            entry.on_report(*keeper, report(None, cores(8), 1), now_ms);
+        }
+        assert!(attempts(&entry.tick(now_ms)).is_empty(), "it starts at {now_ms} ms");
+    }
+    assert_eq!(attempts(&entry.on_claims(keepers[0], &[ClaimNews::Granted(id)], 710)).len(), 1);
+}
+
+/// Guards against a holder that asks no agent that knows all entries, because there was none when it claimed the job.
+#[test]
+fn a_job_is_claimed_at_an_agent_that_has_heard_from_all_entries_since() {
+    let (mut entry, agents) = entry(&["a", "b", "c"]);
+    let awaiting = || {
+        let mut sent = report(None, cores(8), 0);
+        sent.load.awaits_entries = true;
+        sent
+    };
+    agents.iter().for_each(|agent| drop(entry.on_report(*agent, awaiting(), 9_000)));
+    let (_, keepers, id) = submit_at_all(&mut entry, "j", 9_001);
+    assert_eq!(keepers.len(), 2);
+    let grants =
+        keepers.iter().map(|agent| entry.on_claims(*agent, &[ClaimNews::Granted(id)], 9_002));
+    assert_eq!(grants.map(|effects| attempts(&effects).len()).sum::<usize>(), 1);
+    let third = agents.into_iter().find(|agent| !keepers.contains(agent)).unwrap();
+    let effects = entry.on_report(third, report(None, cores(8), 0), 9_100);
+    let claims = claims_in(&effects);
+    assert!(claims.iter().any(|(agent, claim)| *agent == third && claim.is_running));
+    let effects = entry.on_report(third, report(None, cores(8), 0), 9_200);
+    assert_eq!(claims_in(&effects), [], "once");
+}
