--- a/crates/direct/src/fencing.rs
+++ b/crates/direct/src/fencing.rs
@@ -35,8 +35,8 @@
         self.step = self.step.saturating_mul(2);
     }
 
-    /// Raises the token when another incarnation of the upstream answers, which has seen no token: it
-    /// refuses what was sent before as soon as it has accepted a call with the raised token.
+    /// Raises the token when another incarnation of the upstream answers, which has seen no token. Once
+    /// the upstream has accepted a call with the raised token, it refuses the orders that were sent before.
     pub fn on_replaced(&mut self) {
         self.value = self.value.saturating_add(1);
     }
--- a/crates/node/src/agent/executor_calls.rs
+++ b/crates/node/src/agent/executor_calls.rs
@@ -138,6 +138,7 @@
         state.on_start_result(&start.task, start.run, StartResult::Refused);
         return;
     };
+    // An upstream that has just been replaced has not sent its id yet.
     let Some(instance) = state.upstream_id() else {
         state.on_start_result(&start.task, start.run, StartResult::Refused);
         return;
--- a/crates/node/src/agent/state/executor_results.rs
+++ b/crates/node/src/agent/state/executor_results.rs
@@ -27,7 +27,7 @@
         token.raise();
         self.token.set(token);
         self.supervisor.borrow_mut().on_fenced();
-        self.events.emit(Level::Notable, "fencing_token", &[("token", json!(token.value()))]);
+        self.emit_token("refused");
     }
 
     /// Raises the fencing token because another incarnation of the upstream answers.
@@ -35,7 +35,12 @@
         let mut token = self.token.get();
         token.on_replaced();
         self.token.set(token);
-        self.events.emit(Level::Notable, "fencing_token", &[("token", json!(token.value()))]);
+        self.emit_token("upstream_replaced");
+    }
+
+    fn emit_token(&self, cause: &str) {
+        let fields = [("token", json!(self.token())), ("cause", json!(cause))];
+        self.events.emit(Level::Notable, "fencing_token", &fields);
     }
 
     /// Records that the upstream has accepted a call with this fencing token. Returns whether this
