--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -163,8 +163,6 @@
         }
         let (sends, open_calls) = (*sends, *open_calls);
         // The list that is awaited settles a start that a call may have carried out; a further call would
-        // be one to the next incarnation.
-        // The list that is awaited settles a start that a call may have carried out; a further call would
         // reach the next incarnation.
         let may_have_started =
             sends > 1 || matches!(result, StartResult::Unknown | StartResult::Broken);
