Review case 7: a resubmitted job runs twice beside two agents without power

Cause: an entry starts a job without an answer to its claims after 100 ms and three checks, long before it counts the agents that keep them as silent, and asks no other agent first.

--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns the lines that say how the rule was broken.
 
 use std::{
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::Arc,
     thread::{self, JoinHandle},
@@ -15,6 +16,7 @@
 
 const HOST: &str = "queue.example";
 const PREFIX: &str = "/queue/";
+const QUEUE: &str = "r-1";
 /// Bounds of the sites, milliseconds.
 const CANCEL_MS: u64 = 3_000;
 const STOP_MS: u64 = 50;
@@ -25,6 +27,7 @@
         "late-request" => late_request(record, has_trouble),
         "added-node" => added_node(record, has_trouble),
         "restarted-node" => restarted_node(record, has_trouble),
+        "dark-agents" => dark_agents(record, has_trouble),
         "upper-case" => upper_case(record, has_trouble),
         _ => Err(format!("no case {case}")),
     }
@@ -33,7 +36,7 @@
 /// Configuration with one queue.
 fn config(timeout_ms: u64) -> String {
     format!(
-        "{{\"version\":3,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\"pathPrefix\":\
+        "{{\"version\":3,\"routes\":[{{\"name\":\"{QUEUE}\",\"host\":\"{HOST}\",\"pathPrefix\":\
          \"{PREFIX}\",\"kind\":\"non_idempotent\",\"timeoutMs\":{timeout_ms},\
          \"targetCompletionMs\":60,\"priority\":0,\"service\":\"{POOL}\",\"maxAttempts\":3,\
          \"stretchFactor\":1.6}}],\"services\":[{{\"name\":\"{POOL}\",\"healthPath\":\"/healthz\",\
@@ -269,6 +272,29 @@
     broken
 }
 
+/// Hands jobs in, each from a client of its own. Returns the ids of those that are to be sent again.
+fn submit(
+    record: &Arc<Record>,
+    node: &str,
+    addr: SocketAddr,
+    ids: &[String],
+    body: &str,
+    patience_ms: u64,
+) -> Result<Vec<String>, String> {
+    let sent: Vec<_> = ids
+        .iter()
+        .map(|id| send_aside(record, node, addr, "POST", id, body, patience_ms))
+        .collect();
+    let mut unanswered = Vec::new();
+    for (id, sent) in ids.iter().zip(sent) {
+        let (status, _) = sent.join().map_err(|_| "a client has failed".to_owned())?;
+        if matches!(status, 0 | 502 | 504) {
+            unanswered.push(id.clone());
+        }
+    }
+    Ok(unanswered)
+}
+
 /// Clients that get no answer in time send their jobs again, to a node that has just been started
 /// again, while the node that had them first still runs them: what clients send to that one is late.
 fn restarted_node(record: &Arc<Record>, has_trouble: bool) -> Result<Vec<String>, String> {
@@ -297,30 +323,75 @@
     }
     let ids: Vec<String> = (1..=CLIENTS).map(|i| format!("90ab0e21d94b360{i}")).collect();
     let body = job(&[RUN_MS]);
-    let first: Vec<_> = ids
-        .iter()
-        .map(|id| send_aside(record, "edge-1", path, "POST", id, &body, PATIENCE_MS))
-        .collect();
-    let mut unanswered = Vec::new();
-    for (id, sent) in ids.iter().zip(first) {
-        let (status, _) = sent.join().map_err(|_| "a client has failed".to_owned())?;
-        if matches!(status, 0 | 502 | 504) {
-            unanswered.push(id);
-        }
-    }
+    let unanswered = submit(record, "edge-1", path, &ids, &body, PATIENCE_MS)?;
     pause(RESEND_MS);
     if is_killed {
         system.start_entry(1)?;
         system.until_ready(1)?;
     }
-    let front = system.front(1);
-    let second: Vec<_> = unanswered
-        .iter()
-        .map(|id| send_aside(record, "edge-2", front, "POST", id, &body, PATIENCE_MS))
+    submit(record, "edge-2", system.front(1), &unanswered, &body, PATIENCE_MS)?;
+    pause(500);
+    Ok(overlaps(&record.runs(), record.now_ms()))
+}
+
+/// Returns the names of the two agents that keep the claims of a job, as the project chooses them
+/// while all agents are connected.
+fn keepers(id: &str, sides: u8) -> Vec<String> {
+    let hash = |value: &dyn Fn(&mut DefaultHasher)| {
+        let mut hasher = DefaultHasher::new();
+        value(&mut hasher);
+        hasher.finish()
+    };
+    let job = hash(&|hasher| (QUEUE, id).hash(hasher));
+    let weight = |name: &str| {
+        let agent = hash(&|hasher| name.hash(hasher));
+        hash(&|hasher| (agent, job).hash(hasher))
+    };
+    let mut names: Vec<String> = (1..=sides).map(|side| format!("side-{side}")).collect();
+    names.sort_by_key(|name| std::cmp::Reverse(weight(name)));
+    names.truncate(2);
+    names.sort();
+    names
+}
+
+/// Clients that get no answer in time send their jobs again, to another node, just after two machines
+/// beside executors have lost power, while the node that had them first still runs them: what clients
+/// send to that one is late.
+fn dark_agents(record: &Arc<Record>, has_trouble: bool) -> Result<Vec<String>, String> {
+    const CLIENTS: usize = 6;
+    const SIDES: u8 = 11;
+    const PATIENCE_MS: u64 = 2_000;
+    const RESEND_MS: u64 = 1_300;
+    const LATE_MS: u64 = 2_500;
+    const RUN_MS: u64 = 1_500;
+    // With TROUBLE=late, requests are late, and all machines keep their power.
+    let is_dark = has_trouble && std::env::var("TROUBLE").as_deref() != Ok("late");
+    let mut system = System::new(record, &config(1_500))?;
+    system.start_entry(0)?;
+    system.start_entry(1)?;
+    for side in 0..SIDES {
+        system.start_side(side, 16_000)?;
+    }
+    system.until_ready(0)?;
+    system.until_ready(1)?;
+    pause(5_000);
+    let late_ms = if has_trouble { LATE_MS } else { 0 };
+    let path = system.start_path(0, Duration::from_millis(late_ms))?;
+    record.line(&format!("what clients send to edge-1 is late by {late_ms} ms"));
+    // One job of 55 has its claims at these two agents; the clients' ids are such ones.
+    let dark = ["side-10".to_owned(), "side-11".to_owned()];
+    let ids: Vec<String> = (0x90ab_0e21_d94b_0000_u64..)
+        .map(|number| format!("{number:016x}"))
+        .filter(|id| keepers(id, SIDES) == dark)
+        .take(CLIENTS)
         .collect();
-    for sent in second {
-        sent.join().map_err(|_| "a client has failed".to_owned())?;
+    let body = job(&[RUN_MS]);
+    let unanswered = submit(record, "edge-1", path, &ids, &body, PATIENCE_MS)?;
+    pause(RESEND_MS);
+    if is_dark {
+        dark.iter().try_for_each(|name| system.darken(name))?;
     }
+    submit(record, "edge-2", system.front(1), &unanswered, &body, PATIENCE_MS)?;
     pause(500);
     Ok(overlaps(&record.runs(), record.now_ms()))
 }
--- a/review/rig-2/system.rs
+++ b/review/rig-2/system.rs
@@ -102,6 +102,17 @@
         self.record.line(&format!("{name} is killed"));
     }
 
+    /// Takes the power of a machine away: its process answers nothing, and its channels hang.
+    pub fn darken(&self, name: &str) -> Result<(), String> {
+        let found = self.processes.iter().find(|(known, _)| known == name);
+        let (_, process) = found.ok_or_else(|| format!("no process {name}"))?;
+        let pid = process.child.id().to_string();
+        let status = Command::new("kill").args(["-STOP", &pid]).status();
+        status.map_err(|e| format!("stopping {name}: {e}"))?;
+        self.record.line(&format!("{name} has lost power"));
+        Ok(())
+    }
+
     /// Starts the path of clients to an entry, on which what they send is late by `delay`. Returns its
     /// address.
     pub fn start_path(&self, entry: u8, delay: Duration) -> Result<SocketAddr, String> {
