--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -28,6 +28,7 @@
         "added-node" => added_node(record, has_trouble),
         "restarted-node" => restarted_node(record, has_trouble),
         "dark-agents" => dark_agents(record, has_trouble),
+        "same-id-life" => same_id_life(record, has_trouble),
         "upper-case" => upper_case(record, has_trouble),
         _ => Err(format!("no case {case}")),
     }
@@ -395,3 +396,43 @@
     pause(500);
     Ok(overlaps(&record.runs(), record.now_ms()))
 }
+
+/// An executor leaves the starts of a job unanswered, crashes, and starts again under its id; the new
+/// life carries the starts out, while the tasks run elsewhere.
+fn same_id_life(record: &Arc<Record>, has_trouble: bool) -> Result<Vec<String>, String> {
+    const ID: &str = "31ab0e21d94b3601";
+    const SIDES: u8 = 8;
+    const PATIENCE_MS: u64 = 6_000;
+    const RUN_MS: u64 = 3_000;
+    /// Time from the starts until the new life carries them out; the site's least is 2 s.
+    const LATE_MS: u64 = 2_200;
+    let mut system = System::new(record, &config(8_000))?;
+    system.start_entry(0)?;
+    for side in 0..SIDES {
+        system.start_side(side, 16_000)?;
+    }
+    system.until_ready(0)?;
+    pause(5_000);
+    if has_trouble {
+        system.executors.iter().for_each(|executor| executor.leave_starts());
+    }
+    let body = job(&[RUN_MS]);
+    let submission = send_aside(record, "edge-1", system.front(0), "POST", ID, &body, PATIENCE_MS);
+    if has_trouble {
+        pause(50);
+        let (late, others): (Vec<_>, Vec<_>) =
+            system.executors.iter().partition(|executor| executor.has_late_starts());
+        let [late] = late.as_slice() else {
+            return Err(format!("the starts reached {} executors", late.len()));
+        };
+        others.iter().for_each(|executor| executor.answer_starts());
+        late.crash();
+        pause(LATE_MS);
+        if record.runs().is_empty() {
+            return Err("the tasks do not run elsewhere yet".to_owned());
+        }
+        late.restart();
+    }
+    submission.join().map_err(|_| "the client has failed".to_owned())?;
+    Ok(overlaps(&record.runs(), record.now_ms()))
+}
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -3,11 +3,17 @@
 use std::{
     io::{BufRead, BufReader, ErrorKind, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
 
+/// Pause between two looks for new connections.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+
 /// A request as the server has read it.
 pub struct Request {
     pub method: String,
@@ -43,16 +49,29 @@
 }
 
 impl Response {
+    /// No answer: the channel ends.
+    pub const NONE: Self = Self { status: 0, body: Vec::new() };
+
     pub fn json(status: u16, body: String) -> Self {
         Self { status, body: body.into_bytes() }
     }
 }
 
-/// Serves requests on the listener, for ever, in threads of its own.
-pub fn serve(listener: TcpListener, handle: impl Fn(&Request) -> Response + Send + Sync + 'static) {
+/// Serves requests on the listener in threads of its own, until `is_closed` is set; the listener is
+/// closed then.
+pub fn serve(
+    listener: TcpListener,
+    is_closed: Arc<AtomicBool>,
+    handle: impl Fn(&Request) -> Response + Send + Sync + 'static,
+) {
     let handle = Arc::new(handle);
+    listener.set_nonblocking(true).expect("a listener can be set up");
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !is_closed.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_PAUSE);
+                continue;
+            };
             let handle = Arc::clone(&handle);
             // A connection that ends is no error here.
             thread::spawn(move || drop(serve_connection(stream, &*handle)));
@@ -64,6 +83,7 @@
     stream: TcpStream,
     handle: &dyn Fn(&Request) -> Response,
 ) -> std::io::Result<()> {
+    stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
@@ -72,6 +92,9 @@
         let mut words = first.split(' ').map(str::to_owned);
         let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
         let response = handle(&Request { method, target, headers, body });
+        if response.status == 0 {
+            return Ok(());
+        }
         let mut out = format!(
             "HTTP/1.1 {} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             response.status,
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -22,7 +22,7 @@
     pub fn start(listener: TcpListener) -> Arc<Self> {
         let store = Arc::new(Self::default());
         let served = Arc::clone(&store);
-        http::serve(listener, move |request| served.handle(request));
+        http::serve(listener, Arc::default(), move |request| served.handle(request));
         store
     }
 
--- a/review/rig-2/system.rs
+++ b/review/rig-2/system.rs
@@ -45,6 +45,7 @@
 
 pub struct System {
     record: Arc<Record>,
+    pub executors: Vec<Arc<Executor>>,
     dir: PathBuf,
     /// First three parts of all addresses.
     net: (u8, u8, u8),
@@ -68,7 +69,7 @@
         let net = free_net(pid)?;
         Store::start(listen(net, STORE_HOST, STORE)?).put_config(config);
         let record = Arc::clone(record);
-        Ok(Self { record, dir, net, processes: Vec::new() })
+        Ok(Self { record, executors: Vec::new(), dir, net, processes: Vec::new() })
     }
 
     fn addr(&self, host: u8, port: u16) -> SocketAddr {
@@ -132,7 +133,9 @@
         self.start_role("direct-agent", "deploy/agent.yaml", &name, host, &own)?;
         let id = format!("i-{}", side + 1);
         let listener = listen(self.net, host, APP)?;
-        Executor::start(&id, POOL, ZONE, milli_cores, listener, control, &self.record);
+        let executor =
+            Executor::start(&id, POOL, ZONE, milli_cores, listener, control, &self.record);
+        self.executors.push(executor);
         Ok(())
     }
 
