Limit reports of load by the entry's processor share

Cause: in a burst, all links of an entry are active, and the agents report each change of load every 20 ms.

--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -267,6 +267,8 @@
         view.set_active(is_active, now_ms);
         if is_active {
             self.links.active.insert(key);
+            let pacing = self.pacing_message();
+            effects.extend(pacing.map(|message| DispatcherEffect::Send(key, message)));
         } else {
             self.links.active.remove(&key);
         }
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -19,6 +19,7 @@
 mod job_state;
 mod link_activity;
 mod placement;
+mod report_pacing;
 mod return_schedule;
 mod speed;
 mod summary;
@@ -41,6 +42,7 @@
         job_claim::StoppingJob,
         job_state::JobState,
         link_activity::LinkActivity,
+        report_pacing::ReportPacing,
         return_schedule::ReturnSchedule,
         speed::KindRatio,
     },
@@ -221,6 +223,7 @@
     zone: Arc<str>,
     agents: Vec<AgentView>,
     links: LinkActivity,
+    pacing: ReportPacing,
     jobs: IndexMap<JobKey, JobState>,
     by_name: IndexMap<JobName, JobKey>,
     /// Jobs with tasks to start, by [`JobState::queue_place`].
@@ -250,6 +253,7 @@
             zone,
             agents: Vec::new(),
             links: LinkActivity::new(seed),
+            pacing: ReportPacing::default(),
             jobs: IndexMap::new(),
             by_name: IndexMap::new(),
             queue: BTreeSet::new(),
@@ -433,13 +437,31 @@
         }
     }
 
-    /// Applies an agent's load report, acts on the crashes and settles the attempts that it lists and dispatches queued
-    /// tasks.
+    /// Applies an agent's load report like [`Dispatcher::apply_report`] and dispatches queued tasks.
     pub fn on_report(
         &mut self,
         key: AgentKey,
         report: Report,
         now_ms: u64,
+    ) -> Vec<DispatcherEffect> {
+        let mut effects = self.apply_report(key, report, now_ms);
+        effects.extend(self.dispatch_queued(now_ms));
+        effects
+    }
+
+    /// Dispatches queued tasks. Must follow [`Dispatcher::apply_report`]; one call may follow several
+    /// reports.
+    pub fn dispatch(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
+        self.dispatch_queued(now_ms)
+    }
+
+    /// Applies an agent's load report, acts on the crashes and settles the attempts that it lists. Nothing
+    /// is dispatched.
+    pub fn apply_report(
+        &mut self,
+        key: AgentKey,
+        report: Report,
+        now_ms: u64,
     ) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
         if self.agents.get(key.0 as usize).is_none() {
@@ -470,7 +492,6 @@
             self.settle(id, outcome, now_ms, &mut effects);
         }
         self.apply_claim_news(key, &report.claims, now_ms, &mut effects);
-        effects.extend(self.dispatch_queued(now_ms));
         effects
     }
 
@@ -500,6 +521,7 @@
         self.close_silent(now_ms, &mut effects);
         self.tend_claims(now_ms, &mut effects);
         self.adjust_links(now_ms, &mut effects);
+        self.adjust_report_period(&mut effects);
         effects.extend(self.dispatch_queued(now_ms));
         effects
     }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -31,6 +31,10 @@
         if self.admission == Admission::Closed(RefusalReason::Suspended) {
             return effects;
         }
+        if self.queue.is_empty() {
+            self.backlog.record(false, now_ms);
+            return effects;
+        }
         let keys: Vec<JobKey> = self.queue.iter().map(|(.., key)| *key).collect();
         let mut free = self.max_free(now_ms);
         let mut unplaced = Vec::new();
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -109,6 +109,9 @@
         /// active link, the agent reports each change of its load, and both sides send frequent
         /// heartbeats. On standby, it reports only outcomes and changes of its upstream.
         SetActive(bool),
+        /// Limits the reports of changes of the load on this link to one in this time, milliseconds.
+        /// Outcomes and heartbeats are not delayed. 0, as after the handshake, sets no limit.
+        SetReportPeriod(u16),
     }
 
     /// Capacity that an agent offers.
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -85,8 +85,6 @@
     /// Number of unanswered stop calls for each run.
     open_stops: IndexMap<(TaskId, u32), u32>,
     leases: LeaseRecord,
-    /// Free capacity when the entries were last told of a change.
-    reported_free: Resources,
     response_monitor: ResponseMonitor,
     crashes: Crashes,
     isolation: Option<Isolation>,
@@ -116,7 +114,6 @@
             open_stops: IndexMap::new(),
             // An earlier agent may have granted a lease until now.
             leases: LeaseRecord::new(now_ms),
-            reported_free: Resources::default(),
             response_monitor: ResponseMonitor::default(),
             crashes: Crashes::default(),
             isolation: None,
@@ -329,6 +326,7 @@
             session.is_active = false;
             session.batches_seen = 0;
             session.switches_seen = 0;
+            session.report_period_ms = 0;
             session.unsent.clear();
             session.unsent_crashes = crashes;
             let unsettled = attempts.wanted.iter().chain(&attempts.stopping);
@@ -369,7 +367,10 @@
     /// number.
     pub fn record_report_sent(&mut self, key: SessionKey, now_ms: u64) -> u64 {
         let session_ms = self.timing.session_ms;
-        self.session_mut(key).map_or(0, |session| session.sent_reports.record(now_ms, session_ms))
+        self.session_mut(key).map_or(0, |session| {
+            session.record_report(session.reported_free, now_ms);
+            session.sent_reports.record(now_ms, session_ms)
+        })
     }
 
     /// Makes a session's link active or puts it on standby. An active link gets a report at once.
@@ -381,6 +382,14 @@
         vec![SupervisorEffect::Report(key)]
     }
 
+    /// Sets the minimum time between two reports of a change of the load on a session's link,
+    /// milliseconds.
+    pub fn set_report_period(&mut self, key: SessionKey, period_ms: u16) {
+        if let Some(session) = self.session_mut(key) {
+            session.report_period_ms = period_ms;
+        }
+    }
+
     /// Returns the period of a session's heartbeats, milliseconds.
     pub fn heartbeat_ms(&self, key: SessionKey) -> u64 {
         let is_active = self.sessions.values().any(|(known, s)| *known == key && s.is_active);
@@ -489,10 +498,11 @@
             }
         }
         let free = self.free();
-        if self.reported_free != free {
-            self.reported_free = free;
-            let active = self.sessions.values().filter(|(_, session)| session.is_active);
-            effects.extend(active.map(|(key, _)| SupervisorEffect::Report(*key)));
+        for (key, session) in self.sessions.values_mut() {
+            if session.is_change_due(free, now_ms) {
+                session.record_report(free, now_ms);
+                effects.push(SupervisorEffect::Report(*key));
+            }
         }
         effects
     }
@@ -506,6 +516,7 @@
         let upstream = self.upstream.clone().filter(|_| with_upstream);
         let awaits_entries = self.claims.awaits_entries();
         let session = self.session_mut(key).filter(|session| session.is_connected)?;
+        session.record_report(free, session.reported_ms);
         let outcomes = std::mem::take(&mut session.unsent);
         let crashes = std::mem::take(&mut session.unsent_crashes);
         let claims = std::mem::take(&mut session.unsent_claims);
--- a/crates/direct/src/supervisor/session.rs
+++ b/crates/direct/src/supervisor/session.rs
@@ -1,5 +1,7 @@
 use std::collections::VecDeque;
 
+use types::Resources;
+
 use crate::{
     AttemptId, AttemptOutcome, ClaimNews, CrashNotice, supervisor::sent_reports::SentReports,
 };
@@ -28,6 +30,11 @@
     pub(crate) batches_seen: u64,
     /// Number of times that the link was made active or put on standby on the current connection.
     pub(crate) switches_seen: u64,
+    /// Minimum time between two reports of a change of the load, milliseconds.
+    pub(crate) report_period_ms: u16,
+    /// Time of the last report, and the free capacity in it, milliseconds.
+    pub(crate) reported_ms: u64,
+    pub(crate) reported_free: Resources,
     /// Outcomes that are not sent yet.
     pub(crate) unsent: Vec<(AttemptId, AttemptOutcome)>,
     /// News about crashes that is not sent yet.
@@ -49,6 +56,9 @@
             is_active: false,
             batches_seen: 0,
             switches_seen: 0,
+            report_period_ms: 0,
+            reported_ms: now_ms,
+            reported_free: Resources::default(),
             unsent: Vec::new(),
             unsent_crashes: Vec::new(),
             unsent_claims: Vec::new(),
@@ -64,6 +74,19 @@
         }
     }
 
+    /// Returns whether the entry is to be told of a change of the free capacity now.
+    pub(crate) fn is_change_due(&self, free: Resources, now_ms: u64) -> bool {
+        self.is_active
+            && self.reported_free != free
+            && now_ms >= self.reported_ms + u64::from(self.report_period_ms)
+    }
+
+    /// Records a report with this free capacity, or that one is due.
+    pub(crate) fn record_report(&mut self, free: Resources, now_ms: u64) {
+        self.reported_free = free;
+        self.reported_ms = now_ms;
+    }
+
     /// Returns whether the entry was alive less than `age_ms` ago.
     pub(crate) fn is_proven_within(&self, age_ms: u64, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.proven_ms) < age_ms
--- a/crates/direct/tests/common/simulation.rs
+++ b/crates/direct/tests/common/simulation.rs
@@ -307,6 +307,10 @@
                     ToAgent::Start(batch) => supervisor.on_attempts(key, &batch, now_ms),
                     ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
                     ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
+                    ToAgent::SetReportPeriod(period_ms) => {
+                        supervisor.set_report_period(key, period_ms);
+                        Vec::new()
+                    }
                     ToAgent::Claim(claim) => supervisor.on_claim(key, &claim, now_ms),
                     ToAgent::EndClaim(id, end) => supervisor.on_claim_end(key, id, end, now_ms),
                     ToAgent::Heartbeat(_) | ToAgent::Hello(_) => Vec::new(),
--- a/crates/direct/tests/fuzz_links.rs
+++ b/crates/direct/tests/fuzz_links.rs
@@ -61,6 +61,7 @@
         batch().prop_map(ToAgent::Start),
         vec(number().prop_map(AttemptId), 0..4).prop_map(ToAgent::Stop),
         any::<bool>().prop_map(ToAgent::SetActive),
+        any::<u16>().prop_map(ToAgent::SetReportPeriod),
         Just(ToAgent::Heartbeat(Vec::new())),
         claim().prop_map(ToAgent::Claim),
         (0..6_u64, claim_end()).prop_map(|(id, end)| ToAgent::EndClaim(ClaimId(id), end)),
@@ -177,6 +178,10 @@
                 ToAgent::Start(batch) => agent.on_attempts(entry, &batch, now_ms),
                 ToAgent::Stop(ids) => agent.on_stop(entry, &ids),
                 ToAgent::SetActive(is_active) => agent.set_active(entry, is_active),
+                ToAgent::SetReportPeriod(period_ms) => {
+                    agent.set_report_period(entry, period_ms);
+                    Vec::new()
+                }
                 ToAgent::Claim(claim) => agent.on_claim(entry, &claim, now_ms),
                 ToAgent::EndClaim(id, end) => agent.on_claim_end(entry, id, end, now_ms),
                 ToAgent::Heartbeat(_) | ToAgent::Hello(_) => Vec::new(),
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -313,6 +313,10 @@
             }
             ToAgent::Stop(ids) => supervisor.on_stop(key, &ids),
             ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
+            ToAgent::SetReportPeriod(period_ms) => {
+                supervisor.set_report_period(key, period_ms);
+                Vec::new()
+            }
             ToAgent::Claim(claim) => supervisor.on_claim(key, &claim, now_ms),
             ToAgent::EndClaim(id, end) => supervisor.on_claim_end(key, id, end, now_ms),
             ToAgent::Heartbeat(entries) => {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -109,6 +109,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn_local(agent_links::accept(links, Rc::clone(&state)));
         tasks.spawn_local(tick(Rc::clone(&state)));
+        tasks.spawn_local(Rc::clone(&state).dispatch_after_reports());
         tasks.spawn_local(dial_peers(Rc::clone(&state)));
         tasks.spawn_local(config_watch::follow(store.clone(), apply));
         let name = settings.process.name.as_ref().into();
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -67,6 +67,8 @@
     config: RefCell<Option<Config>>,
     /// Wakes requests that wait for the first configuration.
     config_applied: Notify,
+    /// Wakes the task that dispatches queued tasks after reports.
+    dispatch_due: Notify,
     started: Instant,
     suspensions: SuspensionDetector,
     /// End of the refusal of submissions after a suspension.
@@ -101,6 +103,11 @@
         let links = settings.advertised_links.unwrap_or(settings.links);
         let known_entries = Rc::new(KnownEntries::from_seeds(process, Some(links)));
         let events = Events::start(&process.name, process.log_decisions);
+        let mut dispatcher =
+            Dispatcher::new(process.timing, Arc::clone(&settings.zone), seed(&process.name));
+        if let Some(cores) = settings.processor_share {
+            dispatcher.set_processor_share(cores);
+        }
         Rc::new(Self {
             timing: process.timing,
             incarnation: clock::unix_ms(),
@@ -111,16 +118,13 @@
             events,
             name: Arc::clone(&process.name),
             grace_ms: Cell::new(process.grace_ms),
-            dispatcher: RefCell::new(Dispatcher::new(
-                process.timing,
-                Arc::clone(&settings.zone),
-                seed(&process.name),
-            )),
+            dispatcher: RefCell::new(dispatcher),
             pending_replies: RefCell::default(),
             agents: RefCell::default(),
             next_connection_id: Cell::new(0),
             config: RefCell::default(),
             config_applied: Notify::new(),
+            dispatch_due: Notify::new(),
             started: Instant::now(),
             suspensions: SuspensionDetector::new(process.timing.suspension_ms),
             refuse_until_ms: Cell::new(0),
@@ -334,8 +338,20 @@
             self.emit_for_agent("upstream", key, &fields);
         }
         let now_ms = self.now_ms();
-        let effects = self.dispatcher.borrow_mut().on_report(key, report, now_ms);
+        let effects = self.dispatcher.borrow_mut().apply_report(key, report, now_ms);
         self.apply(effects);
+        self.dispatch_due.notify_one();
+    }
+
+    /// Dispatches queued tasks after reports of agents, for ever. Reports that have arrived together
+    /// are all applied before, so that many of them cost one round of placement.
+    pub(crate) async fn dispatch_after_reports(self: Rc<Self>) {
+        loop {
+            self.dispatch_due.notified().await;
+            let now_ms = self.now_ms();
+            let effects = self.dispatcher.borrow_mut().dispatch(now_ms);
+            self.apply(effects);
+        }
     }
 
     /// Handles the end of a connection, unless the agent has a newer one. There is no `cause` if
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,7 +5,6 @@
 
 types::settings! {
     /// Settings of an entry for direct jobs.
-    #[derive(Eq)]
     pub struct DirectEntrySettings {
         /// Settings common to all processes.
         pub process: ProcessSettings,
@@ -24,6 +23,10 @@
         /// Most tasks of a job, over all its steps; larger jobs are rejected.
         #[serde(default = "default_max_job_tasks")]
         pub max_job_tasks: u64,
+        /// Share of a processor core that the host has, for example 0.12; agents report changes of
+        /// their load less often to an entry with a small share. Without it reports are not limited.
+        #[serde(default)]
+        pub processor_share: Option<f64>,
     }
 
     /// Settings of an agent for direct jobs.
@@ -133,6 +136,8 @@
     fn validate(&self, errors: &mut InvalidFields) {
         self.process.validate(errors);
         errors.require(self.max_job_tasks > 0, "max_job_tasks", "must be positive");
+        let is_share = self.processor_share.is_none_or(|share| share > 0.0 && share.is_finite());
+        errors.require(is_share, "processor_share", "must be positive");
     }
 }
 
--- a/crates/node/tests/system/support.rs
+++ b/crates/node/tests/system/support.rs
@@ -194,6 +194,7 @@
 
 pub async fn start_entry(name: &str, store: SocketAddr, seeds: Option<Vec<SocketAddr>>) -> Process {
     let settings = DirectEntrySettings {
+        processor_share: None,
         process: process(name, store, seeds),
         zone: "mid-a".into(),
         callers: ANY_PORT,
