Bound learned run times and delay refused attempts

Cause: four jobs of 370 tasks without an estimate, which ran 200 ms, taught the entry a ratio of run time to estimate near 200. It refused 80 later jobs with correct estimates on idle upstreams, and as none ran, nothing corrected the ratio. A task that an agent refused was sent to the same agent again within the same millisecond.

Change: observations of the ratio and of the speeds are clamped to a factor of 8. Tasks without an estimate teach an absolute run time instead, which serves as the estimate of later jobs without one. Learned run times decay after 2 s without an observation. One job at a time of a kind that the learned values rule out starts as a probe while capacity is spare. A refused task waits 2 to 64 ms before it is sent to the same agent again; a later report ends the wait early. The charge of a refused attempt is dropped with the refusal.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -23,7 +23,8 @@
 
 impl Dispatcher {
     /// Creates the state of a job that arrived now, with the times that follow from its objective.
-    pub(crate) fn new_state(&mut self, job: DirectJob, key: JobKey, now_ms: u64) -> JobState {
+    pub(crate) fn new_state(&mut self, mut job: DirectJob, key: JobKey, now_ms: u64) -> JobState {
+        let have_estimates = self.complete_estimates(&mut job, now_ms);
         let age_ms = self.caller_ages.observe(&job);
         #[allow(
             clippy::cast_precision_loss,
@@ -44,9 +45,11 @@
         let steps = job
             .steps
             .iter()
-            .map(|step| StepState {
+            .zip(have_estimates)
+            .map(|(step, has_estimate)| StepState {
                 pending: (0..step.tasks).rev().collect(),
                 unfinished: step.tasks,
+                has_estimate,
             })
             .collect();
         JobState {
--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -5,7 +5,11 @@
 use crate::{
     JobStep,
     dispatcher::{
-        AgentKey, Dispatcher, agent_view::AgentView, crash_ledger::Suspicion, job_state::JobState,
+        AgentKey, Dispatcher,
+        agent_view::AgentView,
+        crash_ledger::Suspicion,
+        job_state::JobState,
+        refusals::{RefusalWait, Refusals},
     },
 };
 
@@ -36,6 +40,8 @@
         pub(crate) now_ms: u64,
         /// Maximum expected run time with which the task is started, milliseconds.
         pub(crate) max_expected_ms: f64,
+        /// Wait before a task is sent again to an agent that has refused it.
+        pub(crate) refusal_wait: RefusalWait,
     }
 }
 
@@ -45,17 +51,21 @@
     pub(crate) fn requirements(
         &self,
         state: &JobState,
-        step: &JobStep,
+        step: u16,
         now_ms: u64,
     ) -> TaskRequirements {
+        let has_estimate = state.steps[usize::from(step)].has_estimate;
+        let ratio = if has_estimate { self.kind_ratio(&state.job.kind, now_ms) } else { 1.0 };
+        let step = &state.job.steps[usize::from(step)];
         #[allow(clippy::cast_precision_loss)]
         let until_objective_ms = state.objective_at_ms.saturating_sub(now_ms) as f64;
         TaskRequirements {
             need: step.need,
-            expected_ms: f64::from(step.estimate_ms) * self.kind_ratio(&state.job.kind),
+            expected_ms: f64::from(step.estimate_ms) * ratio,
             until_objective_ms,
             now_ms,
             max_expected_ms: if state.may_have_run() { f64::INFINITY } else { until_objective_ms },
+            refusal_wait: RefusalWait::Whole,
         }
     }
 
@@ -65,7 +75,7 @@
     pub(crate) fn late_requirements(
         &self,
         state: &JobState,
-        step: &JobStep,
+        step: u16,
         now_ms: u64,
     ) -> TaskRequirements {
         let worthless_at_ms =
@@ -89,6 +99,7 @@
     ) -> Option<AgentKey> {
         let step = &state.job.steps[usize::from(step_index)];
         let avoided = self.avoided(state, step_index, task, requirements.now_ms);
+        let refusals = state.refusals(step_index, task);
         let is_suspect = self.suspicion(state) != Suspicion::None;
         let is_confined = self.is_confined(state, requirements.now_ms);
         let mut best: Option<(f64, AgentKey)> = None;
@@ -112,6 +123,13 @@
                 })
                 || requirements.expected_ms / view.speed.value() > requirements.max_expected_ms
                 || avoided.contains(&key)
+                || Refusals::delays(
+                    refusals,
+                    key,
+                    view,
+                    requirements.refusal_wait,
+                    requirements.now_ms,
+                )
                 || (is_confined && !self.containment.is_member(&state.job.kind, key))
                 || (is_suspect && self.has_other_suspect(view, state))
                 || (self.is_contest(key, requirements.need)
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -8,10 +8,22 @@
 use types::Resources;
 
 use crate::{
-    AttemptId, JobStep, Load, Upstream, UpstreamState,
+    AttemptId, AttemptOutcome, JobStep, Load, Report, Upstream, UpstreamState,
     dispatcher::{health::UpstreamHealth, speed::Speed},
 };
 
+/// Resources of a batch that was sent to an agent.
+#[derive(Debug)]
+struct Charge {
+    /// Number of the batch on its connection.
+    number: u64,
+    /// Needs of one attempt.
+    need: Resources,
+    /// Needs of the attempts that have not been refused.
+    total: Resources,
+    attempts: Vec<AttemptId>,
+}
+
 /// State of one agent as its entry knows it.
 #[derive(Debug)]
 pub(crate) struct AgentView {
@@ -41,8 +53,10 @@
     batches_sent: u64,
     /// Number of times that the link was made active or put on standby on this connection.
     switches_sent: u64,
-    /// Number and resources of each batch that the agent's load does not account for yet.
-    unacknowledged: VecDeque<(u64, Resources)>,
+    /// Batches that the agent's load does not account for yet.
+    unacknowledged: VecDeque<Charge>,
+    /// Time of the last report that refused no attempt, milliseconds.
+    pub(crate) reported_ms: u64,
     pub(crate) attempts: IndexSet<AttemptId>,
     pub(crate) speed: Speed,
     pub(crate) health: UpstreamHealth,
@@ -76,6 +90,7 @@
             batches_sent: 0,
             switches_sent: 0,
             unacknowledged: VecDeque::new(),
+            reported_ms: now_ms,
             attempts: IndexSet::new(),
             speed: Speed::default(),
             health: UpstreamHealth::default(),
@@ -107,27 +122,45 @@
     }
 
     /// Applies a load report and drops the charges of the batches that it accounts for.
-    pub(crate) fn on_report(&mut self, load: Load, now_ms: u64) {
+    pub(crate) fn on_report(&mut self, report: &Report, now_ms: u64) {
         self.last_heard_ms = now_ms;
         self.awaited_since_ms = now_ms;
         self.leaves_claims = false;
-        self.load = load;
-        while self.unacknowledged.front().is_some_and(|(number, _)| *number <= load.batches_seen) {
+        self.load = report.load;
+        let seen = report.load.batches_seen;
+        while self.unacknowledged.front().is_some_and(|charge| charge.number <= seen) {
             self.unacknowledged.pop_front();
         }
+        if report.outcomes.iter().all(|(_, outcome)| *outcome != AttemptOutcome::NotStarted) {
+            self.reported_ms = now_ms;
+        }
     }
 
     /// Charges a batch against the agent's free capacity until a report accounts for it.
-    pub(crate) fn charge(&mut self, need: Resources) {
+    pub(crate) fn charge(&mut self, need: Resources, attempts: Vec<AttemptId>) {
         self.batches_sent += 1;
-        self.unacknowledged.push_back((self.batches_sent, need));
+        let total = attempts.iter().fold(Resources::default(), |sum, _| sum.saturating_add(need));
+        let charge = Charge { number: self.batches_sent, need, total, attempts };
+        self.unacknowledged.push_back(charge);
+    }
+
+    /// Drops the charge of an attempt that was refused: it takes no capacity, whether or not a
+    /// report accounts for its batch.
+    pub(crate) fn release(&mut self, id: AttemptId) {
+        for charge in &mut self.unacknowledged {
+            if let Some(position) = charge.attempts.iter().position(|attempt| *attempt == id) {
+                charge.attempts.swap_remove(position);
+                charge.total = charge.total.saturating_sub(charge.need);
+                return;
+            }
+        }
     }
 
     /// Returns the free capacity: that of the last report less the batches sent since.
     pub(crate) fn free(&self) -> Resources {
         self.unacknowledged
             .iter()
-            .fold(self.load.free, |free, (_, need)| free.saturating_sub(*need))
+            .fold(self.load.free, |free, charge| free.saturating_sub(charge.total))
     }
 
     /// Returns the share of the processor capacity that is used, 0 to 1.
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -1,10 +1,12 @@
-//! Effects of the outcomes of attempts on jobs, on the health of upstreams and on learned speeds.
+//! Effects of the outcomes of attempts on jobs and on the health of upstreams.
 
 use std::sync::Arc;
 
 use crate::{
     AttemptId, AttemptOutcome, JobOutcome,
-    dispatcher::{AgentKey, Dispatcher, DispatcherEffect, LossCause, OutstandingAttempt},
+    dispatcher::{
+        AgentKey, Dispatcher, DispatcherEffect, LossCause, OutstandingAttempt, refusals::Refusals,
+    },
 };
 
 impl Dispatcher {
@@ -44,6 +46,9 @@
         let Some(attempt) = self.attempts.swap_remove(&id) else { return };
         let view = &mut self.agents[attempt.agent.0 as usize];
         view.attempts.swap_remove(&id);
+        if outcome == AttemptOutcome::NotStarted {
+            view.release(id);
+        }
         if attempt.is_contest {
             self.contention.record(outcome != AttemptOutcome::NotStarted);
         }
@@ -89,7 +94,8 @@
                 let history = state.histories.entry((attempt.step, attempt.index)).or_default();
                 history.avoided.push(attempt.agent);
             }
-            AttemptOutcome::NotStarted | AttemptOutcome::Stopped | AttemptOutcome::Lost => {}
+            AttemptOutcome::NotStarted => self.record_refusal(&attempt, now_ms),
+            AttemptOutcome::Stopped | AttemptOutcome::Lost => {}
         }
         let Some(state) = self.jobs.get_mut(&attempt.job) else { return };
         state.steps[usize::from(attempt.step)].pending.push(attempt.index);
@@ -98,6 +104,16 @@
         self.yield_claim(attempt.job, effects);
     }
 
+    /// Records that an agent has refused a task, which then waits before it is sent there again.
+    fn record_refusal(&mut self, attempt: &OutstandingAttempt, now_ms: u64) {
+        let Some(state) = self.jobs.get(&attempt.job) else { return };
+        let expected_ms = self.requirements(state, attempt.step, now_ms).expected_ms;
+        let spare_ms = state.spare_ms(expected_ms, now_ms);
+        let Some(state) = self.jobs.get_mut(&attempt.job) else { return };
+        let history = state.histories.entry((attempt.step, attempt.index)).or_default();
+        Refusals::record(&mut history.refusals, attempt.agent, spare_ms, now_ms);
+    }
+
     /// Updates the health of the upstream that an attempt was sent to. At most half of the
     /// upstreams are ejected at a time.
     fn update_health(
@@ -123,18 +139,4 @@
         effects
             .push(DispatcherEffect::EjectionChanged { agent: Arc::clone(&view.name), is_ejected });
     }
-
-    /// Updates the learned speed of the upstream and the learned run times of the job's kind.
-    fn learn_run_time(&mut self, attempt: &OutstandingAttempt, run_ms: u32, now_ms: u64) {
-        let Some(state) = self.jobs.get(&attempt.job) else { return };
-        let step = &state.job.steps[usize::from(attempt.step)];
-        let declared = f64::from(step.estimate_ms.max(1));
-        self.returns.record(f64::from(step.need.milli_cores) * declared, now_ms);
-        let actual = f64::from(run_ms.max(1));
-        let view = &mut self.agents[attempt.agent.0 as usize];
-        let kind = self.kinds.entry(Arc::clone(&state.job.kind)).or_default();
-        let log_speed = (declared * kind.value() / actual).ln();
-        kind.observe((actual * view.speed.value() / declared).ln());
-        view.speed.observe(log_speed);
-    }
 }
--- a/crates/direct/src/dispatcher/job_state.rs
+++ b/crates/direct/src/dispatcher/job_state.rs
@@ -3,7 +3,11 @@
 
 use crate::{
     DirectJob, JobName, JobTasks,
-    dispatcher::{AgentKey, JobKey, job_claim::JobClaim},
+    dispatcher::{
+        AgentKey, JobKey,
+        job_claim::JobClaim,
+        refusals::{RefusalWait, Refusals},
+    },
 };
 
 /// Time before the caller's timeout at which an unfinished job is answered, milliseconds.
@@ -18,6 +22,8 @@
     pub(crate) crashes: u32,
     /// Agents on whose upstreams the task failed, or whose upstreams refused it as unhealthy.
     pub(crate) avoided: Vec<AgentKey>,
+    /// Refusals by agents, after which the task waits before it is sent there again.
+    pub(crate) refusals: Vec<Refusals>,
 }
 
 /// Progress of one step of a job.
@@ -27,6 +33,8 @@
     pub(crate) pending: Vec<u32>,
     /// Number of tasks that have not succeeded.
     pub(crate) unfinished: u32,
+    /// Whether the job declares the run time of the tasks.
+    pub(crate) has_estimate: bool,
 }
 
 /// A job that has not been answered.
@@ -96,11 +104,39 @@
             .sum()
     }
 
+    /// Returns the time for which the start of a task with this expected run time may be delayed
+    /// before it would miss the objective, or the answer once the objective has passed.
+    pub(crate) fn spare_ms(&self, expected_ms: f64, now_ms: u64) -> u64 {
+        let answer_ms = self.deadline_ms.saturating_sub(ANSWER_MARGIN_MS);
+        let end_ms = if now_ms < self.objective_at_ms {
+            self.objective_at_ms.min(answer_ms)
+        } else {
+            answer_ms
+        };
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let run_ms = expected_ms.ceil() as u64;
+        end_ms.saturating_sub(now_ms).saturating_sub(run_ms)
+    }
+
     /// Returns whether the job's caller will have stopped waiting before an answer arrives.
     pub(crate) fn is_expired(&self, now_ms: u64) -> bool {
         now_ms + ANSWER_MARGIN_MS >= self.deadline_ms
     }
 
+    /// Returns the time at which the job is refused unless a task of it has been sent.
+    pub(crate) fn refusal_ms(&self, is_overload_brief: bool) -> u64 {
+        if is_overload_brief { self.refuse_at_brief_ms } else { self.refuse_at_ms }
+    }
+
+    /// Returns how long its tasks wait after refusals by agents.
+    pub(crate) fn refusal_wait(&self, is_overload_brief: bool, now_ms: u64) -> RefusalWait {
+        if now_ms >= self.refusal_ms(is_overload_brief) {
+            RefusalWait::LastTry
+        } else {
+            RefusalWait::Whole
+        }
+    }
+
     /// Returns whether a task may have started: an attempt is outstanding or may have run.
     pub(crate) fn may_have_run(&self) -> bool {
         self.has_run || self.outstanding > 0
@@ -111,6 +147,11 @@
         self.histories.get(&(step, task)).is_none_or(|history| history.avoided.is_empty())
     }
 
+    /// Returns the refusals of a task by agents.
+    pub(crate) fn refusals(&self, step: u16, task: u32) -> &[Refusals] {
+        self.histories.get(&(step, task)).map_or(&[], |history| &history.refusals)
+    }
+
     /// Returns the maximum number of crashes that one of its tasks has shared.
     pub(crate) fn shared_crashes(&self) -> u32 {
         self.histories.values().map(|history| history.crashes).max().unwrap_or(0)
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -19,7 +19,9 @@
 mod job_state;
 mod link_activity;
 mod placement;
+mod refusals;
 mod return_schedule;
+mod run_times;
 mod speed;
 mod summary;
 
@@ -42,7 +44,7 @@
         job_state::JobState,
         link_activity::LinkActivity,
         return_schedule::ReturnSchedule,
-        speed::KindRatio,
+        run_times::KindRunTimes,
     },
 };
 
@@ -229,7 +231,7 @@
     /// Answered jobs with outstanding attempts. A resubmitted job with such a name does not start
     /// before these have ended, so that no task runs twice at a time.
     stopping_jobs: IndexMap<JobName, StoppingJob>,
-    kinds: IndexMap<Arc<str>, KindRatio>,
+    kinds: IndexMap<Arc<str>, KindRunTimes>,
     returns: ReturnSchedule,
     backlog: Backlog,
     caller_ages: CallerAges,
@@ -448,7 +450,7 @@
         self.replace_incarnation(key, now_ms, &mut effects);
         let view = &mut self.agents[key.0 as usize];
         let has_awaited = view.awaits_entries();
-        view.on_report(report.load, now_ms);
+        view.on_report(&report, now_ms);
         if has_awaited && !view.awaits_entries() {
             self.claim_at_informed(now_ms, &mut effects);
         }
@@ -504,11 +506,6 @@
         effects
     }
 
-    /// Returns the learned ratio of actual to declared run time of a kind of job.
-    pub(crate) fn kind_ratio(&self, kind: &str) -> f64 {
-        self.kinds.get(kind).map_or(1.0, |ratio| ratio.value())
-    }
-
     /// Returns the agents whose upstream belongs to the pool.
     pub(crate) fn agents_of(&self, pool: &str) -> impl Iterator<Item = (AgentKey, &AgentView)> {
         let keyed = (0u32..).map(AgentKey).zip(self.agents.iter());
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -10,7 +10,7 @@
     dispatcher::{
         Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, OutstandingAttempt,
         agent_choice::TaskRequirements, agent_view::AgentView, crash_ledger::Suspicion,
-        job_state::JobState,
+        job_state::JobState, refusals::RefusalWait,
     },
 };
 
@@ -50,15 +50,17 @@
             }
             let is_confined = self.is_confined(state, now_ms);
             let is_late = state.is_late && !state.may_have_run();
+            let refusal_wait = state.refusal_wait(is_brief, now_ms);
             let is_placed = if !state.min_need().fits_in(free) {
                 false
             } else if is_late {
                 // Late jobs come last, so `unplaced` holds all jobs that can still be in time.
                 unplaced.is_empty()
                     && self.has_spare_capacity(now_ms)
-                    && self.place_late(key, now_ms, &mut effects)
+                    && self.place_late(key, refusal_wait, now_ms, &mut effects)
             } else {
                 self.place_job(key, now_ms, &mut effects)
+                    || self.place_probe(key, now_ms, &mut effects)
             };
             if is_placed {
                 free = self.max_free(now_ms);
@@ -92,10 +94,10 @@
         if state.may_have_run() || now_ms < state.refuse_at_ms {
             return false;
         }
-        let refuse_at_ms =
-            if is_overload_brief { state.refuse_at_brief_ms } else { state.refuse_at_ms };
+        let refuse_at_ms = state.refusal_ms(is_overload_brief);
+        let refusal_wait = state.refusal_wait(is_overload_brief, now_ms);
         let has_agents = self.agents_of(&state.job.pool).next().is_some();
-        if !state.is_late && self.place_late(key, now_ms, effects) {
+        if !state.is_late && self.place_late(key, refusal_wait, now_ms, effects) {
             return true;
         }
         if now_ms >= refuse_at_ms {
@@ -144,18 +146,31 @@
     fn place_late(
         &mut self,
         key: JobKey,
+        refusal_wait: RefusalWait,
         now_ms: u64,
         effects: &mut Vec<DispatcherEffect>,
     ) -> bool {
         let Some(state) = self.jobs.get(&key) else { return false };
         let Some(step) = state.eligible_steps().next() else { return false };
         let requirements =
-            self.late_requirements(state, &state.job.steps[usize::from(step)], now_ms);
-        let plan = self.plan_step(state, step, &requirements);
+            TaskRequirements { refusal_wait, ..self.late_requirements(state, step, now_ms) };
+        self.place_whole_step(key, step, &requirements, effects)
+    }
+
+    /// Sends all tasks of a step, or none if any task has no agent. Returns whether it sent them.
+    pub(crate) fn place_whole_step(
+        &mut self,
+        key: JobKey,
+        step: u16,
+        requirements: &TaskRequirements,
+        effects: &mut Vec<DispatcherEffect>,
+    ) -> bool {
+        let Some(state) = self.jobs.get(&key) else { return false };
+        let plan = self.plan_step(state, step, requirements);
         if !plan.unplaced.is_empty() {
             return false;
         }
-        self.send_attempts(key, step, plan, now_ms, effects);
+        self.send_attempts(key, step, plan, requirements.now_ms, effects);
         self.dequeue_if_placed(key);
         true
     }
@@ -169,7 +184,7 @@
         effects: &mut Vec<DispatcherEffect>,
     ) {
         let state = &self.jobs[&key];
-        let requirements = self.requirements(state, &state.job.steps[usize::from(step)], now_ms);
+        let requirements = self.requirements(state, step, now_ms);
         let plan = self.plan_step(state, step, &requirements);
         self.send_attempts(key, step, plan, now_ms, effects);
     }
@@ -186,8 +201,7 @@
                 self.choose_agent(state, step, task, requirements, &planned)
             };
             let Some(agent) = agent else {
-                // Tasks of a step differ only in the agents that they avoid.
-                is_exhausted |= state.avoids_no_agent(step, task);
+                is_exhausted |= self.has_no_room(state, step, task, requirements, &planned);
                 plan.unplaced.push(task);
                 continue;
             };
@@ -201,6 +215,22 @@
         plan
     }
 
+    /// Returns whether a task for which no agent was chosen shows that there is none for the other
+    /// tasks of its step. These differ only in the agents that they avoid or that have refused them.
+    fn has_no_room(
+        &self,
+        state: &JobState,
+        step: u16,
+        task: u32,
+        requirements: &TaskRequirements,
+        planned: &[(AgentKey, u32)],
+    ) -> bool {
+        let without_wait = TaskRequirements { refusal_wait: RefusalWait::Skipped, ..*requirements };
+        state.avoids_no_agent(step, task)
+            && (state.refusals(step, task).is_empty()
+                || self.choose_agent(state, step, task, &without_wait, planned).is_none())
+    }
+
     /// Sends the tasks of a plan to their agents and charges these for them; the rest stay pending.
     fn send_attempts(
         &mut self,
@@ -245,9 +275,8 @@
                 self.attempts.insert(id, attempt);
                 self.agents[agent.0 as usize].attempts.insert(id);
             }
-            let charge =
-                attempts.iter().fold(Resources::default(), |sum, _| sum.saturating_add(need));
-            self.agents[agent.0 as usize].charge(charge);
+            let ids = attempts.iter().map(|attempt| attempt.id).collect();
+            self.agents[agent.0 as usize].charge(need, ids);
             let payload = Arc::clone(&state.job.payload);
             let batch = AttemptBatch {
                 job: Arc::clone(&state.job.id),
