--- a/crates/direct/examples/dispatch_cost.rs
+++ b/crates/direct/examples/dispatch_cost.rs
@@ -15,8 +15,7 @@
 
 const AGENTS: u32 = 61;
 const ZONES: u32 = 4;
-const CAPACITY: Resources =
-    Resources { milli_cores: 64_000, memory_mb: 262_144, accelerators: 0 };
+const CAPACITY: Resources = Resources { milli_cores: 64_000, memory_mb: 262_144, accelerators: 0 };
 /// Free capacity in reports: less than any task of the waiting jobs needs.
 const LEFT: Resources = Resources { milli_cores: 4_000, memory_mb: 200_000, accelerators: 0 };
 const NEED: Resources = Resources { milli_cores: 5_800, memory_mb: 64, accelerators: 0 };
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod agent_choice;
 mod agent_view;
+mod assembly;
 mod attempt_outcomes;
 mod backlog;
 mod caller_age;
@@ -19,8 +20,10 @@
 mod job_state;
 mod link_activity;
 mod placement;
+mod refusals;
 mod report_pacing;
 mod return_schedule;
+mod run_times;
 mod speed;
 mod summary;
 
@@ -34,6 +37,7 @@
     Timing, ToAgent, UnsettledAttempts,
     dispatcher::{
         agent_view::AgentView,
+        assembly::Assembly,
         backlog::Backlog,
         caller_age::CallerAges,
         containment::Containment,
@@ -44,7 +48,7 @@
         link_activity::LinkActivity,
         report_pacing::ReportPacing,
         return_schedule::ReturnSchedule,
-        speed::KindRatio,
+        run_times::KindRunTimes,
     },
 };
 
@@ -232,9 +236,10 @@
     /// Answered jobs with outstanding attempts. A resubmitted job with such a name does not start
     /// before these have ended, so that no task runs twice at a time.
     stopping_jobs: IndexMap<JobName, StoppingJob>,
-    kinds: IndexMap<Arc<str>, KindRatio>,
+    kinds: IndexMap<Arc<str>, KindRunTimes>,
     returns: ReturnSchedule,
     backlog: Backlog,
+    assembly: Assembly,
     caller_ages: CallerAges,
     contention: Contention,
     crashes: CrashLedger,
@@ -262,6 +267,7 @@
             kinds: IndexMap::new(),
             returns: ReturnSchedule::default(),
             backlog: Backlog::default(),
+            assembly: Assembly::default(),
             caller_ages: CallerAges::default(),
             contention: Contention::default(),
             crashes: CrashLedger::default(),
@@ -272,6 +278,11 @@
         }
     }
 
+    /// Records that the entry's process has just started, so that its agents are about to connect.
+    pub fn begin_assembly(&mut self, now_ms: u64) {
+        self.assembly.record_start(now_ms);
+    }
+
     /// Sets whether submissions are accepted. While they are refused because of a suspension, nothing
     /// of the accepted jobs starts either.
     pub fn set_admission(&mut self, admission: Admission) {
@@ -290,14 +301,20 @@
         self.admit(job, true, now_ms)
     }
 
-    /// Lets the tasks of a held submission's job start.
+    /// Lets the tasks of a held submission's job start, and dispatches them.
     pub fn release(&mut self, key: JobKey, now_ms: u64) -> Vec<DispatcherEffect> {
+        if self.end_hold(key) { self.dispatch_queued(now_ms) } else { Vec::new() }
+    }
+
+    /// Lets the tasks of a held submission's job start with the next [`Dispatcher::dispatch`]. Returns
+    /// whether it was held.
+    pub fn end_hold(&mut self, key: JobKey) -> bool {
         let mut states = self.jobs.values_mut();
         let Some(state) = states.find(|state| state.held_waiters.contains(&key)) else {
-            return Vec::new();
+            return false;
         };
         state.held_waiters.retain(|waiter| *waiter != key);
-        self.dispatch_queued(now_ms)
+        true
     }
 
     fn admit(
@@ -333,9 +350,9 @@
         self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
+        // Nothing of the job starts before its claim is answered, so no tasks are dispatched here.
         let mut effects = Vec::new();
         self.claim(key, now_ms, &mut effects);
-        effects.extend(self.dispatch_queued(now_ms));
         (key, effects)
     }
 
@@ -470,7 +487,7 @@
         self.replace_incarnation(key, now_ms, &mut effects);
         let view = &mut self.agents[key.0 as usize];
         let has_awaited = view.awaits_entries();
-        view.on_report(report.load, now_ms);
+        view.on_report(&report, now_ms);
         if has_awaited && !view.awaits_entries() {
             self.claim_at_informed(now_ms, &mut effects);
         }
@@ -484,6 +501,9 @@
                 view.speed = speed::Speed::default();
                 view.health = health::UpstreamHealth::default();
             }
+            if view.upstream.is_none() {
+                self.assembly.record_agent(now_ms);
+            }
             view.upstream = Some(upstream);
             self.activate_at_rest(key, now_ms, &mut effects);
         }
@@ -526,11 +546,6 @@
         effects
     }
 
-    /// Returns the learned ratio of actual to declared run time of a kind of job.
-    pub(crate) fn kind_ratio(&self, kind: &str) -> f64 {
-        self.kinds.get(kind).map_or(1.0, |ratio| ratio.value())
-    }
-
     /// Returns the agents whose upstream belongs to the pool.
     pub(crate) fn agents_of(&self, pool: &str) -> impl Iterator<Item = (AgentKey, &AgentView)> {
         let keyed = (0u32..).map(AgentKey).zip(self.agents.iter());
--- a/crates/direct/src/dispatcher/report_pacing.rs
+++ b/crates/direct/src/dispatcher/report_pacing.rs
@@ -58,8 +58,8 @@
     fn update(&mut self, active_links: usize) -> Option<u16> {
         let wanted_ms = self.wanted_ms(active_links);
         let change = wanted_ms.abs_diff(self.period_ms);
-        let is_small = u32::from(change) * 100
-            < u32::from(self.period_ms) * u32::from(MIN_CHANGE_PERCENT);
+        let is_small =
+            u32::from(change) * 100 < u32::from(self.period_ms) * u32::from(MIN_CHANGE_PERCENT);
         if change == 0 || (is_small && wanted_ms > 0) {
             return None;
         }
@@ -83,8 +83,8 @@
     pub(crate) fn adjust_report_period(&mut self, effects: &mut Vec<DispatcherEffect>) {
         let Some(period_ms) = self.pacing.update(self.links.active.len()) else { return };
         let agents = self.links.active.iter();
-        effects.extend(agents.map(|agent| {
-            DispatcherEffect::Send(*agent, ToAgent::SetReportPeriod(period_ms))
-        }));
+        effects.extend(
+            agents.map(|agent| DispatcherEffect::Send(*agent, ToAgent::SetReportPeriod(period_ms))),
+        );
     }
 }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -19,7 +19,7 @@
 use serde_json::{Value, json};
 use tokio::{
     sync::{Notify, mpsc, oneshot},
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 use types::StepError;
 
@@ -42,6 +42,10 @@
 /// Gap between two readings of the clock that counts as a further suspension in this time, milliseconds:
 /// longer than the pauses of a process that shares its processor, shorter than the refusal.
 const RENEWED_SUSPENSION_MS: u64 = 150;
+/// Duration of a round of placement after which the next one waits, and the wait as a multiple of that
+/// duration. A round is this long when many jobs wait or the process gets little processor time.
+const LONG_ROUND: Duration = Duration::from_micros(400);
+const ROUND_PAUSE_FACTOR: u32 = 3;
 /// Time after the start of the process during which requests wait for the first configuration,
 /// milliseconds.
 const FIRST_CONFIG_WAIT_MS: u64 = 400;
@@ -105,6 +109,7 @@
         let events = Events::start(&process.name, process.log_decisions);
         let mut dispatcher =
             Dispatcher::new(process.timing, Arc::clone(&settings.zone), seed(&process.name));
+        dispatcher.begin_assembly(clock::now_ms());
         if let Some(cores) = settings.processor_share {
             dispatcher.set_processor_share(cores);
         }
@@ -252,9 +257,9 @@
 
     /// Lets the tasks of a held job start.
     pub(crate) fn release(&self, key: JobKey) {
-        let now_ms = self.now_ms();
-        let effects = self.dispatcher.borrow_mut().release(key, now_ms);
-        self.apply(effects);
+        if self.dispatcher.borrow_mut().end_hold(key) {
+            self.dispatch_due.notify_one();
+        }
     }
 
     /// Cancels a job at a caller's request; returns whether it was unanswered here.
@@ -343,14 +348,21 @@
         self.dispatch_due.notify_one();
     }
 
-    /// Dispatches queued tasks after reports of agents, for ever. Reports that have arrived together
-    /// are all applied before, so that many of them cost one round of placement.
-    pub(crate) async fn dispatch_after_reports(self: Rc<Self>) {
+    /// Dispatches queued tasks after reports of agents and released submissions, for ever. Events that
+    /// have arrived together are all applied before, so that many of them cost one round of placement.
+    /// After a long round the next one waits, so that the rounds leave most of the processor time to
+    /// the reading of requests and reports.
+    pub(crate) async fn dispatch_when_due(self: Rc<Self>) {
         loop {
             self.dispatch_due.notified().await;
+            let started = Instant::now();
             let now_ms = self.now_ms();
             let effects = self.dispatcher.borrow_mut().dispatch(now_ms);
             self.apply(effects);
+            let took = started.elapsed();
+            if took >= LONG_ROUND {
+                sleep((took * ROUND_PAUSE_FACTOR).min(BUSY_TICK)).await;
+            }
         }
     }
 
