--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod agent_choice;
 mod agent_view;
+mod assembly;
 mod attempt_outcomes;
 mod backlog;
 mod caller_age;
@@ -20,6 +21,7 @@
 mod link_activity;
 mod placement;
 mod refusals;
+mod report_pacing;
 mod return_schedule;
 mod run_times;
 mod speed;
@@ -35,6 +37,7 @@
     Timing, ToAgent, UnsettledAttempts,
     dispatcher::{
         agent_view::AgentView,
+        assembly::Assembly,
         backlog::Backlog,
         caller_age::CallerAges,
         containment::Containment,
@@ -43,6 +46,7 @@
         job_claim::StoppingJob,
         job_state::JobState,
         link_activity::LinkActivity,
+        report_pacing::ReportPacing,
         return_schedule::ReturnSchedule,
         run_times::KindRunTimes,
     },
@@ -223,6 +227,7 @@
     zone: Arc<str>,
     agents: Vec<AgentView>,
     links: LinkActivity,
+    pacing: ReportPacing,
     jobs: IndexMap<JobKey, JobState>,
     by_name: IndexMap<JobName, JobKey>,
     /// Jobs with tasks to start, by [`JobState::queue_place`].
@@ -234,6 +239,7 @@
     kinds: IndexMap<Arc<str>, KindRunTimes>,
     returns: ReturnSchedule,
     backlog: Backlog,
+    assembly: Assembly,
     caller_ages: CallerAges,
     contention: Contention,
     crashes: CrashLedger,
@@ -252,6 +258,7 @@
             zone,
             agents: Vec::new(),
             links: LinkActivity::new(seed),
+            pacing: ReportPacing::default(),
             jobs: IndexMap::new(),
             by_name: IndexMap::new(),
             queue: BTreeSet::new(),
@@ -260,6 +267,7 @@
             kinds: IndexMap::new(),
             returns: ReturnSchedule::default(),
             backlog: Backlog::default(),
+            assembly: Assembly::default(),
             caller_ages: CallerAges::default(),
             contention: Contention::default(),
             crashes: CrashLedger::default(),
@@ -270,6 +278,11 @@
         }
     }
 
+    /// Records that the entry's process has just started, so that its agents are about to connect.
+    pub fn begin_assembly(&mut self, now_ms: u64) {
+        self.assembly.record_start(now_ms);
+    }
+
     /// Sets whether submissions are accepted. While they are refused because of a suspension, nothing
     /// of the accepted jobs starts either.
     pub fn set_admission(&mut self, admission: Admission) {
@@ -288,14 +301,20 @@
         self.admit(job, true, now_ms)
     }
 
-    /// Lets the tasks of a held submission's job start.
+    /// Lets the tasks of a held submission's job start, and dispatches them.
     pub fn release(&mut self, key: JobKey, now_ms: u64) -> Vec<DispatcherEffect> {
+        if self.end_hold(key) { self.dispatch_queued(now_ms) } else { Vec::new() }
+    }
+
+    /// Lets the tasks of a held submission's job start with the next [`Dispatcher::dispatch`]. Returns
+    /// whether it was held.
+    pub fn end_hold(&mut self, key: JobKey) -> bool {
         let mut states = self.jobs.values_mut();
         let Some(state) = states.find(|state| state.held_waiters.contains(&key)) else {
-            return Vec::new();
+            return false;
         };
         state.held_waiters.retain(|waiter| *waiter != key);
-        self.dispatch_queued(now_ms)
+        true
     }
 
     fn admit(
@@ -331,9 +350,9 @@
         self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
+        // Nothing of the job starts before its claim is answered, so no tasks are dispatched here.
         let mut effects = Vec::new();
         self.claim(key, now_ms, &mut effects);
-        effects.extend(self.dispatch_queued(now_ms));
         (key, effects)
     }
 
@@ -435,13 +454,31 @@
         }
     }
 
-    /// Applies an agent's load report, acts on the crashes and settles the attempts that it lists and dispatches queued
-    /// tasks.
+    /// Applies an agent's load report like [`Dispatcher::apply_report`] and dispatches queued tasks.
     pub fn on_report(
         &mut self,
         key: AgentKey,
         report: Report,
         now_ms: u64,
+    ) -> Vec<DispatcherEffect> {
+        let mut effects = self.apply_report(key, report, now_ms);
+        effects.extend(self.dispatch_queued(now_ms));
+        effects
+    }
+
+    /// Dispatches queued tasks. Must follow [`Dispatcher::apply_report`]; one call may follow several
+    /// reports.
+    pub fn dispatch(&mut self, now_ms: u64) -> Vec<DispatcherEffect> {
+        self.dispatch_queued(now_ms)
+    }
+
+    /// Applies an agent's load report, acts on the crashes and settles the attempts that it lists. Nothing
+    /// is dispatched.
+    pub fn apply_report(
+        &mut self,
+        key: AgentKey,
+        report: Report,
+        now_ms: u64,
     ) -> Vec<DispatcherEffect> {
         let mut effects = Vec::new();
         if self.agents.get(key.0 as usize).is_none() {
@@ -464,6 +501,9 @@
                 view.speed = speed::Speed::default();
                 view.health = health::UpstreamHealth::default();
             }
+            if view.upstream.is_none() {
+                self.assembly.record_agent(now_ms);
+            }
             view.upstream = Some(upstream);
             self.activate_at_rest(key, now_ms, &mut effects);
         }
@@ -472,7 +512,6 @@
             self.settle(id, outcome, now_ms, &mut effects);
         }
         self.apply_claim_news(key, &report.claims, now_ms, &mut effects);
-        effects.extend(self.dispatch_queued(now_ms));
         effects
     }
 
@@ -502,6 +541,7 @@
         self.close_silent(now_ms, &mut effects);
         self.tend_claims(now_ms, &mut effects);
         self.adjust_links(now_ms, &mut effects);
+        self.adjust_report_period(&mut effects);
         effects.extend(self.dispatch_queued(now_ms));
         effects
     }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -31,6 +31,10 @@
         if self.admission == Admission::Closed(RefusalReason::Suspended) {
             return effects;
         }
+        if self.queue.is_empty() {
+            self.backlog.record(false, now_ms);
+            return effects;
+        }
         let keys: Vec<JobKey> = self.queue.iter().map(|(.., key)| *key).collect();
         let mut free = self.max_free(now_ms);
         let mut unplaced = Vec::new();
@@ -100,7 +104,7 @@
         if !state.is_late && self.place_late(key, refusal_wait, now_ms, effects) {
             return true;
         }
-        if now_ms >= refuse_at_ms {
+        if now_ms >= refuse_at_ms && !self.may_still_start(key, now_ms) {
             let outcome = if has_agents {
                 self.overload_refusal(key, now_ms)
             } else {
@@ -111,6 +115,18 @@
         false
     }
 
+    /// Returns whether agents are still connecting to this entry and a task of the job that starts
+    /// soon would end while its answer has value.
+    fn may_still_start(&self, key: JobKey, now_ms: u64) -> bool {
+        let Some(state) = self.jobs.get(&key).filter(|_| self.assembly.is_ongoing(now_ms)) else {
+            return false;
+        };
+        state.eligible_steps().next().is_some_and(|step| {
+            let requirements = self.late_requirements(state, step, now_ms);
+            requirements.expected_ms < requirements.max_expected_ms
+        })
+    }
+
     /// Returns the maximum free capacity over the open agents, for each resource separately.
     fn max_free(&self, now_ms: u64) -> Resources {
         let silence_ms = self.timing.silence_ms;
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -19,7 +19,7 @@
 use serde_json::{Value, json};
 use tokio::{
     sync::{Notify, mpsc, oneshot},
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 use types::StepError;
 
@@ -42,6 +42,10 @@
 /// Gap between two readings of the clock that counts as a further suspension in this time, milliseconds:
 /// longer than the pauses of a process that shares its processor, shorter than the refusal.
 const RENEWED_SUSPENSION_MS: u64 = 150;
+/// Duration of a round of placement after which the next one waits, and the wait as a multiple of that
+/// duration. A round is this long when many jobs wait or the process gets little processor time.
+const LONG_ROUND: Duration = Duration::from_micros(400);
+const ROUND_PAUSE_FACTOR: u32 = 3;
 /// Time after the start of the process during which requests wait for the first configuration,
 /// milliseconds.
 const FIRST_CONFIG_WAIT_MS: u64 = 400;
@@ -67,6 +71,8 @@
     config: RefCell<Option<Config>>,
     /// Wakes requests that wait for the first configuration.
     config_applied: Notify,
+    /// Wakes the task that dispatches queued tasks after reports.
+    dispatch_due: Notify,
     started: Instant,
     suspensions: SuspensionDetector,
     /// End of the refusal of submissions after a suspension.
@@ -101,6 +107,12 @@
         let links = settings.advertised_links.unwrap_or(settings.links);
         let known_entries = Rc::new(KnownEntries::from_seeds(process, Some(links)));
         let events = Events::start(&process.name, process.log_decisions);
+        let mut dispatcher =
+            Dispatcher::new(process.timing, Arc::clone(&settings.zone), seed(&process.name));
+        dispatcher.begin_assembly(clock::now_ms());
+        if let Some(cores) = settings.processor_share {
+            dispatcher.set_processor_share(cores);
+        }
         Rc::new(Self {
             timing: process.timing,
             incarnation: clock::unix_ms(),
@@ -111,16 +123,13 @@
             events,
             name: Arc::clone(&process.name),
             grace_ms: Cell::new(process.grace_ms),
-            dispatcher: RefCell::new(Dispatcher::new(
-                process.timing,
-                Arc::clone(&settings.zone),
-                seed(&process.name),
-            )),
+            dispatcher: RefCell::new(dispatcher),
             pending_replies: RefCell::default(),
             agents: RefCell::default(),
             next_connection_id: Cell::new(0),
             config: RefCell::default(),
             config_applied: Notify::new(),
+            dispatch_due: Notify::new(),
             started: Instant::now(),
             suspensions: SuspensionDetector::new(process.timing.suspension_ms),
             refuse_until_ms: Cell::new(0),
@@ -248,9 +257,9 @@
 
     /// Lets the tasks of a held job start.
     pub(crate) fn release(&self, key: JobKey) {
-        let now_ms = self.now_ms();
-        let effects = self.dispatcher.borrow_mut().release(key, now_ms);
-        self.apply(effects);
+        if self.dispatcher.borrow_mut().end_hold(key) {
+            self.dispatch_due.notify_one();
+        }
     }
 
     /// Cancels a job at a caller's request; returns whether it was unanswered here.
@@ -334,8 +343,27 @@
             self.emit_for_agent("upstream", key, &fields);
         }
         let now_ms = self.now_ms();
-        let effects = self.dispatcher.borrow_mut().on_report(key, report, now_ms);
+        let effects = self.dispatcher.borrow_mut().apply_report(key, report, now_ms);
         self.apply(effects);
+        self.dispatch_due.notify_one();
+    }
+
+    /// Dispatches queued tasks after reports of agents and released submissions, for ever. Events that
+    /// have arrived together are all applied before, so that many of them cost one round of placement.
+    /// After a long round the next one waits, so that the rounds leave most of the processor time to
+    /// the reading of requests and reports.
+    pub(crate) async fn dispatch_when_due(self: Rc<Self>) {
+        loop {
+            self.dispatch_due.notified().await;
+            let started = Instant::now();
+            let now_ms = self.now_ms();
+            let effects = self.dispatcher.borrow_mut().dispatch(now_ms);
+            self.apply(effects);
+            let took = started.elapsed();
+            if took >= LONG_ROUND {
+                sleep((took * ROUND_PAUSE_FACTOR).min(BUSY_TICK)).await;
+            }
+        }
     }
 
     /// Handles the end of a connection, unless the agent has a newer one. There is no `cause` if
