Stop starts in evacuated zones

An operator's record evacuate/ZONE in the store forbids starts on the executors of that zone. Entries and agents decide from one value, Evacuations, which they merge zone by zone by the offset of the last record. Entries pass it to their peers with the version of the configuration and to agents in the handshake and on each change. An upstream that reports that it is cold is offered in part.

--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -37,6 +37,8 @@
     /// Position in the order in which this entry activates links; it differs between entries.
     pub(crate) rank: u64,
     pub(crate) upstream: Option<Upstream>,
+    /// Whether the zone of the upstream is evacuated.
+    pub(crate) is_evacuated: bool,
     load: Load,
     batches_sent: u64,
     /// Number of times that the link was made active or put on standby on this connection.
@@ -66,6 +68,7 @@
             awaited_since_ms: now_ms,
             rank,
             upstream: None,
+            is_evacuated: false,
             load: Load {
                 free: Resources::default(),
                 batches_seen: 0,
@@ -160,7 +163,7 @@
 
     fn accepts_tasks(&self) -> bool {
         let is_ready = self.upstream.as_ref().is_some_and(|up| up.state == UpstreamState::Ready);
-        self.is_connected && self.load.is_open && is_ready
+        self.is_connected && self.load.is_open && is_ready && !self.is_evacuated
     }
 
     /// Returns whether at most one more task would fit beside a task with these needs.
@@ -169,11 +172,23 @@
         !need.fits_in(left)
     }
 
-    /// Returns whether the upstream can run a task with these needs while it runs nothing else.
+    /// Returns whether the upstream is not evacuated and can run a task with these needs while it
+    /// runs nothing else.
     pub(crate) fn fits(&self, step: &JobStep) -> bool {
+        !self.is_evacuated && self.has_room_for(step)
+    }
+
+    /// Returns whether the upstream can run a task with these needs while it runs nothing else and
+    /// its zone is not evacuated.
+    pub(crate) fn has_room_for(&self, step: &JobStep) -> bool {
         self.upstream.as_ref().is_some_and(|up| has_room(up, up.capacity, step))
     }
 
+    /// Returns whether the upstream runs tasks slowly for now and offers a part of its capacity.
+    pub(crate) fn is_cold(&self) -> bool {
+        self.upstream.as_ref().is_some_and(|up| up.cold_ms > 0)
+    }
+
     /// Returns whether the upstream could run such a task with the largest capacity that it had.
     pub(crate) fn once_fitted(&self, step: &JobStep) -> bool {
         self.upstream.as_ref().is_some_and(|up| has_room(up, up.largest_capacity, step))
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -99,7 +99,7 @@
     }
 
     /// Updates the health of the upstream that an attempt was sent to. At most half of the
-    /// upstreams are ejected at a time.
+    /// upstreams that are not evacuated are ejected at a time.
     fn update_health(
         &mut self,
         attempt: &OutstandingAttempt,
@@ -107,8 +107,9 @@
         now_ms: u64,
         effects: &mut Vec<DispatcherEffect>,
     ) {
-        let ejected = self.agents.iter().filter(|view| view.health.is_suspect()).count();
-        let may_eject = (ejected + 1) * 2 <= self.agents.len();
+        let usable = || self.agents.iter().filter(|view| !view.is_evacuated);
+        let ejected = usable().filter(|view| view.health.is_suspect()).count();
+        let may_eject = (ejected + 1) * 2 <= usable().count();
         let view = &mut self.agents[attempt.agent.0 as usize];
         let is_ejected = match outcome {
             AttemptOutcome::Done { .. } if view.health.record_success() => false,
@@ -132,6 +133,10 @@
         self.returns.record(f64::from(step.need.milli_cores) * declared, now_ms);
         let actual = f64::from(run_ms.max(1));
         let view = &mut self.agents[attempt.agent.0 as usize];
+        // How long a task runs on a cold upstream says nothing of its later runs.
+        if attempt.is_cold || view.is_cold() {
+            return;
+        }
         let kind = self.kinds.entry(Arc::clone(&state.job.kind)).or_default();
         let log_speed = (declared * kind.value() / actual).ln();
         kind.observe((actual * view.speed.value() / declared).ln());
--- a/crates/direct/src/dispatcher/containment.rs
+++ b/crates/direct/src/dispatcher/containment.rs
@@ -129,6 +129,12 @@
         known.members = ranked.into_iter().take(count).map(|(_, key)| key).collect();
     }
 
+    /// Returns the kinds that have upstreams for their suspected jobs, with their pools.
+    pub(crate) fn kinds_with_members(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let known = self.kinds.iter().filter(|(_, kind)| !kind.members.is_empty());
+        known.map(|(name, kind)| (Arc::clone(name), Arc::clone(&kind.pool))).collect()
+    }
+
     /// Returns the sum of a figure over the kinds of a pool, at least 1.
     fn sum(&self, pool: &str, figure: impl Fn(&Kind) -> f64) -> f64 {
         let kinds = self.kinds.values().filter(|kind| *kind.pool == *pool);
--- a/crates/direct/src/dispatcher/crash_response.rs
+++ b/crates/direct/src/dispatcher/crash_response.rs
@@ -52,7 +52,10 @@
             if self.crashes.suspicion(name) == Suspicion::Proven {
                 self.containment.record_proof(&name.queue, now_ms);
             }
-            self.choose_members(agent, &name.queue);
+            let upstream = self.agents[agent.0 as usize].upstream.as_ref();
+            if let Some(pool) = upstream.map(|upstream| Arc::clone(&upstream.pool)) {
+                self.choose_members(&name.queue, &pool);
+            }
         }
         let contained = self.containment.contained(now_ms);
         let new = contained.into_iter().filter(|kind| !before.contains(kind));
@@ -64,12 +67,11 @@
         }
     }
 
-    /// Chooses the upstreams for the suspected jobs of a kind out of the pool of an agent.
-    fn choose_members(&mut self, agent: AgentKey, kind: &str) {
-        let Some(upstream) = &self.agents[agent.0 as usize].upstream else { return };
+    /// Chooses the upstreams for the suspected jobs of a kind out of a pool.
+    pub(crate) fn choose_members(&mut self, kind: &str, pool: &str) {
         let pool: Vec<(AgentKey, Arc<str>)> = self
-            .agents_of(&upstream.pool)
-            .filter(|(_, view)| view.is_connected)
+            .agents_of(pool)
+            .filter(|(_, view)| view.is_connected && !view.is_evacuated)
             .map(|(key, view)| (key, Arc::clone(&view.name)))
             .collect();
         self.containment.choose_members(kind, &pool);
--- a/crates/direct/src/dispatcher/link_activity.rs
+++ b/crates/direct/src/dispatcher/link_activity.rs
@@ -85,7 +85,11 @@
         let mut share = Self { free: 0, capacity: 0 };
         for view in views {
             share.free += u64::from(view.free().milli_cores);
-            let capacity = view.upstream.as_ref().map_or(0, |up| up.capacity.milli_cores);
+            // Of a cold upstream, only what it offers counts, and of that only the free part is known.
+            let capacity = match &view.upstream {
+                Some(_) if view.is_cold() => view.free().milli_cores,
+                upstream => upstream.as_ref().map_or(0, |up| up.capacity.milli_cores),
+            };
             share.capacity += u64::from(capacity);
         }
         share
@@ -109,7 +113,8 @@
     ) {
         let view = &self.agents[key.0 as usize];
         let is_needed = view.upstream.is_some()
-            && (self.links.active.len() < MIN_LINKS_AT_REST
+            && !view.is_evacuated
+            && (self.usable_links() < MIN_LINKS_AT_REST
                 || (self.is_near(view) && self.near_links() < MAX_LINKS_AT_REST));
         if view.is_connected && (is_needed || !view.attempts.is_empty()) {
             self.set_active(key, true, now_ms, effects);
@@ -182,6 +187,7 @@
     /// Activates more links while little of the capacity of the open agents is free; puts links on
     /// standby when the near agents have had enough for a while.
     pub(crate) fn adjust_links(&mut self, now_ms: u64, effects: &mut Vec<DispatcherEffect>) {
+        self.rest_evacuated(now_ms, effects);
         let silence_ms = self.timing.silence_ms;
         let open = || self.active_agents().filter(|(_, view)| view.is_open(now_ms, silence_ms));
         let near = FreeShare::of(open().map(|(_, view)| view).filter(|view| self.is_near(view)));
@@ -198,13 +204,14 @@
         {
             return;
         }
-        let idle = || self.active_agents().filter(|(_, view)| view.attempts.is_empty());
+        let is_idle = |view: &AgentView| view.attempts.is_empty() && !view.is_evacuated;
+        let idle = || self.active_agents().filter(|(_, view)| is_idle(view));
         let (near, far): (Vec<_>, Vec<_>) = idle().partition(|(_, view)| self.is_near(view));
         let dispensable = |mut agents: Vec<(AgentKey, &AgentView)>, excess: usize| {
             agents.sort_unstable_by_key(|(key, view)| Reverse((view.rank, *key)));
             agents.into_iter().take(excess).map(|(key, _)| key).collect::<Vec<_>>()
         };
-        let mut keys = dispensable(far, self.links.active.len().saturating_sub(MIN_LINKS_AT_REST));
+        let mut keys = dispensable(far, self.usable_links().saturating_sub(MIN_LINKS_AT_REST));
         keys.extend(dispensable(near, self.near_links().saturating_sub(MAX_LINKS_AT_REST)));
         keys.truncate(NARROWING_LINKS);
         if !keys.is_empty() {
@@ -245,15 +252,21 @@
         self.links.active.iter().map(|key| (*key, &self.agents[key.0 as usize]))
     }
 
+    /// Returns the number of active links to agents whose zone is not evacuated.
+    fn usable_links(&self) -> usize {
+        self.active_agents().filter(|(_, view)| !view.is_evacuated).count()
+    }
+
     fn near_links(&self) -> usize {
-        self.active_agents().filter(|(_, view)| self.is_near(view)).count()
+        let usable = self.active_agents().filter(|(_, view)| !view.is_evacuated);
+        usable.filter(|(_, view)| self.is_near(view)).count()
     }
 
     pub(crate) fn is_near(&self, view: &AgentView) -> bool {
         view.upstream.as_ref().is_some_and(|upstream| *upstream.zone == *self.zone)
     }
 
-    fn set_active(
+    pub(crate) fn set_active(
         &mut self,
         key: AgentKey,
         is_active: bool,
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 mod contention;
 mod crash_ledger;
 mod crash_response;
+mod evacuation;
 mod health;
 mod job_claim;
 mod job_outcomes;
@@ -29,8 +30,8 @@
 
 pub use crate::dispatcher::summary::{AgentSummary, PoolCapacity};
 use crate::{
-    AgentHello, AttemptId, DirectJob, JobName, JobOutcome, JobTasks, RefusalReason, Report, TaskId,
-    Timing, ToAgent, UnsettledAttempts,
+    AgentHello, AttemptId, DirectJob, Evacuations, JobName, JobOutcome, JobTasks, RefusalReason,
+    Report, TaskId, Timing, ToAgent, UnsettledAttempts,
     dispatcher::{
         agent_view::AgentView,
         backlog::Backlog,
@@ -182,6 +183,8 @@
     is_contest: bool,
     /// Whether its job was suspected of crashing upstreams when it was sent.
     is_suspect: bool,
+    /// Whether its upstream was cold when it was sent.
+    is_cold: bool,
     /// Whether it was stopped although its job goes on.
     is_withdrawn: bool,
 }
@@ -236,6 +239,7 @@
     contention: Contention,
     crashes: CrashLedger,
     containment: Containment,
+    evacuations: Evacuations,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -262,6 +266,7 @@
             contention: Contention::default(),
             crashes: CrashLedger::default(),
             containment: Containment::default(),
+            evacuations: Evacuations::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
@@ -462,6 +467,7 @@
                 view.speed = speed::Speed::default();
                 view.health = health::UpstreamHealth::default();
             }
+            view.is_evacuated = self.evacuations.is_evacuated(&upstream.zone);
             view.upstream = Some(upstream);
             self.activate_at_rest(key, now_ms, &mut effects);
         }
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -89,12 +89,20 @@
         effects: &mut Vec<DispatcherEffect>,
     ) -> bool {
         let Some(state) = self.jobs.get(&key) else { return false };
-        if state.may_have_run() || now_ms < state.refuse_at_ms {
+        if state.may_have_run() {
+            return false;
+        }
+        if self.needs_evacuated(&state.job) {
+            let outcome = self.refusal(RefusalReason::NoUpstream);
+            self.answer(key, outcome, effects);
+            return false;
+        }
+        if now_ms < state.refuse_at_ms {
             return false;
         }
         let refuse_at_ms =
             if is_overload_brief { state.refuse_at_brief_ms } else { state.refuse_at_ms };
-        let has_agents = self.agents_of(&state.job.pool).next().is_some();
+        let has_agents = self.agents_of(&state.job.pool).any(|(_, view)| !view.is_evacuated);
         if !state.is_late && self.place_late(key, now_ms, effects) {
             return true;
         }
@@ -224,6 +232,7 @@
             #[allow(clippy::cast_precision_loss)]
             let work = task_work * tasks.len() as f64;
             self.containment.record_start(&state.job.kind, &state.job.pool, work, now_ms);
+            let is_cold = self.agents[agent.0 as usize].is_cold();
             let mut attempts = Vec::with_capacity(tasks.len());
             for index in tasks {
                 let id = AttemptId(self.next_attempt);
@@ -240,6 +249,7 @@
                     agent,
                     is_contest,
                     is_suspect,
+                    is_cold,
                     is_withdrawn: false,
                 };
                 self.attempts.insert(id, attempt);
--- a/crates/direct/src/dispatcher/summary.rs
+++ b/crates/direct/src/dispatcher/summary.rs
@@ -34,9 +34,15 @@
 }
 
 impl Dispatcher {
-    /// Returns whether some agent accepts tasks.
-    pub fn has_open_agent(&self, now_ms: u64) -> bool {
-        self.agents.iter().any(|view| view.is_open(now_ms, self.timing.silence_ms))
+    /// Returns whether the entry can answer callers as well as another one: some agent accepts
+    /// tasks, or every known one is evacuated, so that no entry has an agent that does.
+    pub fn is_ready(&self, now_ms: u64) -> bool {
+        let mut described = self.agents.iter().filter(|view| view.upstream.is_some()).peekable();
+        let are_all_evacuated = described.peek().is_some()
+            && described.all(|view| view.is_evacuated)
+            && self.agents.iter().any(|view| view.is_connected);
+        are_all_evacuated
+            || self.agents.iter().any(|view| view.is_open(now_ms, self.timing.silence_ms))
     }
 
     /// Returns the state of an agent on which placement decisions are based; `None` if the key is
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod claim;
 mod dispatcher;
+mod evacuations;
 mod fencing;
 mod job;
 mod link_message;
@@ -25,6 +26,7 @@
         Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, LossCause,
         PoolCapacity, WithdrawalCause,
     },
+    evacuations::{Evacuations, ZoneChange, ZoneRecord},
     fencing::FencingToken,
     job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
     link_message::{
--- a/crates/direct/src/link_message.rs
+++ b/crates/direct/src/link_message.rs
@@ -4,7 +4,7 @@
 
 use types::Resources;
 
-use crate::{Claim, ClaimEnd, ClaimId, ClaimNews, JobName, TaskId, Upstream};
+use crate::{Claim, ClaimEnd, ClaimId, ClaimNews, Evacuations, JobName, TaskId, Upstream};
 
 types::identifier! {
     /// Identifies an attempt of a task; unique within the entry's incarnation.
@@ -45,6 +45,8 @@
         pub attempts: UnsettledAttempts,
         /// Addresses of the entries that it knows.
         pub entries: Vec<SocketAddr>,
+        /// The evacuated zones, as far as the entry knows.
+        pub evacuations: Evacuations,
     }
 
     /// One attempt of one task.
@@ -109,6 +111,8 @@
         /// active link, the agent reports each change of its load, and both sides send frequent
         /// heartbeats. On standby, it reports only outcomes and changes of its upstream.
         SetActive(bool),
+        /// The evacuated zones; sent on each change, also on standby.
+        Evacuations(Evacuations),
     }
 
     /// Capacity that an agent offers.
--- a/crates/direct/src/supervisor/messages.rs
+++ b/crates/direct/src/supervisor/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{AttemptId, AttemptOutcome, ClaimEnd, Crash, JobName, TaskId};
+use crate::{AttemptId, AttemptOutcome, ClaimEnd, Crash, JobName, TaskId, ZoneChange};
 
 types::identifier! {
     /// Identifies the session with one incarnation of an entry at this agent.
@@ -117,6 +117,16 @@
             /// How it ended; `None` if the entry was silent until its runs had ended.
             end: Option<ClaimEnd>,
         },
+        /// Reports for the log that the upstream's zone is evacuated, or no longer so.
+        EvacuationChanged(ZoneChange),
+        /// Reports for the log that the upstream has become cold for this time, milliseconds: the
+        /// agent offers a part of its capacity.
+        Warming {
+            /// The time that remains.
+            remaining_ms: u64,
+        },
+        /// Reports for the log that the upstream is no longer cold.
+        Warm,
         /// Reports a crash of the upstream for the log.
         Crashed(Crash),
         /// Reports a settled attempt for the log.
@@ -168,6 +178,8 @@
         StartResult,
         /// The agent has refused the attempt.
         Refusal,
+        /// The zone of the upstream is evacuated, so the attempt was not started.
+        Evacuation,
     }
 }
 
@@ -197,6 +209,7 @@
             Self::UpstreamReplaced => "upstream_replaced",
             Self::StartResult => "start_result",
             Self::Refusal => "refusal",
+            Self::Evacuation => "evacuation",
         }
     }
 }
--- a/crates/direct/src/supervisor/mod.rs
+++ b/crates/direct/src/supervisor/mod.rs
@@ -4,6 +4,7 @@
 mod absence;
 mod claims;
 mod crashes;
+mod evacuation;
 mod isolation;
 mod lease_record;
 mod messages;
@@ -17,6 +18,7 @@
 mod start_timer;
 mod starts;
 mod stops;
+mod warm_up;
 
 use std::sync::Arc;
 
@@ -28,8 +30,8 @@
     SupervisorEffect,
 };
 use crate::{
-    AttemptId, AttemptOutcome, Load, Report, TaskId, Timing, UnsettledAttempts, Upstream,
-    UpstreamState,
+    AttemptId, AttemptOutcome, Evacuations, Load, Report, TaskId, Timing, UnsettledAttempts,
+    Upstream, UpstreamState,
     supervisor::{
         claims::Claims,
         crashes::Crashes,
@@ -41,6 +43,7 @@
         sent_reports::SentReports,
         session::Session,
         start_timer::StartTimer,
+        warm_up::WarmUp,
     },
 };
 
@@ -87,6 +90,12 @@
     leases: LeaseRecord,
     /// Free capacity when the entries were last told of a change.
     reported_free: Resources,
+    /// Capacity that is offered: less than that of the upstream while it is cold.
+    offered: Resources,
+    warm_up: Option<WarmUp>,
+    evacuations: Evacuations,
+    /// Whether the zone of the upstream is evacuated.
+    is_evacuated: bool,
     response_monitor: ResponseMonitor,
     crashes: Crashes,
     isolation: Option<Isolation>,
@@ -117,6 +126,10 @@
             // An earlier agent may have granted a lease until now.
             leases: LeaseRecord::new(now_ms),
             reported_free: Resources::default(),
+            offered: Resources::default(),
+            warm_up: None,
+            evacuations: Evacuations::default(),
+            is_evacuated: false,
             response_monitor: ResponseMonitor::default(),
             crashes: Crashes::default(),
             isolation: None,
@@ -246,14 +259,18 @@
             } else {
                 self.on_incarnation_end(now_ms, &mut effects);
                 self.run_numbers.clear();
+                self.warm_up = None;
             }
         }
+        upstream.cold_ms = self.update_warm_up(upstream.cold_ms, now_ms, &mut effects);
         self.announced = None;
         self.heartbeat_seq = seq;
         self.heartbeat_ms = now_ms;
         self.is_capacity_outdated = false;
         let is_changed = self.upstream.as_ref() != Some(&upstream);
         self.upstream = Some(upstream);
+        self.update_offer(now_ms);
+        self.apply_evacuations(&mut effects);
         if is_changed {
             effects.extend(self.report_all());
         }
@@ -488,6 +505,7 @@
                 effects.push(SupervisorEffect::Open);
             }
         }
+        self.update_offer(now_ms);
         let free = self.free();
         if self.reported_free != free {
             self.reported_free = free;
@@ -514,10 +532,9 @@
         Some(Report { upstream, load, outcomes, crashes, claims })
     }
 
-    /// Returns the capacity that no run occupies.
+    /// Returns the offered capacity that no run occupies.
     pub fn free(&self) -> Resources {
-        let capacity = self.upstream.as_ref().map_or(Resources::default(), |up| up.capacity);
-        self.runs.values().fold(capacity, |free, run| free.saturating_sub(run.need))
+        self.runs.values().fold(self.offered, |free, run| free.saturating_sub(run.need))
     }
 
     fn has_capacity(&self, need: Resources) -> bool {
@@ -532,6 +549,7 @@
             && !self.response_monitor.is_unresponsive()
             && self.orphans.is_empty()
             && !self.is_capacity_outdated
+            && !self.is_evacuated
     }
 
     fn session_mut(&mut self, key: SessionKey) -> Option<&mut Session> {
--- a/crates/direct/src/supervisor/run_outcomes.rs
+++ b/crates/direct/src/supervisor/run_outcomes.rs
@@ -118,6 +118,8 @@
         if is_replaced {
             self.on_incarnation_end(list.received_ms, effects);
             self.upstream = None;
+            self.warm_up = None;
+            self.update_offer(list.received_ms);
             self.run_numbers.clear();
             effects.extend(self.report_all());
         }
--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -65,11 +65,12 @@
                 }
             } else {
                 is_refused = true;
+                let by = if self.is_evacuated { SettledBy::Evacuation } else { SettledBy::Refusal };
                 self.settle(
                     &task,
                     Some((key, attempt.id)),
                     AttemptOutcome::NotStarted,
-                    SettledBy::Refusal,
+                    by,
                     &mut effects,
                 );
             }
@@ -92,17 +93,18 @@
         proven_ms.is_some_and(|ms| granted_end_ms <= ms + self.timing.run_limit_ms())
     }
 
-    /// Returns whether a start may still be sent: its run waits for it, and its entry wanted it
-    /// recently. To be asked immediately before sending, because a start may wait for its turn.
+    /// Returns whether a start may still be sent: its run waits for it, its entry wanted it
+    /// recently, and the upstream's zone is not evacuated. To be asked immediately before sending, because a start may wait for its turn.
     pub fn may_send_start(&self, task: &TaskId, number: u32, now_ms: u64) -> bool {
-        self.runs.get(task).is_some_and(|run| {
-            run.number == number
-                && run.outcome_if_gone.is_none()
-                && matches!(run.phase, Phase::Starting { .. })
-                && run.attempt.is_some_and(|(key, _)| {
-                    self.may_start_for(key, now_ms) && self.keeps_run_limit(key)
-                })
-        })
+        !self.is_evacuated
+            && self.runs.get(task).is_some_and(|run| {
+                run.number == number
+                    && run.outcome_if_gone.is_none()
+                    && matches!(run.phase, Phase::Starting { .. })
+                    && run.attempt.is_some_and(|(key, _)| {
+                        self.may_start_for(key, now_ms) && self.keeps_run_limit(key)
+                    })
+            })
     }
 
     /// Returns the time after which an unanswered start is overdue, milliseconds.
@@ -120,7 +122,7 @@
         self.repeat_start(task, number, 0).into_iter().collect()
     }
 
-    /// Sends a start again unless it was sent often enough; `ended_calls` of its calls have ended
+    /// Sends a start again unless it was sent often enough or the upstream's zone is evacuated; `ended_calls` of its calls have ended
     /// without an answer.
     fn repeat_start(
         &mut self,
@@ -128,11 +130,11 @@
         number: u32,
         ended_calls: u32,
     ) -> Option<SupervisorEffect> {
-        let is_unresponsive = self.response_monitor.is_unresponsive();
+        let is_unwelcome = self.response_monitor.is_unresponsive() || self.is_evacuated;
         let run = self.runs.get_mut(task).filter(|run| run.number == number)?;
         let Phase::Starting { sends, open_calls } = &mut run.phase else { return None };
         *open_calls -= ended_calls;
-        if *sends >= MAX_START_SENDS || is_unresponsive || run.outcome_if_gone.is_some() {
+        if *sends >= MAX_START_SENDS || is_unwelcome || run.outcome_if_gone.is_some() {
             return None;
         }
         *sends += 1;
--- a/crates/direct/src/upstream.rs
+++ b/crates/direct/src/upstream.rs
@@ -32,5 +32,8 @@
         pub labels: Vec<Arc<str>>,
         /// Whether it accepts new tasks.
         pub state: UpstreamState,
+        /// Time for which it runs tasks slowly, milliseconds, as of the beginning of that time; 0 if
+        /// it does not. In a heartbeat it is the time that remains.
+        pub cold_ms: u64,
     }
 }
--- a/crates/direct/tests/common/mod.rs
+++ b/crates/direct/tests/common/mod.rs
@@ -26,6 +26,7 @@
         largest_capacity: cores(8),
         labels: vec!["a".into(), "r1".into()],
         state: UpstreamState::Ready,
+        cold_ms: 0,
     }
 }
 
--- a/crates/direct/tests/common/simulation.rs
+++ b/crates/direct/tests/common/simulation.rs
@@ -290,7 +290,8 @@
         let supervisor = &mut self.supervisor;
         match (message, connection.session) {
             (ToAgent::Hello(hello), _) => {
-                let (key, effects) = supervisor.on_entry_hello(
+                let mut effects = supervisor.merge_evacuations(&hello.evacuations);
+                let (key, of_session) = supervisor.on_entry_hello(
                     &hello.entry,
                     hello.incarnation,
                     &hello.attempts,
@@ -299,6 +300,7 @@
                 );
                 connection.session = Some(key);
                 self.links[e].was_connected = true;
+                effects.extend(of_session);
                 effects
             }
             (message, Some(key)) => {
@@ -309,6 +311,7 @@
                     ToAgent::SetActive(is_active) => supervisor.set_active(key, is_active),
                     ToAgent::Claim(claim) => supervisor.on_claim(key, &claim, now_ms),
                     ToAgent::EndClaim(id, end) => supervisor.on_claim_end(key, id, end, now_ms),
+                    ToAgent::Evacuations(value) => supervisor.merge_evacuations(&value),
                     ToAgent::Heartbeat(_) | ToAgent::Hello(_) => Vec::new(),
                 }
             }
@@ -539,7 +542,9 @@
                     }
                     hosts[h].links[e].connections[c].key = Some(key);
                     let (entry, entries) = (Arc::clone(&self.name), Vec::new());
-                    let hello = EntryHello { entry, incarnation: 1, attempts, entries };
+                    let evacuations = self.dispatcher.evacuations().clone();
+                    let hello =
+                        EntryHello { entry, incarnation: 1, attempts, entries, evacuations };
                     self.send(hosts, (h, c), ToAgent::Hello(hello), now_ms);
                     self.apply(hosts, effects, now_ms);
                 }
--- a/crates/emulator/src/platform_fake/log_server.rs
+++ b/crates/emulator/src/platform_fake/log_server.rs
@@ -93,9 +93,13 @@
 
     /// Writes the operator's configuration; the current faults don't apply to it.
     pub fn put_config(&self, config: &serde_json::Value) {
+        self.put_operator_record(CONFIGURATION_KEY, config.to_string().as_bytes());
+    }
+
+    /// Writes a record of the operator, as [`LogServer::put_config`]; an empty value removes the key.
+    pub fn put_operator_record(&self, key: &str, value: &[u8]) {
         let stream = StreamName::from_text(OPERATOR_STREAM);
-        let value = config.to_string().into_bytes();
-        self.state.store_record(&stream, Content::keyed(CONFIGURATION_KEY.as_bytes(), &value));
+        self.state.store_record(&stream, Content::keyed(key.as_bytes(), value));
     }
 
     /// Drops the records of every stream; the newest value of each key is retained.
--- a/crates/emulator/tests/log.rs
+++ b/crates/emulator/tests/log.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use emulator::{LogFaults, LogServer, LogSettings};
-use platform::{ReadOutcome, Record, StoreClient, Topic};
+use platform::{Listing, ReadOutcome, Record, StoreClient, Topic};
 use ports::{Log, LogError, Offset, StreamName};
 use rstest::rstest;
 use serde_json::json;
@@ -88,9 +88,14 @@
         client.read_keyed(Topic::Entries, 0, Duration::ZERO).await.unwrap(),
         ReadOutcome::Expired
     );
-    let (records, end) = client.newest(Topic::Entries).await.unwrap();
-    let record = |key: &str, value: &'static [u8]| Record { key: key.into(), value: value.into() };
-    assert_eq!((records, end), (vec![record("a", b"2"), record("b", b"3")], 3));
+    let record = |offset: u64, key: &str, value: &'static [u8]| Record {
+        offset,
+        key: key.into(),
+        value: value.into(),
+    };
+    let records = vec![record(1, "a", b"2"), record(2, "b", b"3")];
+    let expected = Listing { records, end: 3, is_complete: true };
+    assert_eq!(client.newest(Topic::Entries).await.unwrap(), expected);
 }
 
 #[tokio::test]
@@ -98,7 +103,8 @@
     let (_server, client) = log(LogSettings::default()).await;
     client.put(Topic::Entries, "a", b"1").await.unwrap();
     client.put(Topic::Entries, "a", b"").await.unwrap();
-    assert_eq!(client.newest(Topic::Entries).await.unwrap(), (Vec::new(), 2));
+    let expected = Listing { records: Vec::new(), end: 2, is_complete: true };
+    assert_eq!(client.newest(Topic::Entries).await.unwrap(), expected);
 }
 
 #[tokio::test]
@@ -107,7 +113,7 @@
     let error = client.put(Topic::Operator, "config", b"{}").await.unwrap_err();
     assert!(matches!(error, LogError::Refused(_)), "{error}");
     server.put_config(&json!({ "version": 1 }));
-    let (records, _) = client.newest(Topic::Operator).await.unwrap();
+    let records = client.newest(Topic::Operator).await.unwrap().records;
     assert!(records.iter().all(Record::is_configuration) && records.len() == 1);
 }
 
--- a/crates/node/src/agent/state.rs
+++ b/crates/node/src/agent/state.rs
@@ -11,7 +11,8 @@
 
 use direct::{
     AgentHello, AttemptBatch, AttemptOutcome, ClaimEnd, EntryHello, FencingToken, ListPosition,
-    Report, SessionKey, StopCause, Supervisor, SupervisorEffect, Timing, ToAgent, Upstream,
+    Report, SessionKey, SettledBy, StopCause, Supervisor, SupervisorEffect, Timing, ToAgent,
+    Upstream,
 };
 use indexmap::IndexMap;
 use metrics::counter;
@@ -200,7 +201,9 @@
 
     pub(crate) fn on_heartbeat(self: &Rc<Self>, upstream: Upstream, seq: i64) {
         let previous = self.supervisor.borrow().upstream().cloned();
-        if previous.as_ref() != Some(&upstream) {
+        // How long an upstream is still cold differs between heartbeats.
+        let is_same = |known: Upstream| Upstream { cold_ms: upstream.cold_ms, ..known } == upstream;
+        if !previous.is_some_and(is_same) {
             let fields = [
                 ("upstream", json!(&*upstream.id)),
                 ("born", json!(upstream.incarnation)),
@@ -271,6 +274,7 @@
         hello_ms: u64,
     ) -> (SessionKey, Rc<Notify>) {
         let now_ms = self.now_ms();
+        let evacuation = self.supervisor.borrow_mut().merge_evacuations(&hello.evacuations);
         let (key, effects) = self.supervisor.borrow_mut().on_entry_hello(
             &hello.entry,
             hello.incarnation,
@@ -284,6 +288,7 @@
             vec![("entry", json!(&*hello.entry)), ("incarnation", json!(hello.incarnation))];
         fields.extend(events::unsettled_fields(&hello.attempts));
         self.events.emit(Level::Notable, "entry_connected", &fields);
+        self.apply(evacuation);
         self.apply(effects);
         self.note_unconnected();
         (key, wake)
@@ -319,6 +324,7 @@
                 self.known_entries.add_all(&entries);
                 Vec::new()
             }
+            ToAgent::Evacuations(value) => supervisor.merge_evacuations(&value),
             ToAgent::Hello(_) => Vec::new(),
         };
         drop(supervisor);
@@ -438,6 +444,16 @@
                     ];
                     self.events.emit(Level::Notable, "claim_ended", &fields);
                 }
+                SupervisorEffect::EvacuationChanged(change) => {
+                    let event = if change.is_evacuated { "evacuated" } else { "restored" };
+                    let fields = [("zone", json!(&*change.zone)), ("offset", json!(change.offset))];
+                    self.events.emit(Level::Notable, event, &fields);
+                }
+                SupervisorEffect::Warming { remaining_ms } => {
+                    let fields = [("remaining_ms", json!(remaining_ms))];
+                    self.events.emit(Level::Notable, "warming", &fields);
+                }
+                SupervisorEffect::Warm => self.events.emit(Level::Notable, "warm", &[]),
                 SupervisorEffect::Crashed(crash) => {
                     counter!("agent_crashes").increment(1);
                     let suspects = crash
@@ -452,6 +468,9 @@
                 }
                 SupervisorEffect::Settled { task, attempt, outcome, by } => {
                     counter!("agent_orders", "outcome" => outcome.name()).increment(1);
+                    if by == SettledBy::Evacuation {
+                        counter!("agent_evacuated_refusals").increment(1);
+                    }
                     let level = match outcome {
                         AttemptOutcome::Done { .. } => Level::Routine,
                         _ => Level::Notable,
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -72,8 +72,9 @@
     own: Option<SocketAddr>,
     backoff: &mut Backoff,
 ) -> Result<(), LogError> {
-    let (records, mut next) = store.newest(Topic::Entries).await?;
-    add_entries(known_entries, own, &records);
+    let listing = store.newest(Topic::Entries).await?;
+    let mut next = listing.end;
+    add_entries(known_entries, own, &listing.records);
     loop {
         match store.read(Topic::Entries, next, READ_WAIT).await? {
             ReadOutcome::Expired => return Ok(()),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod agent_links;
 mod callers;
+mod evacuations;
 mod link_progress;
 mod state;
 
@@ -103,14 +104,12 @@
         ];
         state.events.emit(Level::Notable, "start", &fields);
         state.events.flush();
-        let config_state = Rc::clone(&state);
-        let apply = Rc::new(move |raw: &[u8]| config_state.apply_config(raw, "store"));
         let known_entries = Rc::clone(&state.known_entries);
         let mut tasks = JoinSet::new();
         tasks.spawn_local(agent_links::accept(links, Rc::clone(&state)));
         tasks.spawn_local(tick(Rc::clone(&state)));
         tasks.spawn_local(dial_peers(Rc::clone(&state)));
-        tasks.spawn_local(config_watch::follow(store.clone(), apply));
+        tasks.spawn_local(config_watch::follow(store.clone(), state.clone()));
         let name = settings.process.name.as_ref().into();
         tasks.spawn_local(directory::announce(store.clone(), name, state.links));
         tasks.spawn_local(directory::follow(store.clone(), known_entries, Some(state.links)));
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,8 +11,8 @@
 
 use direct::{
     Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello,
-    EntryMessage, JobKey, JobName, JobOutcome, LossCause, PoolCapacity, RefusalReason, Report,
-    Routing, Timing, ToAgent, choose_peers,
+    EntryMessage, Evacuations, JobKey, JobName, JobOutcome, LossCause, PoolCapacity, RefusalReason,
+    Report, Routing, Timing, ToAgent, choose_peers,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -59,7 +59,7 @@
     loop_delay: LoopDelay,
     name: Arc<str>,
     grace_ms: Cell<u64>,
-    dispatcher: RefCell<Dispatcher>,
+    pub(super) dispatcher: RefCell<Dispatcher>,
     /// Requests that wait for the outcome of their job.
     pending_replies: RefCell<IndexMap<JobKey, oneshot::Sender<JobOutcome>>>,
     agents: RefCell<IndexMap<AgentKey, Connection>>,
@@ -145,7 +145,7 @@
 
     /// Returns the time. Every event takes its time from here, so a suspension is detected before
     /// the first event after it is handled, and submissions are refused for a while.
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         let is_refusing = self.suspensions.last_check_ms() < self.refuse_until_ms.get();
         let min_gap_ms = if is_refusing {
             self.timing.suspension_ms.min(RENEWED_SUSPENSION_MS)
@@ -168,7 +168,7 @@
 
     pub(crate) fn is_ready(&self) -> bool {
         let now_ms = self.now_ms();
-        self.config.borrow().is_some() && self.dispatcher.borrow().has_open_agent(now_ms)
+        self.config.borrow().is_some() && self.dispatcher.borrow().is_ready(now_ms)
     }
 
     pub(crate) fn is_busy(&self) -> bool {
@@ -311,6 +311,7 @@
             incarnation: self.incarnation,
             attempts,
             entries: self.connected_entries(),
+            evacuations: self.evacuations(),
         };
         // The outbox is new, so it has capacity.
         let _ = outbox.try_send(progress.message(ToAgent::Hello(reply)));
@@ -364,7 +365,7 @@
         self.events.emit(Level::Notable, event, &all);
     }
 
-    fn apply(&self, effects: Vec<DispatcherEffect>) {
+    pub(super) fn apply(&self, effects: Vec<DispatcherEffect>) {
         let is_loss =
             |effect: &DispatcherEffect| matches!(effect, DispatcherEffect::PresumedLost { .. });
         let has_losses = effects.iter().any(is_loss);
@@ -503,6 +504,14 @@
         self.apply_config(raw, "peer");
     }
 
+    fn evacuations(&self) -> Evacuations {
+        self.evacuations()
+    }
+
+    fn on_peer_evacuations(&self, evacuations: &Evacuations) {
+        self.merge_evacuations(evacuations, "peer");
+    }
+
     fn connected_entries(&self) -> Vec<SocketAddr> {
         let mut entries = self.known_entries.connected();
         entries.push(self.links);
--- a/crates/node/src/peer_links.rs
+++ b/crates/node/src/peer_links.rs
@@ -1,8 +1,9 @@
-//! Links between entries, over which they pass the newest configuration to an entry that
-//! cannot reach the store.
+//! Links between entries, over which they pass the newest configuration and the evacuated zones to
+//! an entry that cannot reach the store.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use direct::Evacuations;
 use tokio::{task::spawn_local, time::timeout};
 use types::StepError;
 
@@ -27,6 +28,9 @@
             /// Addresses of the entries that the sender knows to be connected, and its own; empty if
             /// they have not changed.
             entries: Vec<SocketAddr>,
+            /// The evacuated zones that the sender knows of: two bytes if there have never been any.
+            /// They arrive before any configuration on the connection.
+            evacuations: Evacuations,
         },
         /// Requests the configuration.
         #[serde(rename = "Want")]
@@ -44,6 +48,10 @@
     fn raw_config(&self) -> Option<Vec<u8>>;
     /// Applies a configuration that a peer has sent, unless the one in force is as new.
     fn on_peer_config(&self, raw: &[u8]);
+    /// Returns the evacuated zones that this entry knows of.
+    fn evacuations(&self) -> Evacuations;
+    /// Merges the evacuated zones that a peer knows of.
+    fn on_peer_evacuations(&self, evacuations: &Evacuations);
     /// Returns the addresses of the entries that are connected, and the entry's own.
     fn connected_entries(&self) -> Vec<SocketAddr>;
     /// Adds addresses of entries to those that are dialled.
@@ -99,8 +107,9 @@
             Err(_) => break Ok(()),
         };
         match message {
-            PeerMessage::Version { version, entries } => {
+            PeerMessage::Version { version, entries, evacuations } => {
                 handler.add_entries(&entries);
+                handler.on_peer_evacuations(&evacuations);
                 if version > handler.config_version() {
                     // If the outbox is full, the request follows the peer's next version message.
                     let _ = outbox.try_send(PeerMessage::RequestConfig);
@@ -133,7 +142,8 @@
                 let known = handler.connected_entries();
                 let entries = if known == sent_entries { Vec::new() } else { known.clone() };
                 sent_entries = known;
-                PeerMessage::Version { version: handler.config_version(), entries }
+                let version = handler.config_version();
+                PeerMessage::Version { version, entries, evacuations: handler.evacuations() }
             }
         };
         tx.feed(&message).await?;
--- a/crates/node/src/store_access.rs
+++ b/crates/node/src/store_access.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use platform::{ReadOutcome, Record, StoreClient, Topic};
+use platform::{Listing, ReadOutcome, StoreClient, Topic};
 use ports::{CallBudget, LogError};
 use serde_json::json;
 use types::StepError;
@@ -47,7 +47,7 @@
         self.reads.set_share(f64::from(settings.reads_per_s), processes);
     }
 
-    pub(crate) async fn newest(&self, topic: Topic) -> Result<(Vec<Record>, u64), LogError> {
+    pub(crate) async fn newest(&self, topic: Topic) -> Result<Listing, LogError> {
         self.reads.acquire().await;
         self.record_result("newest", self.client.newest(topic).await)
     }
