--- a/crates/direct/tests/common/simulation.rs
+++ b/crates/direct/tests/common/simulation.rs
@@ -4,8 +4,8 @@
 
 use direct::{
     AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello, EntryMessage,
-    JobKey, JobOutcome, Report, RunOutcome, SessionKey, StartResult, Supervisor, SupervisorEffect,
-    TaskId, Timing, ToAgent, Upstream,
+    Evacuations, JobKey, JobOutcome, Report, RunOutcome, SessionKey, StartResult, Supervisor,
+    SupervisorEffect, TaskId, Timing, ToAgent, Upstream,
 };
 use indexmap::IndexMap;
 
@@ -133,6 +133,7 @@
 /// An agent and its executor.
 pub struct Host {
     n: usize,
+    zone: Arc<str>,
     faults: HostFaults,
     supervisor: Supervisor,
     /// One for each entry.
@@ -151,15 +152,23 @@
     failed_stops: Vec<(u64, TaskId, u32)>,
     /// Tasks that were started beside a run of theirs at this executor.
     doubled: Vec<TaskId>,
+    /// Times of the starts that the executor has carried out, milliseconds.
+    pub started_ms: Vec<u64>,
 }
 
 impl Host {
     pub fn new(n: usize, links: Vec<Link>, faults: HostFaults) -> Self {
+        Self::in_zone("mid-a", n, links, faults)
+    }
+
+    pub fn in_zone(zone: &str, n: usize, links: Vec<Link>, faults: HostFaults) -> Self {
         let mut supervisor = Supervisor::new(Timing::default(), 0);
-        supervisor.on_heartbeat(upstream(&format!("u{n}"), 1), 1, 1);
+        let up = Upstream { zone: zone.into(), ..upstream(&format!("u{n}"), 1) };
+        supervisor.on_heartbeat(up, 1, 1);
         open(&mut supervisor);
         Self {
             n,
+            zone: zone.into(),
             faults,
             supervisor,
             links,
@@ -173,6 +182,7 @@
             ended: Vec::new(),
             failed_stops: Vec::new(),
             doubled: Vec::new(),
+            started_ms: Vec::new(),
         }
     }
 
@@ -201,7 +211,8 @@
         self.supervisor = Supervisor::new(Timing::default(), now_ms);
         self.links.iter_mut().for_each(|link| link.was_connected = false);
         self.note_unconnected(now_ms);
-        let upstream = upstream(&format!("u{}", self.n), 1);
+        let zone = Arc::clone(&self.zone);
+        let upstream = Upstream { zone, ..upstream(&format!("u{}", self.n), 1) };
         let seq = i64::try_from(now_ms).expect("a simulation is short");
         let effects = self.supervisor.on_heartbeat(upstream, seq, now_ms);
         self.apply(effects, now_ms);
@@ -405,6 +416,7 @@
             return if is_same { StartResult::Started } else { StartResult::OldRun };
         }
         self.run_numbers.insert(task.clone(), number);
+        self.started_ms.push(now_ms);
         self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
         let run = ExecutorRun { number, end_ms: now_ms + RUN_MS, is_stopped: false };
         if self.runs.insert(task.clone(), run).is_some() {
@@ -498,6 +510,12 @@
         key
     }
 
+    /// Delivers what the store or another entry says of evacuations.
+    pub fn merge_evacuations(&mut self, hosts: &mut [Host], value: &Evacuations, now_ms: u64) {
+        let (_, effects) = self.dispatcher.merge_evacuations(value, now_ms);
+        self.apply(hosts, effects, now_ms);
+    }
+
     pub fn release(&mut self, hosts: &mut [Host], key: JobKey, now_ms: u64) {
         let effects = self.dispatcher.release(key, now_ms);
         self.apply(hosts, effects, now_ms);
--- a/crates/ebonycroft/tests/direct_roles/fleet.rs
+++ b/crates/ebonycroft/tests/direct_roles/fleet.rs
@@ -108,11 +108,16 @@
 
     /// Starts an executor with two cores and its agent, and waits until every entry knows them.
     pub(crate) async fn add_host(&mut self, faults: FakeExecutorFaults) {
+        self.add_host_in("a", faults).await;
+    }
+
+    /// Starts an executor in a zone and its agent, as [`Fleet::add_host`].
+    pub(crate) async fn add_host_in(&mut self, zone: &str, faults: FakeExecutorFaults) {
         let name = format!("host-{}", self.hosts.len());
         let settings = FakeExecutorSettings {
             id: name.clone(),
             pool: "kitchen".into(),
-            zone: "a".into(),
+            zone: zone.into(),
             milli_cores: 2_000,
             run_ms: 1,
             renews_id: false,
@@ -128,6 +133,11 @@
         });
     }
 
+    /// Writes a record of the operator to the store; an empty value removes the key.
+    pub(crate) fn put_operator_record(&self, key: &str, value: &[u8]) {
+        self.store.put_operator_record(key, value);
+    }
+
     fn start_agent(&self, name: &str, executor: &FakeExecutor) -> Role {
         let settings = json!({ "process": self.process(name), "control": ANY_PORT,
             "upstream": executor.addr().to_string() });
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -7,6 +7,7 @@
 mod decisions;
 mod direct_system;
 mod ending_entry;
+mod evacuation;
 mod fleet;
 mod held_up_request;
 mod held_up_start;
