Fuzz the messages of evacuations

Two generated tests of their own: the encoding, and that an agent refuses starts exactly while it knows an order for its zone. The existing generators keep their cases.

--- a/crates/direct/src/supervisor/starts.rs
+++ b/crates/direct/src/supervisor/starts.rs
@@ -93,8 +93,9 @@
         proven_ms.is_some_and(|ms| granted_end_ms <= ms + self.timing.run_limit_ms())
     }
 
-    /// Returns whether a start may still be sent: its run waits for it, its entry wanted it
-    /// recently, and the upstream's zone is not evacuated. To be asked immediately before sending, because a start may wait for its turn.
+    /// Returns whether a start may still be sent: its run waits for it, its entry wanted it recently,
+    /// and the upstream's zone is not evacuated. To be asked immediately before sending, because a
+    /// start may wait for its turn.
     pub fn may_send_start(&self, task: &TaskId, number: u32, now_ms: u64) -> bool {
         !self.is_evacuated
             && self.runs.get(task).is_some_and(|run| {
@@ -122,19 +123,19 @@
         self.repeat_start(task, number, 0).into_iter().collect()
     }
 
-    /// Sends a start again unless it was sent often enough or the upstream's zone is evacuated; `ended_calls` of its calls have ended
-    /// without an answer.
+    /// Sends a start again unless it was sent often enough or the upstream's zone is evacuated;
+    /// `ended_calls` of its calls have ended without an answer.
     fn repeat_start(
         &mut self,
         task: &TaskId,
         number: u32,
         ended_calls: u32,
     ) -> Option<SupervisorEffect> {
-        let is_unwelcome = self.response_monitor.is_unresponsive() || self.is_evacuated;
+        let is_refusing = self.response_monitor.is_unresponsive() || self.is_evacuated;
         let run = self.runs.get_mut(task).filter(|run| run.number == number)?;
         let Phase::Starting { sends, open_calls } = &mut run.phase else { return None };
         *open_calls -= ended_calls;
-        if *sends >= MAX_START_SENDS || is_unwelcome || run.outcome_if_gone.is_some() {
+        if *sends >= MAX_START_SENDS || is_refusing || run.outcome_if_gone.is_some() {
             return None;
         }
         *sends += 1;
--- a/crates/direct/tests/fuzz_links.rs
+++ b/crates/direct/tests/fuzz_links.rs
@@ -8,8 +8,9 @@
 use common::{cores, job, open, report, submit, upstream};
 use direct::{
     AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Claim, ClaimEnd, ClaimId,
-    ClaimNews, Crash, CrashNotice, Dispatcher, EntryMessage, JobName, Load, Report, Supervisor,
-    SupervisorEffect, Suspect, TaskId, Timing, ToAgent, UnsettledAttempts, UpstreamState,
+    ClaimNews, Crash, CrashNotice, Dispatcher, EntryMessage, Evacuations, JobName, Load, Report,
+    Supervisor, SupervisorEffect, Suspect, TaskId, Timing, ToAgent, UnsettledAttempts,
+    UpstreamState, ZoneRecord,
 };
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use types::Resources;
@@ -67,6 +68,18 @@
     ]
 }
 
+/// Highest offset of generated records, so that a later one can end all evacuations.
+const MAX_OFFSET: u64 = 100;
+
+fn evacuations() -> impl Strategy<Value = Evacuations> {
+    let zone = prop_oneof![Just("mid-a"), Just("mid-b")];
+    let record = (zone, 0..=MAX_OFFSET, any::<bool>()).prop_map(|(zone, offset, is_evacuated)| {
+        (Arc::from(zone), ZoneRecord { offset, is_evacuated })
+    });
+    (0..=MAX_OFFSET, vec(record, 0..3))
+        .prop_map(|(end, records)| Evacuations::from_listing(Some(end), records))
+}
+
 fn outcome() -> impl Strategy<Value = AttemptOutcome> {
     prop_oneof![
         number32().prop_map(|run_ms| AttemptOutcome::Done { run_ms }),
@@ -154,6 +167,32 @@
         let _ = postcard::from_bytes::<AgentHello>(&bytes);
     }
 
+    #[test]
+    fn evacuations_survive_their_encoding(value in evacuations()) {
+        let message = EntryMessage { reports_read: 0, message: ToAgent::Evacuations(value) };
+        let bytes = postcard::to_stdvec(&message).expect("it can be encoded");
+        prop_assert_eq!(postcard::from_bytes::<EntryMessage>(&bytes), Ok(message));
+    }
+
+    #[test]
+    fn an_agent_refuses_starts_exactly_while_it_knows_an_order(values in vec(evacuations(), 0..12)) {
+        let mut agent = Supervisor::new(Timing::default(), 0);
+        agent.on_heartbeat(upstream("u", 1), 1, 1);
+        open(&mut agent);
+        let none = UnsettledAttempts::default();
+        let (entry, _) = agent.on_entry_hello(&Arc::from("e1"), 1, &none, 2, 2);
+        let last = Evacuations::from_listing(Some(MAX_OFFSET + 1), []);
+        for (n, value) in values.iter().chain([&last]).enumerate() {
+            agent.merge_evacuations(value);
+            let batch = common::batch(&format!("j{n}"), &[n as u64], Resources::default());
+            let effects = agent.on_attempts(entry, &batch, 3);
+            let has_started =
+                effects.iter().any(|effect| matches!(effect, SupervisorEffect::Start(_)));
+            prop_assert_eq!(has_started, !agent.evacuations().is_evacuated("mid-a"));
+        }
+        prop_assert!(!agent.evacuations().is_evacuated("mid-a"), "the last order has ended");
+    }
+
     #[test]
     fn a_message_survives_its_encoding(reports_read in number(), message in to_agent()) {
         let message = EntryMessage { reports_read, message };
@@ -179,6 +218,7 @@
                 ToAgent::SetActive(is_active) => agent.set_active(entry, is_active),
                 ToAgent::Claim(claim) => agent.on_claim(entry, &claim, now_ms),
                 ToAgent::EndClaim(id, end) => agent.on_claim_end(entry, id, end, now_ms),
+                ToAgent::Evacuations(value) => agent.merge_evacuations(&value),
                 ToAgent::Heartbeat(_) | ToAgent::Hello(_) => Vec::new(),
             };
             agent.tick(now_ms);
