Check for evacuated zones before scanning agents for each queued job

While no zone is evacuated, a queued job costs no scan of the agents.

Ran: the test binaries evacuation, evacuations, fuzz_links, dispatcher, overload, link_activity and capacity of direct; node and emulator (whole).

--- a/crates/direct/src/dispatcher/evacuation.rs
+++ b/crates/direct/src/dispatcher/evacuation.rs
@@ -71,10 +71,11 @@
 
     /// Returns whether some step of a job fits upstreams of evacuated zones only.
     pub(crate) fn needs_evacuated(&self, job: &DirectJob) -> bool {
-        let evacuated = || self.agents_of(&job.pool).filter(|(_, view)| view.is_evacuated);
-        if evacuated().next().is_none() {
+        // Asked for each queued job, so it costs nothing while no zone is evacuated.
+        if self.evacuations.evacuated().next().is_none() {
             return false;
         }
+        let evacuated = || self.agents_of(&job.pool).filter(|(_, view)| view.is_evacuated);
         let needs_evacuated = |step: &JobStep| {
             evacuated().any(|(_, view)| view.has_room_for(step))
                 && !self.agents_of(&job.pool).any(|(_, view)| view.fits(step))
