Test that a link kept for a running task gets no further one

A trial without the dispatcher's check for evacuated zones passed all tests before; it fails this one. A trial without the agent's check fails an_agent_sends_no_start_that_it_has_accepted_before_the_order.

--- a/crates/direct/tests/evacuation.rs
+++ b/crates/direct/tests/evacuation.rs
@@ -262,6 +262,26 @@
     assert_eq!(attempts(&submit(&mut dispatcher, job("l", 1), 30).1).len(), 1);
 }
 
+// Guards against a start at an agent whose link stays active because a task still runs there.
+#[test]
+fn a_link_that_is_active_for_a_running_task_gets_no_other_one() {
+    let mut dispatcher = Dispatcher::new(Timing::default(), "mid-a".into(), 1);
+    let (near, _) = connect(&mut dispatcher, "near", "mid-a");
+    let (far, _) = connect(&mut dispatcher, "far", "mid-b");
+    let [(chosen, running)] = attempts(&submit(&mut dispatcher, job("i", 1), 5).1)[..] else {
+        panic!("the task starts")
+    };
+    assert_eq!(chosen, near);
+    let (_, effects) = dispatcher.merge_evacuations(&evacuate("mid-a", 7), 10);
+    assert!(on_standby(&effects).is_empty(), "the link protects the run");
+    let sent = attempts(&submit(&mut dispatcher, job("j", 2), 20).1);
+    assert_eq!(sent.iter().map(|(key, _)| *key).collect::<Vec<_>>(), [far, far]);
+    let mut ended = report(None, cores(8), 1);
+    ended.outcomes = vec![(running, AttemptOutcome::Done { run_ms: 20 })];
+    dispatcher.on_report(near, ended, 30);
+    assert_eq!(on_standby(&dispatcher.tick(40)), [near]);
+}
+
 fn agent() -> Supervisor {
     let mut supervisor = Supervisor::new(Timing::default(), 0);
     supervisor.on_heartbeat(upstream("u", 1), 1, 0);
