--- a/crates/direct/examples/dispatch_cost.rs
+++ b/crates/direct/examples/dispatch_cost.rs
@@ -32,6 +32,7 @@
         largest_capacity: CAPACITY,
         labels: vec!["a".into(), format!("r{}", agent / 7).into()],
         state: UpstreamState::Ready,
+        cold_ms: 0,
     };
     let load = Load {
         free,
--- a/crates/direct/src/dispatcher/attempt_outcomes.rs
+++ b/crates/direct/src/dispatcher/attempt_outcomes.rs
@@ -115,7 +115,7 @@
     }
 
     /// Updates the health of the upstream that an attempt was sent to. At most half of the
-    /// upstreams are ejected at a time.
+    /// upstreams that are not evacuated are ejected at a time.
     fn update_health(
         &mut self,
         attempt: &OutstandingAttempt,
@@ -123,8 +123,9 @@
         now_ms: u64,
         effects: &mut Vec<DispatcherEffect>,
     ) {
-        let ejected = self.agents.iter().filter(|view| view.health.is_suspect()).count();
-        let may_eject = (ejected + 1) * 2 <= self.agents.len();
+        let usable = || self.agents.iter().filter(|view| !view.is_evacuated);
+        let ejected = usable().filter(|view| view.health.is_suspect()).count();
+        let may_eject = (ejected + 1) * 2 <= usable().count();
         let view = &mut self.agents[attempt.agent.0 as usize];
         let is_ejected = match outcome {
             AttemptOutcome::Done { .. } if view.health.record_success() => false,
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -95,12 +95,20 @@
         effects: &mut Vec<DispatcherEffect>,
     ) -> bool {
         let Some(state) = self.jobs.get(&key) else { return false };
-        if state.may_have_run() || now_ms < state.refuse_at_ms {
+        if state.may_have_run() {
+            return false;
+        }
+        if self.needs_evacuated(&state.job) {
+            let outcome = self.refusal(RefusalReason::NoUpstream);
+            self.answer(key, outcome, effects);
+            return false;
+        }
+        if now_ms < state.refuse_at_ms {
             return false;
         }
         let refuse_at_ms = state.refusal_ms(is_overload_brief);
         let refusal_wait = state.refusal_wait(is_overload_brief, now_ms);
-        let has_agents = self.agents_of(&state.job.pool).next().is_some();
+        let has_agents = self.agents_of(&state.job.pool).any(|(_, view)| !view.is_evacuated);
         if !state.is_late && self.place_late(key, refusal_wait, now_ms, effects) {
             return true;
         }
@@ -270,6 +278,7 @@
             #[allow(clippy::cast_precision_loss)]
             let work = task_work * tasks.len() as f64;
             self.containment.record_start(&state.job.kind, &state.job.pool, work, now_ms);
+            let is_cold = self.agents[agent.0 as usize].is_cold();
             let mut attempts = Vec::with_capacity(tasks.len());
             for index in tasks {
                 let id = AttemptId(self.next_attempt);
@@ -286,6 +295,7 @@
                     agent,
                     is_contest,
                     is_suspect,
+                    is_cold,
                     is_withdrawn: false,
                 };
                 self.attempts.insert(id, attempt);
--- a/crates/direct/src/dispatcher/run_times.rs
+++ b/crates/direct/src/dispatcher/run_times.rs
@@ -70,16 +70,24 @@
         let milli_cores = f64::from(step.need.milli_cores);
         let actual = f64::from(run_ms.max(1));
         let view = &mut self.agents[attempt.agent.0 as usize];
+        // How long a task runs on a cold upstream says nothing of its later runs.
+        let is_cold = attempt.is_cold || view.is_cold();
         let kind = self.kinds.entry(Arc::clone(&state.job.kind)).or_default();
         if !state.steps[usize::from(attempt.step)].has_estimate {
             // Such tasks may differ in run time by orders of magnitude, so they say nothing about
             // the speed of an upstream.
             self.returns.record(milli_cores * actual, now_ms);
+            if is_cold {
+                return;
+            }
             kind.unestimated.observe(actual * view.speed.value(), now_ms);
             return;
         }
         let declared = f64::from(step.estimate_ms);
         self.returns.record(milli_cores * declared, now_ms);
+        if is_cold {
+            return;
+        }
         let log_speed = (declared * kind.ratio.value(now_ms) / actual).ln();
         let log_ratio = (actual * view.speed.value() / declared).ln();
         let is_probe = kind.probe.is_some_and(|probe| probe.job == attempt.job);
