Test an entry with many unfinished request bodies

Cause: an entry has no limit on all incomplete bodies together nor on connections, so clients that do not finish their bodies exhaust the memory and the descriptors of its host.

Change: the test target many_clients starts an entry with fakes of the store and the executor, and an agent, as processes on loopback. It sends three loads of unfinished bodies and checks resident memory, open descriptors and one ordinary request. The bounds are those of a stated host of 48 MiB and 256 descriptors.

--- a/crates/ebonycroft/tests/direct_roles/direct_system.rs
+++ b/crates/ebonycroft/tests/direct_roles/direct_system.rs
@@ -45,7 +45,7 @@
 }
 
 impl DirectSystem {
-    async fn start(dir: &Path, timing: Timing) -> Self {
+    async fn start(dir: &Path, timing: Timing, entry_settings: &Value) -> Self {
         let addr = ANY_PORT.parse().expect("it is an address");
         let store = LogServer::start(LogSettings::default(), addr).await.expect("a store starts");
         store.put_config(&json!({ "version": 7, "services": [], "routes": [{ "name": "r",
@@ -56,8 +56,11 @@
             let store = json!({ "address": store.addr().to_string() });
             json!({ "name": name, "store": store, "grace_ms": 3_000 })
         };
-        let settings = json!({ "process": process("entry"), "zone": "a", "callers": ANY_PORT,
+        let mut settings = json!({ "process": process("entry"), "zone": "a", "callers": ANY_PORT,
             "readiness": ANY_PORT, "links": ANY_PORT });
+        for (name, value) in entry_settings.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
+        }
         let mut entry = Role::start(dir, "direct-entry", &settings);
         let executor = FakeExecutorSettings {
             id: "executor".into(),
@@ -161,9 +164,19 @@
     test: &str,
     timing: Timing,
     check: impl AsyncFnOnce(DirectSystem),
+) {
+    with_entry_settings(test, timing, &Value::Null, check).await;
+}
+
+/// As [`with_direct_system`], with further settings of the entry.
+pub(crate) async fn with_entry_settings(
+    test: &str,
+    timing: Timing,
+    entry_settings: &Value,
+    check: impl AsyncFnOnce(DirectSystem),
 ) {
     let dir = std::env::temp_dir().join(format!("{test}-{}", std::process::id()));
     fs::create_dir_all(&dir).expect("a folder can be made");
-    check(DirectSystem::start(&dir, timing).await).await;
+    check(DirectSystem::start(&dir, timing, entry_settings).await).await;
     fs::remove_dir_all(&dir).expect("the folder can be removed");
 }
--- a/crates/ebonycroft/tests/direct_roles/role.rs
+++ b/crates/ebonycroft/tests/direct_roles/role.rs
@@ -100,8 +100,13 @@
         let _ = self.child.wait();
     }
 
+    /// Returns the process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("a process id is small");
+        let id = i32::try_from(self.id()).expect("a process id is small");
         let pid = Pid::from_raw(id).expect("a process id is not 0");
         kill_process(pid, signal).expect("the role is there");
     }
--- /dev/null
+++ b/crates/ebonycroft/tests/many_clients/main.rs
@@ -0,0 +1,12 @@
+//! Many clients that send request bodies and do not finish them: the entry must stay within the memory
+//! and the file descriptors of its host.
+
+mod client_load;
+#[path = "../direct_roles/direct_system.rs"]
+#[allow(dead_code, reason = "each test target uses a part")]
+mod direct_system;
+mod process_usage;
+#[path = "../direct_roles/role.rs"]
+#[allow(dead_code, reason = "each test target uses a part")]
+mod role;
+mod unfinished_bodies;
--- /dev/null
+++ b/crates/ebonycroft/tests/many_clients/unfinished_bodies.rs
@@ -0,0 +1,107 @@
+//! Loads of bodies that are not finished.
+
+use std::time::Duration;
+
+use reqwest::StatusCode;
+use serde_json::{Value, json};
+use tokio::{
+    sync::Mutex,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    client_load::{ClientLoad, Framing},
+    direct_system::{DirectSystem, Timing, with_entry_settings},
+    process_usage::Usage,
+};
+
+/// Memory and descriptors that the host of the entry has. They are less than those of real hosts, so
+/// that few clients exhaust them.
+const MEMORY_MB: u64 = 48;
+const MAX_DESCRIPTORS: usize = 256;
+/// Time after which the entry counts as hanging.
+const HANG: Duration = Duration::from_secs(90);
+/// Attempts at an ordinary request, and the pause between them. A refusal with 503 asks for a pause.
+const MAX_CALLS: u32 = 100;
+const CALL_PERIOD: Duration = Duration::from_millis(200);
+
+/// The loads are large, and each test measures a process of its own.
+static ONE_TEST_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
+fn entry_settings() -> Value {
+    json!({})
+}
+
+/// Submits an ordinary job until it is accepted and checks that it succeeds.
+async fn check_ordinary_request(system: &DirectSystem) {
+    let job = json!({ "spec": "payload", "bestEffort": true,
+        "steps": [{ "count": 1, "cpu": 1_000, "memMb": 64, "estimateMs": 100 }] });
+    for _ in 0..MAX_CALLS {
+        match system.try_submit("5c0e7a21d94b36f8", &job).await {
+            Some(StatusCode::OK) => return,
+            None | Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
+                sleep(CALL_PERIOD).await;
+            }
+            Some(status) => panic!("an ordinary request was answered {status}"),
+        }
+    }
+    panic!("an ordinary request was not served");
+}
+
+/// Sends the load, and checks the usage and an ordinary request while the connections are open.
+async fn check_load(test: &str, load: ClientLoad) {
+    let _lock = ONE_TEST_AT_A_TIME.lock().await;
+    with_entry_settings(test, Timing::default(), &entry_settings(), async |system| {
+        let entry = system.entry.addr("callers");
+        let connections = timeout(HANG, load.send(entry)).await.expect("the entry reads");
+        let loaded = Usage::read_until_settled(system.entry.id()).await;
+        timeout(HANG, check_ordinary_request(&system)).await.expect("the entry replies");
+        let Some(usage) = loaded else {
+            eprintln!("memory and descriptors are not checked: this system has no /proc");
+            return;
+        };
+        eprintln!("{} of {} connections are open; {usage:?}", connections.len(), load.clients);
+        assert!(
+            usage.peak_kib < MEMORY_MB * 1_024,
+            "the memory of the host is exhausted: {usage:?}"
+        );
+        assert!(usage.descriptors < MAX_DESCRIPTORS, "no descriptor is left: {usage:?}");
+    })
+    .await;
+}
+
+/// Guards against an entry that holds every body of legal size until it is complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_stop_100_bytes_short() {
+    let load = ClientLoad {
+        clients: 300,
+        sent_bytes: 262_144 - 100,
+        missing_bytes: 100,
+        framing: Framing::Whole,
+    };
+    check_load("many-whole", load).await;
+}
+
+/// Guards against an entry that limits bodies by their Content-Length only.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_16_kb_that_stop_100_bytes_short() {
+    let load = ClientLoad {
+        clients: 300,
+        sent_bytes: 262_144 - 100,
+        missing_bytes: 100,
+        framing: Framing::Chunks(16_384),
+    };
+    check_load("many-chunked", load).await;
+}
+
+/// Guards against an allocation for each frame: the memory of a body is then a multiple of its size.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_1_byte_without_an_end() {
+    let load = ClientLoad {
+        clients: 40,
+        sent_bytes: 60_000,
+        missing_bytes: 100,
+        framing: Framing::Chunks(1),
+    };
+    check_load("many-bytewise", load).await;
+}
