Decide on incomplete bodies and connections within limits

Change: the module intake of the crate direct has a byte budget that evicts the oldest incomplete body, a connection limit that closes the connection that has waited longest, and a monitor that reports the start and the end of an overload. It does no I/O. No process uses it yet.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 mod claim;
 mod dispatcher;
 mod fencing;
+mod intake;
 mod job;
 mod link_message;
 mod list_position;
@@ -26,6 +27,10 @@
         PoolCapacity, WithdrawalCause,
     },
     fencing::FencingToken,
+    intake::{
+        BodyBudget, BodyKey, BudgetDecision, ConnectionDecision, ConnectionKey, ConnectionLimit,
+        PressureCounts, PressureMonitor, Rejected,
+    },
     job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
     link_message::{
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
