Bound the memory and the connections of an entry's callers

Cause: an entry kept each frame of an incomplete body in an allocation of its own, without a limit on all bodies together, on their time or on connections. Clients that did not finish their bodies exhausted the memory of its host.

Change: each body has one buffer whose capacity counts against a budget for all incomplete bodies. When it is exhausted, the oldest body is evicted or the new one is refused: 503, Retry-After, Connection: close. A body that is not complete after idleTimeoutMs is answered 408. The rest of such a body is discarded for up to 1 s so that the client gets the response, then the connection is closed. At the connection limit, the connection that has waited longest is closed. A client that does not read its responses is disconnected. The body is dropped when it is decoded, not when the job has ended. New settings of an entry: memory_mb and max_descriptors.

--- a/crates/ebonycroft/tests/direct_roles/direct_system.rs
+++ b/crates/ebonycroft/tests/direct_roles/direct_system.rs
@@ -45,13 +45,15 @@
 }
 
 impl DirectSystem {
-    async fn start(dir: &Path, timing: Timing, entry_settings: &Value) -> Self {
+    async fn start(dir: &Path, timing: Timing, entry_settings: &Value, limits: &Value) -> Self {
         let addr = ANY_PORT.parse().expect("it is an address");
         let store = LogServer::start(LogSettings::default(), addr).await.expect("a store starts");
-        store.put_config(&json!({ "version": 7, "services": [], "routes": [{ "name": "r",
+        store.put_config(
+            &json!({ "version": 7, "limits": limits, "services": [], "routes": [{ "name": "r",
             "host": "jobs.example", "pathPrefix": "/j/", "service": "kitchen", "priority": 1,
             "maxAttempts": 2, "stretchFactor": 1.0,
-            "targetCompletionMs": timing.allowance_ms }] }));
+            "targetCompletionMs": timing.allowance_ms }] }),
+        );
         let process = |name: &str| {
             let store = json!({ "address": store.addr().to_string() });
             json!({ "name": name, "store": store, "grace_ms": 3_000 })
@@ -174,9 +176,20 @@
     timing: Timing,
     entry_settings: &Value,
     check: impl AsyncFnOnce(DirectSystem),
+) {
+    with_request_limits(test, timing, entry_settings, &json!({}), check).await;
+}
+
+/// As [`with_entry_settings`], with limits of requests in the configuration.
+pub(crate) async fn with_request_limits(
+    test: &str,
+    timing: Timing,
+    entry_settings: &Value,
+    limits: &Value,
+    check: impl AsyncFnOnce(DirectSystem),
 ) {
     let dir = std::env::temp_dir().join(format!("{test}-{}", std::process::id()));
     fs::create_dir_all(&dir).expect("a folder can be made");
-    check(DirectSystem::start(&dir, timing, entry_settings).await).await;
+    check(DirectSystem::start(&dir, timing, entry_settings, limits).await).await;
     fs::remove_dir_all(&dir).expect("the folder can be removed");
 }
--- a/crates/ebonycroft/tests/direct_roles/templates.rs
+++ b/crates/ebonycroft/tests/direct_roles/templates.rs
@@ -4,7 +4,7 @@
 use std::{fs, path::Path, process::Command};
 
 /// Placeholders of the templates and the values that replace them.
-const VALUES: [(&str, &str); 15] = [
+const VALUES: [(&str, &str); 17] = [
     ("node|json", r#""edge-a-1""#),
     ("ip", "10.1.0.13"),
     ("zone|json", r#""mid-a""#),
@@ -20,6 +20,8 @@
     ("bounds.graceS", "6"),
     ("bounds.maxHoldMs", "1000"),
     ("bounds.stopTimeoutMs", "50"),
+    ("limits.memoryMb", "120"),
+    ("limits.maxFds", "4100"),
 ];
 
 fn fill_in(template: &str) -> String {
--- a/crates/ebonycroft/tests/many_clients/main.rs
+++ b/crates/ebonycroft/tests/many_clients/main.rs
@@ -6,7 +6,11 @@
 #[allow(dead_code, reason = "each test target uses a part")]
 mod direct_system;
 mod process_usage;
+mod refused_clients;
 #[path = "../direct_roles/role.rs"]
 #[allow(dead_code, reason = "each test target uses a part")]
 mod role;
 mod unfinished_bodies;
+
+/// The loads are large, and tests measure a process of their own.
+static ONE_TEST_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
--- a/crates/ebonycroft/tests/many_clients/unfinished_bodies.rs
+++ b/crates/ebonycroft/tests/many_clients/unfinished_bodies.rs
@@ -4,12 +4,10 @@
 
 use reqwest::StatusCode;
 use serde_json::{Value, json};
-use tokio::{
-    sync::Mutex,
-    time::{sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
 
 use crate::{
+    ONE_TEST_AT_A_TIME,
     client_load::{ClientLoad, Framing},
     direct_system::{DirectSystem, Timing, with_entry_settings},
     process_usage::Usage,
@@ -25,11 +23,8 @@
 const MAX_CALLS: u32 = 100;
 const CALL_PERIOD: Duration = Duration::from_millis(200);
 
-/// The loads are large, and each test measures a process of its own.
-static ONE_TEST_AT_A_TIME: Mutex<()> = Mutex::const_new(());
-
 fn entry_settings() -> Value {
-    json!({})
+    json!({ "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS })
 }
 
 /// Submits an ordinary job until it is accepted and checks that it succeeds.
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use direct::{JobKey, JobName, JobOutcome};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
-    body::{Body, Incoming},
-    header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+    body::Incoming,
+    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
 };
 use metrics::{counter, histogram};
 use platform::{
@@ -23,7 +23,10 @@
 
 use crate::{
     clock,
-    entry::state::EntryState,
+    entry::{
+        request_body::{self, BodyLimits},
+        state::EntryState,
+    },
     events::Level,
     http_server::{ConnectionActivity, HttpResponse},
     task_names::job_fields,
@@ -65,7 +68,13 @@
 
 /// Handles one request of a caller.
 pub(crate) async fn handle(state: Rc<EntryState>, req: Request<Incoming>) -> HttpResponse {
-    http_response(reply(&state, req).await)
+    let mut closes_connection = false;
+    let reply = reply(&state, req, &mut closes_connection).await;
+    let mut response = http_response(reply);
+    if closes_connection {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 /// Reports a request that is rejected before a job starts, and returns the reply.
@@ -83,7 +92,11 @@
     encode_error(status, cause)
 }
 
-async fn reply(state: &Rc<EntryState>, req: Request<Incoming>) -> Reply {
+async fn reply(
+    state: &Rc<EntryState>,
+    req: Request<Incoming>,
+    closes_connection: &mut bool,
+) -> Reply {
     let Some(routing) = state.first_routing().await else {
         return reject(state, req.uri().path(), 503, "no configuration yet");
     };
@@ -108,20 +121,32 @@
         CallerRequest::Pending(_) => return encode_pending(0),
     };
     let caller_timeout_ms = header(CALLER_TIMEOUT_HEADER).and_then(|text| text.parse().ok());
-    let body = match read_body(body, routing.limits.body_bytes).await {
+    let activity = head.extensions.get::<ConnectionActivity>().copied();
+    let limits = BodyLimits {
+        bytes: routing.limits.body_bytes,
+        time: Duration::from_millis(routing.limits.idle_ms),
+    };
+    let body = match request_body::read(&state.intake, body, limits).await {
         Ok(body) => body,
-        Err((status, cause)) => return reject(state, head.uri.path(), status, &cause),
+        Err(e) => {
+            *closes_connection = e.closes_connection();
+            let (status, cause) = e.reply();
+            return reject(state, head.uri.path(), status, &cause);
+        }
     };
-    match decode_job(id, queue, &body, caller_timeout_ms) {
+    if let Some(activity) = activity {
+        state.intake.serve(activity.connection);
+    }
+    let decoded = decode_job(id, queue, &body, caller_timeout_ms);
+    // The job may run for long; its body is no longer needed.
+    drop(body);
+    match decoded {
         Ok(job) if job.task_count() > state.max_job_tasks => {
             let (tasks, most) = (job.task_count(), state.max_job_tasks);
             let cause = format!("the job has {tasks} tasks; at most {most} are accepted");
             reject(state, head.uri.path(), 413, &cause)
         }
-        Ok(job) => {
-            let activity = head.extensions.get::<ConnectionActivity>().copied();
-            run(state, job, routing.version, activity).await
-        }
+        Ok(job) => run(state, job, routing.version, activity).await,
         Err(e @ JobError::Malformed(_)) => reject(state, head.uri.path(), 400, &e.to_string()),
         Err(e @ JobError::Unsupported(_)) => reject(state, head.uri.path(), 503, &e.to_string()),
     }
@@ -207,19 +232,6 @@
     state.release(key);
 }
 
-/// Reads a request body; the error is the HTTP status of the reply and the cause.
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, (u16, String)> {
-    let too_large = || (413, format!("the body is larger than {limit} bytes"));
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(too_large()),
-        Err(e) => Err((400, format!("reading the body: {e}"))),
-    }
-}
-
 fn http_response(reply: Reply) -> HttpResponse {
     let mut response = Response::new(Full::new(Bytes::from(reply.body)));
     *response.status_mut() =
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,7 +3,9 @@
 
 mod agent_links;
 mod callers;
+mod intake;
 mod link_progress;
+mod request_body;
 mod state;
 
 use std::{
@@ -136,7 +138,8 @@
     is_closing: &Rc<Cell<bool>>,
     stop: impl Future<Output = Result<(), StepError>>,
 ) -> Result<(), StepError> {
-    let server = HttpServer::new(Rc::clone(is_closing));
+    let gate = Rc::clone(&state.intake);
+    let server = HttpServer::with_gate(Rc::clone(is_closing), gate);
     let mut stop_result = Ok(());
     let stopping = async {
         stop_result = stop.await;
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -26,7 +26,7 @@
 use crate::{
     DirectEntrySettings, ProcessSettings,
     clock::{self, SuspensionDetector},
-    entry::{BUSY_TICK, IDLE_TICK, link_progress::LinkProgress},
+    entry::{BUSY_TICK, IDLE_TICK, intake::Intake, link_progress::LinkProgress},
     events::{self, Events, Level},
     http_server::ConnectionLimits,
     known_entries::KnownEntries,
@@ -56,6 +56,8 @@
     pub(crate) max_job_tasks: u64,
     pub(crate) known_entries: Rc<KnownEntries>,
     pub(crate) events: Rc<Events>,
+    /// Incomplete bodies and connections of callers.
+    pub(crate) intake: Rc<Intake>,
     loop_delay: LoopDelay,
     name: Arc<str>,
     grace_ms: Cell<u64>,
@@ -107,6 +109,7 @@
             links,
             max_job_tasks: settings.max_job_tasks,
             known_entries,
+            intake: Intake::new(settings, Rc::clone(&events)),
             loop_delay: LoopDelay::new(Rc::clone(&events)),
             events,
             name: Arc::clone(&process.name),
@@ -285,6 +288,7 @@
         let now_ms = self.now_ms();
         let effects = self.dispatcher.borrow_mut().tick(now_ms);
         self.apply(effects);
+        self.intake.tick(self.connection_limits().idle_ms);
         self.events.flush();
         self.loop_delay.set_timer(if self.is_busy() { BUSY_TICK } else { IDLE_TICK });
     }
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -14,7 +14,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use tokio::{net::TcpListener, net::TcpStream, task::spawn_local};
+use tokio::{net::TcpListener, net::TcpStream, sync::Notify, task::spawn_local};
 use types::{Peer, StepError};
 
 use crate::clock;
@@ -45,6 +45,20 @@
     }
 }
 
+/// Decides which connections stay open. Connections are identified by
+/// [`ConnectionActivity::connection`].
+pub(crate) trait ConnectionGate {
+    /// Registers an accepted connection. Returns the signal on which it must be closed, or `None` if
+    /// it must be closed at once.
+    fn open(&self, connection: u64) -> Option<Rc<Notify>>;
+
+    /// Records that a connection has had the head of a request, or a response.
+    fn wait(&self, connection: u64);
+
+    /// Removes a connection that has ended.
+    fn remove(&self, connection: u64);
+}
+
 /// Smallest buffer size that the HTTP library accepts, bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Pause after a failed accept, milliseconds. The usual cause is a lack of file descriptors, which
@@ -65,6 +79,7 @@
 pub(crate) struct HttpServer {
     graceful: GracefulShutdown,
     is_closing: Rc<Cell<bool>>,
+    gate: Option<Rc<dyn ConnectionGate>>,
     next_connection: Cell<u64>,
 }
 
@@ -72,7 +87,13 @@
     /// Creates a server without a listener. While `is_closing` is set, responses carry
     /// `Connection: close`, so that clients open a new connection for their next request.
     pub(crate) fn new(is_closing: Rc<Cell<bool>>) -> Self {
-        Self { graceful: GracefulShutdown::new(), is_closing, next_connection: Cell::new(0) }
+        let graceful = GracefulShutdown::new();
+        Self { graceful, is_closing, gate: None, next_connection: Cell::new(0) }
+    }
+
+    /// Creates a server whose connections `gate` limits.
+    pub(crate) fn with_gate(is_closing: Rc<Cell<bool>>, gate: Rc<dyn ConnectionGate>) -> Self {
+        Self { gate: Some(gate), ..Self::new(is_closing) }
     }
 
     /// Accepts and serves connections until `stop` is ready. `limits` is evaluated for each
@@ -122,13 +143,24 @@
         let is_closing = Rc::clone(&self.is_closing);
         let connection = self.next_connection.get();
         self.next_connection.set(connection + 1);
+        let gate = self.gate.clone();
+        let close = match &gate {
+            Some(gate) => gate.open(connection),
+            None => Some(Rc::default()),
+        };
+        let Some(close) = close else { return };
         let activity = Rc::new(Cell::new(ConnectionActivity {
             connection,
             accepted_ms: clock::now_ms(),
             responded_ms: None,
         }));
+        let service_gate = gate.clone();
         let service = service_fn(move |mut req: Request<Incoming>| {
             req.extensions_mut().insert(activity.get());
+            let gate = service_gate.clone();
+            if let Some(gate) = &gate {
+                gate.wait(connection);
+            }
             let response = handle(req);
             let is_closing = Rc::clone(&is_closing);
             let activity = Rc::clone(&activity);
@@ -139,6 +171,9 @@
                 }
                 let responded_ms = Some(clock::now_ms());
                 activity.set(ConnectionActivity { responded_ms, ..activity.get() });
+                if let Some(gate) = gate {
+                    gate.wait(connection);
+                }
                 Ok::<_, Infallible>(response)
             }
         });
@@ -149,8 +184,17 @@
             .serve_connection(TokioIo::new(stream), service);
         let conn = self.graceful.watch(conn);
         spawn_local(async move {
-            if let Err(e) = conn.await {
-                log::debug!("HTTP connection failed: {e}");
+            tokio::select! {
+                result = conn => {
+                    if let Err(e) = result {
+                        log::debug!("HTTP connection failed: {e}");
+                    }
+                }
+                // The connection is dropped with its buffers and what is unsent.
+                () = close.notified() => {}
+            }
+            if let Some(gate) = gate {
+                gate.remove(connection);
             }
         });
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,6 +3,15 @@
 use direct::Timing;
 use settings::{InvalidFields, Validate};
 
+const MIB_BYTES: u64 = 1_048_576;
+/// Memory of one connection: its read buffer, which has 16 KiB by default, the head of a request and
+/// the state of the connection, bytes.
+const CONNECTION_BYTES: u64 = 32_768;
+/// Smallest memory of a host, MiB. An entry without callers has 11 MB resident.
+const MIN_MEMORY_MB: u64 = 16;
+/// Fewest descriptors: half of them are for links, the store, listeners and probes.
+const MIN_DESCRIPTORS: u64 = 64;
+
 types::settings! {
     /// Settings of an entry for direct jobs.
     #[derive(Eq)]
@@ -24,6 +33,13 @@
         /// Most tasks of a job, over all its steps; larger jobs are rejected.
         #[serde(default = "default_max_job_tasks")]
         pub max_job_tasks: u64,
+        /// Memory of the host, MiB. It determines how much of callers' incomplete bodies is held, and
+        /// how many connections.
+        #[serde(default = "default_memory_mb")]
+        pub memory_mb: u64,
+        /// File descriptors that the process may have. It limits callers' connections.
+        #[serde(default = "default_max_descriptors")]
+        pub max_descriptors: u64,
     }
 
     /// Settings of an agent for direct jobs.
@@ -85,6 +101,16 @@
     10_000
 }
 
+/// The smallest hosts of entries.
+fn default_memory_mb() -> u64 {
+    120
+}
+
+/// The smallest hosts of entries.
+fn default_max_descriptors() -> u64 {
+    4_100
+}
+
 fn default_log_decisions() -> bool {
     true
 }
@@ -129,10 +155,27 @@
     }
 }
 
+impl DirectEntrySettings {
+    /// Returns the most bytes that the buffers of all incomplete bodies may have.
+    pub(crate) fn body_budget_bytes(&self) -> usize {
+        let bytes = self.memory_mb.saturating_mul(MIB_BYTES) / 4;
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the most connections of callers.
+    pub(crate) fn max_connections(&self) -> usize {
+        let by_memory = self.memory_mb.saturating_mul(MIB_BYTES) / 4 / CONNECTION_BYTES;
+        usize::try_from(by_memory.min(self.max_descriptors / 2)).unwrap_or(usize::MAX)
+    }
+}
+
 impl Validate for DirectEntrySettings {
     fn validate(&self, errors: &mut InvalidFields) {
         self.process.validate(errors);
         errors.require(self.max_job_tasks > 0, "max_job_tasks", "must be positive");
+        errors.require(self.memory_mb >= MIN_MEMORY_MB, "memory_mb", "must be at least 16");
+        let has_descriptors = self.max_descriptors >= MIN_DESCRIPTORS;
+        errors.require(has_descriptors, "max_descriptors", "must be at least 64");
     }
 }
 
@@ -141,3 +184,6 @@
         self.process.validate(errors);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/tests/system/support.rs
+++ b/crates/node/tests/system/support.rs
@@ -201,6 +201,8 @@
         links: ANY_PORT,
         advertised_links: None,
         max_job_tasks: 100,
+        memory_mb: 120,
+        max_descriptors: 4_100,
     };
     start_process(move |ready, stop| async move {
         let entry = DirectEntry::bind(settings).await?;
