Count callers' connections until they are closed

Cause: an evicted connection no longer counted while its descriptor was still open. In a burst, connections are accepted faster than evicted ones are closed; 194 descriptors were seen with a connection limit of 128 and about 17 other descriptors.

Change: connections that are being closed count until they have ended. They may exceed the limit by an eighth; beyond that, new connections are closed.

--- a/crates/direct/src/intake/connection_limit.rs
+++ b/crates/direct/src/intake/connection_limit.rs
@@ -13,7 +13,7 @@
     /// Reply to a new connection.
     #[derive(Eq)]
     pub enum ConnectionDecision {
-        /// It is accepted. If another one is given, that is closed and no longer known.
+        /// It is accepted. If another one is given, that must be closed.
         Accepted(Option<ConnectionKey>),
         /// The new connection is closed.
         Refused,
@@ -25,34 +25,41 @@
         Waiting { since_ms: u64 },
         /// A complete request that has no response yet.
         Serving,
+        /// It is being closed and still has its descriptor and buffers.
+        Closing,
     }
 }
 
 /// Connections of callers. At the limit, the one that has waited longest for a complete request is
-/// closed for a new one, unless all have waited for less than 1,000 ms.
+/// closed for a new one, unless all have waited for less than 1,000 ms or too many are being closed:
+/// connections exceed the limit by an eighth at most, for the time that closing takes.
 #[derive(Debug)]
 pub struct ConnectionLimit {
     limit: usize,
     connections: IndexMap<ConnectionKey, ConnectionUse>,
+    closing: usize,
 }
 
 impl ConnectionLimit {
     /// Creates a limit.
     pub fn new(limit: usize) -> Self {
-        Self { limit, connections: IndexMap::new() }
+        Self { limit, connections: IndexMap::new(), closing: 0 }
     }
 
     /// Decides on a new connection, which waits for its first request.
     pub fn accept(&mut self, key: ConnectionKey, now_ms: u64) -> ConnectionDecision {
         let mut closed = None;
-        if self.connections.len() >= self.limit {
+        if self.connections.len() - self.closing >= self.limit {
+            if self.closing >= (self.limit / 8).max(1) {
+                return ConnectionDecision::Refused;
+            }
             let longest = self.waiting(now_ms).max_by_key(|(_, waited_ms)| *waited_ms);
             let Some((longest, _)) =
                 longest.filter(|(_, waited_ms)| *waited_ms >= MIN_EVICTION_AGE_MS)
             else {
                 return ConnectionDecision::Refused;
             };
-            self.remove(longest);
+            self.close(longest);
             closed = Some(longest);
         }
         self.connections.insert(key, ConnectionUse::Waiting { since_ms: now_ms });
@@ -62,32 +69,30 @@
     /// Records that a connection waits: a response has been made, or the head of a request whose
     /// body is incomplete has arrived.
     pub fn wait(&mut self, key: ConnectionKey, now_ms: u64) {
-        if let Some(current) = self.connections.get_mut(&key) {
-            *current = ConnectionUse::Waiting { since_ms: now_ms };
-        }
+        self.set(key, ConnectionUse::Waiting { since_ms: now_ms });
     }
 
     /// Records that a request is complete; the connection is not closed before the response.
     pub fn serve(&mut self, key: ConnectionKey) {
-        if let Some(current) = self.connections.get_mut(&key) {
-            *current = ConnectionUse::Serving;
-        }
+        self.set(key, ConnectionUse::Serving);
     }
 
     /// Removes a connection that has ended.
     pub fn remove(&mut self, key: ConnectionKey) {
-        self.connections.swap_remove(&key);
+        if self.connections.swap_remove(&key) == Some(ConnectionUse::Closing) {
+            self.closing -= 1;
+        }
     }
 
-    /// Removes and returns the connections that have waited for at least `max_wait_ms`.
-    pub fn remove_stalled(&mut self, max_wait_ms: u64, now_ms: u64) -> Vec<ConnectionKey> {
+    /// Returns the connections that have waited for at least `max_wait_ms`; they must be closed.
+    pub fn close_stalled(&mut self, max_wait_ms: u64, now_ms: u64) -> Vec<ConnectionKey> {
         let is_stalled = |waited_ms: u64| waited_ms >= max_wait_ms;
         let stalled: Vec<_> = self
             .waiting(now_ms)
             .filter_map(|(key, waited_ms)| is_stalled(waited_ms).then_some(key))
             .collect();
         for key in &stalled {
-            self.remove(*key);
+            self.close(*key);
         }
         stalled
     }
@@ -102,11 +107,23 @@
         self.connections.is_empty()
     }
 
+    fn set(&mut self, key: ConnectionKey, next: ConnectionUse) {
+        let current = self.connections.get_mut(&key);
+        if let Some(current) = current.filter(|current| **current != ConnectionUse::Closing) {
+            *current = next;
+        }
+    }
+
+    fn close(&mut self, key: ConnectionKey) {
+        self.set(key, ConnectionUse::Closing);
+        self.closing += 1;
+    }
+
     /// Returns the connections that wait, and for how long, milliseconds.
     fn waiting(&self, now_ms: u64) -> impl Iterator<Item = (ConnectionKey, u64)> {
         self.connections.iter().filter_map(move |(key, current)| match current {
             ConnectionUse::Waiting { since_ms } => Some((*key, now_ms.saturating_sub(*since_ms))),
-            ConnectionUse::Serving => None,
+            ConnectionUse::Serving | ConnectionUse::Closing => None,
         })
     }
 }
--- a/crates/direct/tests/intake.rs
+++ b/crates/direct/tests/intake.rs
@@ -107,14 +107,34 @@
     limit.serve(serving);
     assert_eq!(limit.accept(new, 1_099), ConnectionDecision::Refused, "none has waited 1,000 ms");
     assert_eq!(limit.accept(new, 1_100), ConnectionDecision::Accepted(Some(idle)));
+    limit.remove(idle);
     limit.wait(late, 1_150);
     assert_eq!(limit.accept(newer, 2_000), ConnectionDecision::Refused, "late has just replied");
     assert_eq!(limit.accept(newer, 2_100), ConnectionDecision::Accepted(Some(new)));
+    limit.remove(new);
     limit.remove(late);
     assert_eq!(limit.accept(idle, 2_100), ConnectionDecision::Accepted(None));
     assert_eq!(limit.len(), 3);
 }
 
+/// Guards against a burst of new connections that is accepted faster than evicted ones are closed, so
+/// that the process exceeds its descriptors.
+#[test]
+fn connections_that_are_being_closed_still_count() {
+    let mut limit = ConnectionLimit::new(16);
+    for key in 0..16 {
+        limit.accept(ConnectionKey(key), 0);
+    }
+    let decisions: Vec<_> = (16..32).map(|key| limit.accept(ConnectionKey(key), 1_000)).collect();
+    let closed = |key| ConnectionDecision::Accepted(Some(ConnectionKey(key)));
+    assert_eq!(decisions[..2], [closed(15), closed(14)]);
+    assert!(decisions[2..].iter().all(|decision| *decision == ConnectionDecision::Refused));
+    assert_eq!(limit.len(), 18);
+    limit.wait(ConnectionKey(15), 1_000);
+    limit.remove(ConnectionKey(15));
+    assert_eq!(limit.accept(ConnectionKey(40), 1_000), closed(13));
+}
+
 /// Guards against clients that never read their responses, and against closing a connection whose job
 /// runs for long.
 #[test]
@@ -125,8 +145,8 @@
     limit.serve(serving);
     limit.accept(stalled, 0);
     limit.accept(young, 1);
-    assert_eq!(limit.remove_stalled(20_000, 20_000), [stalled]);
-    assert_eq!(limit.len(), 2);
+    assert_eq!(limit.close_stalled(20_000, 20_000), [stalled]);
+    assert_eq!(limit.close_stalled(20_000, 20_000), []);
 }
 
 /// Guards against log lines for each refusal of one overload.
--- a/crates/node/src/entry/intake.rs
+++ b/crates/node/src/entry/intake.rs
@@ -107,7 +107,7 @@
     pub(crate) fn tick(&self, idle_ms: u64) {
         let now_ms = clock::now_ms();
         let max_wait_ms = idle_ms + STALLED_MARGIN_MS;
-        let stalled = self.limit.borrow_mut().remove_stalled(max_wait_ms, now_ms);
+        let stalled = self.limit.borrow_mut().close_stalled(max_wait_ms, now_ms);
         for key in stalled {
             counter!("entry_connections_evicted", "cause" => "stalled").increment(1);
             self.close(key);
