Add optional look-ahead placement

Cause: a large task waits for as long as a stream of small ones lasts, because each piece of capacity that becomes free fits a small task first; long tasks of less urgent jobs take the last capacity before the urgent jobs of the next tenths of a second arrive.

Change: with placement.look_ahead (default false), a queued task reserves the agent where it is expected to fit first. Tasks of later jobs use that agent only if they leave the need free or end before. A bounded reserve is kept for more urgent jobs that wait or are expected. Small tasks avoid the last room for large ones. Counters entry_reservations and entry_backfilled_tasks. The checks of an agent now return the reason why it is passed over.

--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -5,7 +5,8 @@
 use crate::{
     JobStep,
     dispatcher::{
-        AgentKey, Dispatcher, agent_view::AgentView, crash_ledger::Suspicion, job_state::JobState,
+        AgentKey, Dispatcher, JobKey, agent_view::AgentView, crash_ledger::Suspicion,
+        job_state::JobState,
     },
 };
 
@@ -39,6 +40,20 @@
     }
 }
 
+/// What the placement of all tasks of a step has in common.
+#[derive(Debug)]
+pub(crate) struct Placing<'a> {
+    pub(crate) key: JobKey,
+    pub(crate) state: &'a JobState,
+    pub(crate) step_index: u16,
+    pub(crate) step: &'a JobStep,
+    pub(crate) requirements: TaskRequirements,
+    pub(crate) is_suspect: bool,
+    pub(crate) is_confined: bool,
+    /// Free processor capacity of the pool that is not kept for more urgent jobs, milli-cores.
+    pub(crate) usable_milli_cores: f64,
+}
+
 impl Dispatcher {
     /// Returns the requirements of a step's tasks. Tasks of a job that may already have run are
     /// started even if they will miss the objective.
@@ -52,13 +67,18 @@
         let until_objective_ms = state.objective_at_ms.saturating_sub(now_ms) as f64;
         TaskRequirements {
             need: step.need,
-            expected_ms: f64::from(step.estimate_ms) * self.kind_ratio(&state.job.kind),
+            expected_ms: self.expected_ms(state, step),
             until_objective_ms,
             now_ms,
             max_expected_ms: if state.may_have_run() { f64::INFINITY } else { until_objective_ms },
         }
     }
 
+    /// Returns the expected run time of a step's tasks at speed 1, milliseconds.
+    pub(crate) fn expected_ms(&self, state: &JobState, step: &JobStep) -> f64 {
+        f64::from(step.estimate_ms) * self.kind_ratio(&state.job.kind)
+    }
+
     /// Returns the requirements of a step's tasks once the objective is out of reach: an answer
     /// still has value until it is late by twice the objective. A job that arrived late only gets
     /// capacity that is spare, so it may use it as long as its caller waits.
@@ -77,45 +97,48 @@
         TaskRequirements { max_expected_ms, ..self.requirements(state, step, now_ms) }
     }
 
+    /// Returns what the placement of all tasks of a step has in common; nothing is kept for more
+    /// urgent jobs yet.
+    pub(crate) fn placing<'a>(
+        &self,
+        key: JobKey,
+        state: &'a JobState,
+        step_index: u16,
+        requirements: &TaskRequirements,
+    ) -> Placing<'a> {
+        let is_suspect = self.suspicion(state) != Suspicion::None;
+        Placing {
+            key,
+            state,
+            step_index,
+            step: &state.job.steps[usize::from(step_index)],
+            requirements: *requirements,
+            is_suspect,
+            is_confined: self.is_confined(state, requirements.now_ms),
+            usable_milli_cores: f64::INFINITY,
+        }
+    }
+
     /// Returns the agent with the lowest cost that can run one task of the step. `planned` holds
     /// the number of the step's tasks that are already planned for each agent.
     pub(crate) fn choose_agent(
         &self,
-        state: &JobState,
-        step_index: u16,
+        placing: &Placing,
         task: u32,
-        requirements: &TaskRequirements,
         planned: &[(AgentKey, u32)],
     ) -> Option<AgentKey> {
-        let step = &state.job.steps[usize::from(step_index)];
+        let Placing { state, step_index, step, ref requirements, is_suspect, .. } = *placing;
         let avoided = self.avoided(state, step_index, task, requirements.now_ms);
-        let is_suspect = self.suspicion(state) != Suspicion::None;
-        let is_confined = self.is_confined(state, requirements.now_ms);
+        let planned_tasks = planned.iter().map(|(_, n)| n).sum();
         let mut best: Option<(f64, AgentKey)> = None;
         for (key, view) in self.active_agents() {
             let planned_here =
                 planned.iter().find(|(agent, _)| *agent == key).map_or(0, |(_, n)| *n);
             let Some(upstream) = &view.upstream else { continue };
             if !view.is_in_pool(&state.job.pool)
-                || !view.is_open(requirements.now_ms, self.timing.silence_ms)
-                || view
-                    .health
-                    .rejects_tasks(requirements.now_ms, view.attempts.len() + planned_here as usize)
-                || !requirements.need.fits_in(remaining(
-                    view.free(),
-                    requirements.need,
-                    planned_here,
-                ))
-                || step.label.as_ref().is_some_and(|label| !upstream.labels.contains(label))
-                || step.max_per_upstream.is_some_and(|most| {
-                    planned_here + self.outstanding_at(key, state, step_index) >= most
-                })
-                || requirements.expected_ms / view.speed.value() > requirements.max_expected_ms
-                || avoided.contains(&key)
-                || (is_confined && !self.containment.is_member(&state.job.kind, key))
-                || (is_suspect && self.has_other_suspect(view, state))
-                || (self.is_contest(key, requirements.need)
-                    && !self.contention.may_try(view.rank, requirements.now_ms))
+                || self
+                    .passed_over(placing, key, view, avoided, (planned_here, planned_tasks))
+                    .is_some()
             {
                 continue;
             }
@@ -128,7 +151,8 @@
                         CEDED_COST
                     } else {
                         0.0
-                    };
+                    }
+                    + self.split_cost(placing, view, planned_here);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
@@ -151,7 +175,7 @@
 
     /// Returns whether an upstream runs a task of another job that is suspected of crashing
     /// upstreams: a crash would then not tell which of the two is the cause.
-    fn has_other_suspect(&self, view: &AgentView, state: &JobState) -> bool {
+    pub(crate) fn has_other_suspect(&self, view: &AgentView, state: &JobState) -> bool {
         let mut attempts = view.attempts.iter().filter_map(|id| self.attempts.get(id));
         attempts.any(|attempt| attempt.is_suspect && attempt.job_name != *state.name())
     }
@@ -163,7 +187,7 @@
 
     /// Returns the agents that a task must not be sent to again: those on which it failed, unless
     /// no other agent accepts tasks.
-    fn avoided<'a>(
+    pub(crate) fn avoided<'a>(
         &self,
         state: &'a JobState,
         step: u16,
@@ -179,11 +203,6 @@
     }
 }
 
-/// Returns the free capacity that is left after `planned_here` tasks.
-fn remaining(free: Resources, need: Resources, planned_here: u32) -> Resources {
-    (0..planned_here).fold(free, |free, _| free.saturating_sub(need))
-}
-
 /// Returns the cost of running a task at an agent; lower is better. The unit is the time until the
 /// objective.
 fn cost(
--- a/crates/direct/src/dispatcher/agent_view.rs
+++ b/crates/direct/src/dispatcher/agent_view.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     AttemptId, JobStep, Load, Upstream, UpstreamState,
-    dispatcher::{health::UpstreamHealth, speed::Speed},
+    dispatcher::{health::UpstreamHealth, passed_over::PassedOver, speed::Speed},
 };
 
 /// State of one agent as its entry knows it.
@@ -147,10 +147,20 @@
     /// message within `silence_ms`, and knows that the link is active. Before that it waits long for
     /// messages, so it would carry out a start that a dead path has held up for seconds.
     pub(crate) fn is_open(&self, now_ms: u64, silence_ms: u64) -> bool {
-        self.is_active
-            && self.load.switches_seen >= self.switches_sent
-            && self.accepts_tasks()
-            && now_ms.saturating_sub(self.last_heard_ms) < silence_ms
+        self.not_open(now_ms, silence_ms).is_none()
+    }
+
+    /// Returns why no tasks may be sent; `None` if the agent is open.
+    pub(crate) fn not_open(&self, now_ms: u64, silence_ms: u64) -> Option<PassedOver> {
+        if !self.accepts_tasks() {
+            Some(PassedOver::Closed)
+        } else if !self.is_active || self.load.switches_seen < self.switches_sent {
+            Some(PassedOver::Standby)
+        } else if now_ms.saturating_sub(self.last_heard_ms) >= silence_ms {
+            Some(PassedOver::Silent)
+        } else {
+            None
+        }
     }
 
     /// Returns whether the agent would accept tasks if its link were active, by its last report.
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -18,6 +18,8 @@
 mod job_outcomes;
 mod job_state;
 mod link_activity;
+mod lookahead;
+mod passed_over;
 mod placement;
 mod return_schedule;
 mod speed;
@@ -26,8 +28,13 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use indexmap::IndexMap;
+use types::Resources;
 
-pub use crate::dispatcher::summary::{AgentSummary, PoolCapacity};
+pub use crate::dispatcher::{
+    lookahead::LookAheadCounts,
+    passed_over::PassedOver,
+    summary::{AgentSummary, PoolCapacity},
+};
 use crate::{
     AgentHello, AttemptId, DirectJob, JobName, JobOutcome, JobTasks, RefusalReason, Report, TaskId,
     Timing, ToAgent, UnsettledAttempts,
@@ -41,6 +48,7 @@
         job_claim::StoppingJob,
         job_state::JobState,
         link_activity::LinkActivity,
+        lookahead::{ExpectedEnd, LookAhead},
         return_schedule::ReturnSchedule,
         speed::KindRatio,
     },
@@ -184,6 +192,8 @@
     is_suspect: bool,
     /// Whether it was stopped although its job goes on.
     is_withdrawn: bool,
+    need: Resources,
+    expected_end: ExpectedEnd,
 }
 
 impl OutstandingAttempt {
@@ -236,6 +246,7 @@
     contention: Contention,
     crashes: CrashLedger,
     containment: Containment,
+    lookahead: LookAhead,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -262,6 +273,7 @@
             contention: Contention::default(),
             crashes: CrashLedger::default(),
             containment: Containment::default(),
+            lookahead: LookAhead::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
@@ -326,6 +338,7 @@
         }
         let mut state = self.new_state(job, key, now_ms);
         state.held_waiters.extend(is_held.then_some(key));
+        self.lookahead.record_arrival(&state.job, now_ms);
         self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
--- /dev/null
+++ b/crates/direct/src/dispatcher/passed_over.rs
@@ -0,0 +1,135 @@
+//! Why an agent does not get a task.
+
+use crate::dispatcher::{
+    AgentKey, Dispatcher,
+    agent_choice::{Placing, TaskRequirements},
+    agent_view::AgentView,
+};
+
+types::plain! {
+    /// Why an agent is passed over for a task.
+    #[derive(Copy, Eq)]
+    pub enum PassedOver {
+        /// The agent is not connected, does not accept tasks, or its upstream is not ready.
+        Closed,
+        /// The agent has not sent a message in time.
+        Silent,
+        /// The link to the agent is on standby, or its activation is not confirmed yet.
+        Standby,
+        /// The upstream lacks the label that the task requires.
+        NoLabel,
+        /// The task would probably take too long on this upstream.
+        TooSlow,
+        /// The task has failed there before.
+        Avoided,
+        /// Jobs of this kind crash upstreams and are confined to others.
+        Confined,
+        /// The upstream runs another job that is suspected of crashing upstreams.
+        SuspectCompany,
+        /// The upstream is ejected or on probation.
+        Ejected,
+        /// The free capacity is too small.
+        NoRoom,
+        /// The upstream runs the maximum number of tasks of the step.
+        StepLimit,
+        /// Other entries compete for the last slots, and this entry does not try now.
+        Contested,
+        /// The capacity is reserved for a task of a more urgent or earlier job.
+        Reserved,
+        /// The last free capacity of the pool is kept for more urgent jobs.
+        KeptForUrgent,
+    }
+}
+
+impl PassedOver {
+    /// Returns the name of the reason in messages.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Silent => "silent",
+            Self::Standby => "standby",
+            Self::NoLabel => "no_label",
+            Self::TooSlow => "too_slow",
+            Self::Avoided => "avoided",
+            Self::Confined => "confined",
+            Self::SuspectCompany => "suspect_company",
+            Self::Ejected => "ejected",
+            Self::NoRoom => "no_room",
+            Self::StepLimit => "step_limit",
+            Self::Contested => "contested",
+            Self::Reserved => "reserved",
+            Self::KeptForUrgent => "kept_for_urgent",
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Returns why an agent of the pool gets no task now; `None` if it may get one. `avoided` holds
+    /// the agents to which this task is not sent again; `planned_here` and `planned` are the numbers
+    /// of the step's tasks that are already planned for this agent and for all agents.
+    pub(crate) fn passed_over(
+        &self,
+        placing: &Placing,
+        key: AgentKey,
+        view: &AgentView,
+        avoided: &[AgentKey],
+        (planned_here, planned): (u32, u32),
+    ) -> Option<PassedOver> {
+        self.unsuitable(placing, key, view, avoided)
+            .or_else(|| self.lacks_room(placing, key, view, planned_here))
+            .or_else(|| self.held_back(placing, key, (planned_here, planned)))
+    }
+
+    /// Returns why an agent of the pool gets no task whatever capacity is free there.
+    pub(crate) fn unsuitable(
+        &self,
+        placing: &Placing,
+        key: AgentKey,
+        view: &AgentView,
+        avoided: &[AgentKey],
+    ) -> Option<PassedOver> {
+        let Placing { state, step, requirements, .. } = *placing;
+        let TaskRequirements { now_ms, expected_ms, max_expected_ms, .. } = requirements;
+        if let Some(reason) = view.not_open(now_ms, self.timing.silence_ms) {
+            return Some(reason);
+        }
+        let labels = view.upstream.as_ref().map_or(&[][..], |upstream| &upstream.labels);
+        if step.label.as_ref().is_some_and(|label| !labels.contains(label)) {
+            Some(PassedOver::NoLabel)
+        } else if expected_ms / view.speed.value() > max_expected_ms {
+            Some(PassedOver::TooSlow)
+        } else if avoided.contains(&key) {
+            Some(PassedOver::Avoided)
+        } else if placing.is_confined && !self.containment.is_member(&state.job.kind, key) {
+            Some(PassedOver::Confined)
+        } else if placing.is_suspect && self.has_other_suspect(view, state) {
+            Some(PassedOver::SuspectCompany)
+        } else {
+            None
+        }
+    }
+
+    /// Returns why an agent that is suitable gets no task now because of what it runs.
+    fn lacks_room(
+        &self,
+        placing: &Placing,
+        key: AgentKey,
+        view: &AgentView,
+        planned_here: u32,
+    ) -> Option<PassedOver> {
+        let TaskRequirements { need, now_ms, .. } = placing.requirements;
+        if view.health.rejects_tasks(now_ms, view.attempts.len() + planned_here as usize) {
+            Some(PassedOver::Ejected)
+        } else if !need.fits_in(view.free().less(need, planned_here)) {
+            Some(PassedOver::NoRoom)
+        } else if placing.step.max_per_upstream.is_some_and(|most| {
+            planned_here + self.outstanding_at(key, placing.state, placing.step_index) >= most
+        }) {
+            Some(PassedOver::StepLimit)
+        } else if self.is_contest(key, need) && !self.contention.may_try(view.rank, now_ms) {
+            Some(PassedOver::Contested)
+        } else {
+            None
+        }
+    }
+}
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -15,10 +15,10 @@
 };
 
 /// Assignment of the tasks of one step to agents.
-struct StepPlan {
-    tasks_by_agent: IndexMap<AgentKey, Vec<u32>>,
+pub(crate) struct StepPlan {
+    pub(crate) tasks_by_agent: IndexMap<AgentKey, Vec<u32>>,
     /// Tasks for which there is no agent, the next one to start last.
-    unplaced: Vec<u32>,
+    pub(crate) unplaced: Vec<u32>,
 }
 
 impl Dispatcher {
@@ -31,6 +31,7 @@
         if self.admission == Admission::Closed(RefusalReason::Suspended) {
             return effects;
         }
+        self.begin_look_ahead_round(now_ms);
         let keys: Vec<JobKey> = self.queue.iter().map(|(.., key)| *key).collect();
         let mut free = self.max_free(now_ms);
         let mut unplaced = Vec::new();
@@ -71,6 +72,9 @@
             if self.start_late_or_refuse(key, is_brief, now_ms, &mut effects) {
                 free = self.max_free(now_ms);
             }
+            if !is_late {
+                self.reserve_for(key, now_ms);
+            }
         }
         self.backlog.record(is_overloaded, now_ms);
         if !unplaced.is_empty() {
@@ -151,7 +155,7 @@
         let Some(step) = state.eligible_steps().next() else { return false };
         let requirements =
             self.late_requirements(state, &state.job.steps[usize::from(step)], now_ms);
-        let plan = self.plan_step(state, step, &requirements);
+        let plan = self.plan_step(key, state, step, &requirements);
         if !plan.unplaced.is_empty() {
             return false;
         }
@@ -170,21 +174,26 @@
     ) {
         let state = &self.jobs[&key];
         let requirements = self.requirements(state, &state.job.steps[usize::from(step)], now_ms);
-        let plan = self.plan_step(state, step, &requirements);
+        let plan = self.plan_step(key, state, step, &requirements);
         self.send_attempts(key, step, plan, now_ms, effects);
     }
 
     /// Chooses an agent for each pending task of a step.
-    fn plan_step(&self, state: &JobState, step: u16, requirements: &TaskRequirements) -> StepPlan {
+    pub(crate) fn plan_step(
+        &self,
+        key: JobKey,
+        state: &JobState,
+        step: u16,
+        requirements: &TaskRequirements,
+    ) -> StepPlan {
+        let mut placing = self.placing(key, state, step, requirements);
+        placing.usable_milli_cores = self.usable_milli_cores(state, requirements);
         let mut planned: Vec<(AgentKey, u32)> = Vec::new();
         let mut plan = StepPlan { tasks_by_agent: IndexMap::new(), unplaced: Vec::new() };
         let mut is_exhausted = false;
         for &task in state.steps[usize::from(step)].pending.iter().rev() {
-            let agent = if is_exhausted {
-                None
-            } else {
-                self.choose_agent(state, step, task, requirements, &planned)
-            };
+            let agent =
+                if is_exhausted { None } else { self.choose_agent(&placing, task, &planned) };
             let Some(agent) = agent else {
                 // Tasks of a step differ only in the agents that they avoid.
                 is_exhausted |= state.avoids_no_agent(step, task);
@@ -212,9 +221,14 @@
     ) {
         let Some(state) = self.jobs.get(&key) else { return };
         let need = state.job.steps[usize::from(step)].need;
+        let place = state.queue_place(key);
+        let expected_ms = self.expected_ms(state, &state.job.steps[usize::from(step)]);
         let is_suspect = self.suspicion(state) != Suspicion::None;
         let contests: Vec<AgentKey> =
             plan.tasks_by_agent.keys().copied().filter(|key| self.is_contest(*key, need)).collect();
+        let is_reserved = |agent: &AgentKey| self.lookahead.has_reservation(*agent);
+        let reserved: Vec<AgentKey> =
+            plan.tasks_by_agent.keys().copied().filter(is_reserved).collect();
         let Some(state) = self.jobs.get_mut(&key) else { return };
         let task_work =
             f64::from(need.milli_cores) * f64::from(state.job.steps[usize::from(step)].estimate_ms);
@@ -225,6 +239,9 @@
             let work = task_work * tasks.len() as f64;
             self.containment.record_start(&state.job.kind, &state.job.pool, work, now_ms);
             let mut attempts = Vec::with_capacity(tasks.len());
+            let expected_end = self
+                .lookahead
+                .expect_end(now_ms, expected_ms / self.agents[agent.0 as usize].speed.value());
             for index in tasks {
                 let id = AttemptId(self.next_attempt);
                 self.next_attempt += 1;
@@ -241,6 +258,8 @@
                     is_contest,
                     is_suspect,
                     is_withdrawn: false,
+                    need,
+                    expected_end,
                 };
                 self.attempts.insert(id, attempt);
                 self.agents[agent.0 as usize].attempts.insert(id);
@@ -248,6 +267,7 @@
             let charge =
                 attempts.iter().fold(Resources::default(), |sum, _| sum.saturating_add(need));
             self.agents[agent.0 as usize].charge(charge);
+            self.lookahead.record_starts(place, agent, attempts.len());
             let payload = Arc::clone(&state.job.payload);
             let batch = AttemptBatch {
                 job: Arc::clone(&state.job.id),
@@ -260,5 +280,8 @@
             };
             effects.push(DispatcherEffect::Send(agent, ToAgent::Start(batch)));
         }
+        for agent in reserved {
+            self.update_slack(agent, now_ms);
+        }
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,8 +22,8 @@
 pub use crate::{
     claim::{Claim, ClaimEnd, ClaimId, ClaimNews},
     dispatcher::{
-        Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, LossCause,
-        PoolCapacity, WithdrawalCause,
+        Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, LookAheadCounts,
+        LossCause, PassedOver, PoolCapacity, WithdrawalCause,
     },
     fencing::FencingToken,
     job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -101,6 +101,9 @@
         let links = settings.advertised_links.unwrap_or(settings.links);
         let known_entries = Rc::new(KnownEntries::from_seeds(process, Some(links)));
         let events = Events::start(&process.name, process.log_decisions);
+        let mut dispatcher =
+            Dispatcher::new(process.timing, Arc::clone(&settings.zone), seed(&process.name));
+        dispatcher.set_look_ahead(settings.placement.look_ahead);
         Rc::new(Self {
             timing: process.timing,
             incarnation: clock::unix_ms(),
@@ -111,11 +114,7 @@
             events,
             name: Arc::clone(&process.name),
             grace_ms: Cell::new(process.grace_ms),
-            dispatcher: RefCell::new(Dispatcher::new(
-                process.timing,
-                Arc::clone(&settings.zone),
-                seed(&process.name),
-            )),
+            dispatcher: RefCell::new(dispatcher),
             pending_replies: RefCell::default(),
             agents: RefCell::default(),
             next_connection_id: Cell::new(0),
@@ -285,6 +284,9 @@
         let now_ms = self.now_ms();
         let effects = self.dispatcher.borrow_mut().tick(now_ms);
         self.apply(effects);
+        let counts = self.dispatcher.borrow().look_ahead_counts();
+        counter!("entry_reservations").absolute(counts.reservations);
+        counter!("entry_backfilled_tasks").absolute(counts.backfilled_tasks);
         self.events.flush();
         self.loop_delay.set_timer(if self.is_busy() { BUSY_TICK } else { IDLE_TICK });
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,7 +25,9 @@
 pub use crate::{
     agent::DirectAgent,
     entry::DirectEntry,
-    settings::{DirectAgentSettings, DirectEntrySettings, ProcessSettings, StoreSettings},
+    settings::{
+        DirectAgentSettings, DirectEntrySettings, PlacementSettings, ProcessSettings, StoreSettings,
+    },
     signals::stop_signal,
 };
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -24,6 +24,18 @@
         /// Most tasks of a job, over all its steps; larger jobs are rejected.
         #[serde(default = "default_max_job_tasks")]
         pub max_job_tasks: u64,
+        /// Optional parts of the placement of tasks.
+        #[serde(default)]
+        pub placement: PlacementSettings,
+    }
+
+    /// Settings of the placement of tasks.
+    #[derive(Copy, Default, Eq)]
+    #[serde(default)]
+    pub struct PlacementSettings {
+        /// Whether placement considers queued tasks and expected completions; otherwise each task
+        /// only uses what is free.
+        pub look_ahead: bool,
     }
 
     /// Settings of an agent for direct jobs.
--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Returns what is left after `count` times `need` is subtracted, at least zero.
+    #[must_use]
+    pub fn less(self, need: Self, count: u32) -> Self {
+        Self {
+            milli_cores: self.milli_cores.saturating_sub(need.milli_cores.saturating_mul(count)),
+            memory_mb: self.memory_mb.saturating_sub(need.memory_mb.saturating_mul(count)),
+            accelerators: self.accelerators.saturating_sub(need.accelerators.saturating_mul(count)),
+        }
+    }
+
     /// Subtracts in every dimension, saturating at zero.
     pub fn saturating_sub(self, other: Self) -> Self {
         Self {
