Bound the cost of look-ahead placement

Change: at most 2 searches in 10 ms; reservations are updated once a millisecond; a round remembers the needs for which no agent has the capacity and skips later tasks that need as much for as long.

--- a/crates/direct/src/dispatcher/agent_choice.rs
+++ b/crates/direct/src/dispatcher/agent_choice.rs
@@ -6,7 +6,7 @@
     JobStep,
     dispatcher::{
         AgentKey, Dispatcher, JobKey, agent_view::AgentView, crash_ledger::Suspicion,
-        job_state::JobState,
+        job_state::JobState, lookahead::split_cost,
     },
 };
 
@@ -40,6 +40,17 @@
     }
 }
 
+types::plain! {
+    /// Why there is no agent for a task.
+    #[derive(Copy, Eq)]
+    pub(crate) enum NoAgent {
+        /// No agent has the capacity; this holds for each later task that needs as much for as long.
+        Full,
+        /// Some agent is passed over for a reason that may not hold for another task.
+        Unsuitable,
+    }
+}
+
 /// What the placement of all tasks of a step has in common.
 #[derive(Debug)]
 pub(crate) struct Placing<'a> {
@@ -52,6 +63,8 @@
     pub(crate) is_confined: bool,
     /// Free processor capacity of the pool that is not kept for more urgent jobs, milli-cores.
     pub(crate) usable_milli_cores: f64,
+    /// Recent need beside which the tasks are small; `None` if they are not, or without look-ahead.
+    pub(crate) widest: Option<Resources>,
 }
 
 impl Dispatcher {
@@ -116,30 +129,35 @@
             is_suspect,
             is_confined: self.is_confined(state, requirements.now_ms),
             usable_milli_cores: f64::INFINITY,
+            widest: self.lookahead.widest_beside(&state.job.pool, requirements),
         }
     }
 
-    /// Returns the agent with the lowest cost that can run one task of the step. `planned` holds
-    /// the number of the step's tasks that are already planned for each agent.
+    /// Returns the agent with the lowest cost that can run one task of the step, or why there is
+    /// none. `planned` holds the number of the step's tasks that are already planned for each agent.
     pub(crate) fn choose_agent(
         &self,
         placing: &Placing,
         task: u32,
         planned: &[(AgentKey, u32)],
-    ) -> Option<AgentKey> {
+    ) -> Result<AgentKey, NoAgent> {
         let Placing { state, step_index, step, ref requirements, is_suspect, .. } = *placing;
         let avoided = self.avoided(state, step_index, task, requirements.now_ms);
         let planned_tasks = planned.iter().map(|(_, n)| n).sum();
         let mut best: Option<(f64, AgentKey)> = None;
+        let mut no_agent = NoAgent::Full;
         for (key, view) in self.active_agents() {
             let planned_here =
                 planned.iter().find(|(agent, _)| *agent == key).map_or(0, |(_, n)| *n);
             let Some(upstream) = &view.upstream else { continue };
-            if !view.is_in_pool(&state.job.pool)
-                || self
-                    .passed_over(placing, key, view, avoided, (planned_here, planned_tasks))
-                    .is_some()
-            {
+            if !view.is_in_pool(&state.job.pool) {
+                continue;
+            }
+            let counts = (planned_here, planned_tasks);
+            if let Some(reason) = self.passed_over(placing, key, view, avoided, counts) {
+                if !reason.holds_for_larger() && !self.is_taken(placing, key, view, counts) {
+                    no_agent = NoAgent::Unsuitable;
+                }
                 continue;
             }
             let is_near = *upstream.zone == *self.zone;
@@ -152,7 +170,7 @@
                     } else {
                         0.0
                     }
-                    + self.split_cost(placing, view, planned_here);
+                    + split_cost(placing, view, planned_here);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
@@ -160,10 +178,15 @@
         // An agent whose link is on standby may still run the task in time.
         let may_wait = requirements.now_ms < state.arrived_ms + WIDENING_WAIT_MS
             && requirements.max_expected_ms <= requirements.until_objective_ms;
-        best.filter(|(cost, _)| {
-            !(may_wait && *cost >= MISS_COST && self.has_standby(&state.job.pool, step))
-        })
-        .map(|(_, key)| key)
+        match best {
+            Some((cost, _))
+                if may_wait && cost >= MISS_COST && self.has_standby(&state.job.pool, step) =>
+            {
+                Err(NoAgent::Unsuitable)
+            }
+            Some((_, key)) => Ok(key),
+            None => Err(no_agent),
+        }
     }
 
     /// Returns whether a task with these needs would compete with other entries for the last slots
--- a/crates/direct/src/dispatcher/job_outcomes.rs
+++ b/crates/direct/src/dispatcher/job_outcomes.rs
@@ -75,6 +75,7 @@
         let Some(state) = self.jobs.swap_remove(&key) else { return Vec::new() };
         self.queue.remove(&state.queue_place(key));
         self.by_name.swap_remove(state.name());
+        self.lookahead.forget(key);
         self.end_claim(key, &state, outcome, effects);
         if state.outstanding > 0 {
             self.stop_attempts(key, cause, effects);
--- a/crates/direct/src/dispatcher/lookahead/mod.rs
+++ b/crates/direct/src/dispatcher/lookahead/mod.rs
@@ -54,12 +54,19 @@
         reservations: Vec<Reservation>,
         /// Number of reservations of a job that ended without a start.
         failed: IndexMap<JobKey, u8>,
-        /// Number of reservations that may still be made in this round of placement.
+        /// Number of searches that may still be made in the period that began at `searches_from_ms`.
         searches_left: u32,
+        searches_from_ms: u64,
+        /// Time at which the reservations were last brought up to date.
+        updated_ms: u64,
         urgent_work: UrgentWork,
         mean_run: MeanRun,
         /// Largest recent need of each pool and when it arrived.
         widest: Vec<(Arc<str>, Resources, u64)>,
+        /// Pool, need and run time of the tasks for which no agent has had the capacity in this
+        /// round. Without it, each queued job would be compared with each agent while capacity is
+        /// reserved.
+        full: Vec<(Arc<str>, Resources, f64)>,
         counts: LookAheadCounts,
     }
 }
@@ -94,6 +101,51 @@
         ExpectedEnd::new(now_ms, run_ms)
     }
 
+    /// Records that reservations of a job ended without a start, or that none was found.
+    fn record_failure(&mut self, job: JobKey, count: u8) {
+        let failed = self.failed.entry(job).or_insert(0);
+        *failed = failed.saturating_add(count);
+    }
+
+    /// Forgets a job that has been answered.
+    pub(crate) fn forget(&mut self, job: JobKey) {
+        self.failed.swap_remove(&job);
+    }
+
+    /// Ends a round of placement: agents may have capacity in the next one.
+    pub(crate) fn end_round(&mut self) {
+        self.full.clear();
+    }
+
+    /// Records that no agent has the capacity for a task with these requirements.
+    pub(crate) fn record_full(&mut self, pool: &Arc<str>, requirements: &TaskRequirements) {
+        if self.is_on && !self.is_full(pool, requirements) {
+            self.full.push((Arc::clone(pool), requirements.need, requirements.expected_ms));
+        }
+    }
+
+    /// Returns whether no agent had the capacity for a task in this round that needs no more than
+    /// these requirements.
+    pub(crate) fn is_full(&self, pool: &str, requirements: &TaskRequirements) -> bool {
+        self.full.iter().any(|(known, need, expected_ms)| {
+            **known == *pool
+                && need.fits_in(requirements.need)
+                && *expected_ms <= requirements.expected_ms
+        })
+    }
+
+    /// Returns the largest recent need of a pool if a task needs at most half of it.
+    pub(crate) fn widest_beside(
+        &self,
+        pool: &str,
+        requirements: &TaskRequirements,
+    ) -> Option<Resources> {
+        let TaskRequirements { need, now_ms, .. } = *requirements;
+        let (_, widest, seen_ms) = self.widest.iter().find(|(known, ..)| **known == *pool)?;
+        let is_small = need.milli_cores.saturating_mul(2) <= widest.milli_cores;
+        (is_small && now_ms < *seen_ms + WIDEST_NEED_MS).then_some(*widest)
+    }
+
     /// Returns whether an agent is reserved for a task.
     pub(crate) fn has_reservation(&self, agent: AgentKey) -> bool {
         self.reservations.iter().any(|reservation| reservation.agent == agent)
@@ -116,7 +168,8 @@
 impl Dispatcher {
     /// Sets whether placement considers queued tasks and expected completions.
     pub fn set_look_ahead(&mut self, is_on: bool) {
-        self.lookahead = LookAhead { is_on, ..LookAhead::default() };
+        let searches_left = reservations::MAX_SEARCHES;
+        self.lookahead = LookAhead { is_on, searches_left, ..LookAhead::default() };
     }
 
     /// Returns what look-ahead placement has done since it was set.
@@ -164,6 +217,9 @@
         if with_this * f64::from(need.milli_cores) > placing.usable_milli_cores {
             return Some(PassedOver::KeptForUrgent);
         }
+        if !self.lookahead.has_reservation(key) {
+            return None;
+        }
         let place = placing.state.queue_place(placing.key);
         let speed = self.agents[key.0 as usize].speed.value();
         let end = ExpectedEnd::new(now_ms, expected_ms / speed * BACKFILL_MARGIN);
@@ -175,24 +231,13 @@
         });
         is_reserved.then_some(PassedOver::Reserved)
     }
+}
 
-    /// Returns the cost of a small task that takes the last room for a large one at an agent.
-    pub(crate) fn split_cost(&self, placing: &Placing, view: &AgentView, planned_here: u32) -> f64 {
-        if !self.lookahead.is_on {
-            return 0.0;
-        }
-        let TaskRequirements { need, now_ms, .. } = placing.requirements;
-        let pool = &placing.state.job.pool;
-        let mut widest = self.lookahead.widest.iter();
-        let Some((_, widest, seen_ms)) = widest.find(|(known, ..)| known == pool) else {
-            return 0.0;
-        };
-        let is_small = need.milli_cores.saturating_mul(2) <= widest.milli_cores;
-        if !is_small || now_ms >= *seen_ms + WIDEST_NEED_MS {
-            return 0.0;
-        }
-        let free = view.free().less(need, planned_here);
-        let splits = widest.fits_in(free) && !widest.fits_in(free.less(need, 1));
-        if splits { SPLIT_COST } else { 0.0 }
-    }
+/// Returns the cost of a small task that takes the last room for a large one at an agent.
+pub(crate) fn split_cost(placing: &Placing, view: &AgentView, planned_here: u32) -> f64 {
+    let Some(widest) = placing.widest else { return 0.0 };
+    let need = placing.requirements.need;
+    let free = view.free().less(need, planned_here);
+    let splits = widest.fits_in(free) && !widest.fits_in(free.less(need, 1));
+    if splits { SPLIT_COST } else { 0.0 }
 }
--- a/crates/direct/src/dispatcher/lookahead/reservations.rs
+++ b/crates/direct/src/dispatcher/lookahead/reservations.rs
@@ -8,12 +8,15 @@
 /// placement. A task for which there is none waits as it does without look-ahead.
 const MAX_RESERVATIONS: usize = 16;
 const MAX_JOB_RESERVATIONS: usize = 4;
-/// Maximum number of searches for an agent to reserve in a round of placement; each visits all
-/// attempts of this entry.
-const MAX_SEARCHES: u32 = 4;
+/// Maximum number of searches for an agent to reserve in a period, and the period, milliseconds. A
+/// search visits all agents and all attempts of this entry, which takes some 60 microseconds.
+pub(crate) const MAX_SEARCHES: u32 = 2;
+const SEARCH_PERIOD_MS: u64 = 10;
 /// Number of reservations of a job that may end without a start; after these, its estimates or the
 /// load of other entries make further ones useless.
 const MAX_FAILED: u8 = 8;
+/// Number of these that a search without a result counts for.
+const VAIN_SEARCH: u8 = 4;
 /// Time after the expected start at which a reservation ends, milliseconds: two periods of the
 /// reports of a busy agent.
 const MARGIN_MS: u64 = 40;
@@ -54,20 +57,25 @@
             return;
         }
         self.lookahead.urgent_work.clear_queued();
-        self.lookahead.searches_left = MAX_SEARCHES;
+        if now_ms >= self.lookahead.searches_from_ms + SEARCH_PERIOD_MS {
+            self.lookahead.searches_from_ms = now_ms;
+            self.lookahead.searches_left = MAX_SEARCHES;
+        }
+        // Several rounds in a millisecond see nearly the same state.
+        if self.lookahead.reservations.is_empty() || now_ms == self.lookahead.updated_ms {
+            return;
+        }
+        self.lookahead.updated_ms = now_ms;
         let mut reservations = std::mem::take(&mut self.lookahead.reservations);
         reservations.retain(|reservation| match self.validity(reservation, now_ms) {
             Validity::InForce => true,
             Validity::Ended => false,
             Validity::Failed => {
-                let failed = self.lookahead.failed.entry(reservation.job).or_insert(0);
-                *failed = failed.saturating_add(1);
+                self.lookahead.record_failure(reservation.job, 1);
                 false
             }
         });
         self.lookahead.reservations = reservations;
-        let jobs = &self.jobs;
-        self.lookahead.failed.retain(|job, _| jobs.contains_key(job));
         for index in 0..self.lookahead.reservations.len() {
             self.lookahead.reservations[index].slack = self.slack(index, now_ms);
         }
@@ -133,24 +141,29 @@
             return;
         }
         let is_of_job = |reservation: &Reservation| reservation.job == key;
+        let mut held = self.lookahead.reservations.iter().filter(|r| is_of_job(r)).count();
         let Some(state) = self.jobs.get(&key) else {
             self.lookahead.reservations.retain(|reservation| !is_of_job(reservation));
             return;
         };
-        self.lookahead.reservations.retain(|reservation| {
-            let step = &state.steps[usize::from(reservation.step)];
-            !is_of_job(reservation) || step.pending.contains(&reservation.task)
-        });
-        let mut held = self.lookahead.reservations.iter().filter(|r| is_of_job(r)).count();
-        let has_failed =
-            self.lookahead.failed.get(&key).is_some_and(|failed| *failed >= MAX_FAILED);
+        if held > 0 {
+            self.lookahead.reservations.retain(|reservation| {
+                !is_of_job(reservation)
+                    || state.steps[usize::from(reservation.step)]
+                        .pending
+                        .contains(&reservation.task)
+            });
+            held = self.lookahead.reservations.iter().filter(|r| is_of_job(r)).count();
+        }
         let Some(step) = state.eligible_steps().next() else { return };
         let pending = &state.steps[usize::from(step)].pending;
         let need = state.job.steps[usize::from(step)].need;
         let waiting = u32::try_from(pending.len()).unwrap_or(u32::MAX);
         let milli_cores = f64::from(need.milli_cores) * f64::from(waiting);
         self.lookahead.urgent_work.record_queued(&state.job, milli_cores);
-        if has_failed {
+        let has_failed =
+            self.lookahead.failed.get(&key).is_some_and(|failed| *failed >= MAX_FAILED);
+        if has_failed || self.lookahead.searches_left == 0 {
             return;
         }
         let first = pending.iter().rev().take(MAX_JOB_RESERVATIONS);
@@ -167,7 +180,10 @@
                 return;
             }
             self.lookahead.searches_left -= 1;
-            let Some(reservation) = self.find_reservation(key, step, task, now_ms) else { return };
+            let Some(reservation) = self.find_reservation(key, step, task, now_ms) else {
+                self.lookahead.record_failure(key, VAIN_SEARCH);
+                return;
+            };
             self.lookahead.reservations.push(reservation);
             self.lookahead.counts.reservations += 1;
             held += 1;
--- a/crates/direct/src/dispatcher/passed_over.rs
+++ b/crates/direct/src/dispatcher/passed_over.rs
@@ -38,10 +38,37 @@
         Reserved,
         /// The last free capacity of the pool is kept for more urgent jobs.
         KeptForUrgent,
+        /// Other agents cost less, for example because they are faster or nearer.
+        Costlier,
+        /// The task would probably miss the objective there and waits for agents on standby first.
+        AwaitsStandby,
     }
 }
 
 impl PassedOver {
+    /// Returns whether the reason also holds for a task that is later in the queue and needs as much
+    /// for as long.
+    pub(crate) fn holds_for_larger(self) -> bool {
+        match self {
+            Self::Closed
+            | Self::Silent
+            | Self::Standby
+            | Self::Ejected
+            | Self::NoRoom
+            | Self::Contested
+            | Self::Reserved
+            | Self::KeptForUrgent => true,
+            Self::NoLabel
+            | Self::TooSlow
+            | Self::Avoided
+            | Self::Confined
+            | Self::SuspectCompany
+            | Self::StepLimit
+            | Self::Costlier
+            | Self::AwaitsStandby => false,
+        }
+    }
+
     /// Returns the name of the reason in messages.
     pub fn name(self) -> &'static str {
         match self {
@@ -59,6 +86,8 @@
             Self::Contested => "contested",
             Self::Reserved => "reserved",
             Self::KeptForUrgent => "kept_for_urgent",
+            Self::Costlier => "costlier",
+            Self::AwaitsStandby => "awaits_standby",
         }
     }
 }
@@ -80,6 +109,20 @@
             .or_else(|| self.held_back(placing, key, (planned_here, planned)))
     }
 
+    /// Returns whether an agent lacks the capacity for a task, so that this also holds for a task
+    /// that is later in the queue and needs as much for as long.
+    pub(crate) fn is_taken(
+        &self,
+        placing: &Placing,
+        key: AgentKey,
+        view: &AgentView,
+        (planned_here, planned): (u32, u32),
+    ) -> bool {
+        self.lacks_room(placing, key, view, planned_here)
+            .or_else(|| self.held_back(placing, key, (planned_here, planned)))
+            .is_some_and(PassedOver::holds_for_larger)
+    }
+
     /// Returns why an agent of the pool gets no task whatever capacity is free there.
     pub(crate) fn unsuitable(
         &self,
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -9,7 +9,9 @@
     Attempt, AttemptBatch, AttemptId, RefusalReason, ToAgent,
     dispatcher::{
         Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, OutstandingAttempt,
-        agent_choice::TaskRequirements, agent_view::AgentView, crash_ledger::Suspicion,
+        agent_choice::{NoAgent, TaskRequirements},
+        agent_view::AgentView,
+        crash_ledger::Suspicion,
         job_state::JobState,
     },
 };
@@ -19,6 +21,8 @@
     pub(crate) tasks_by_agent: IndexMap<AgentKey, Vec<u32>>,
     /// Tasks for which there is no agent, the next one to start last.
     pub(crate) unplaced: Vec<u32>,
+    /// Whether no agent has the capacity for one more task.
+    is_full: bool,
 }
 
 impl Dispatcher {
@@ -77,6 +81,7 @@
             }
         }
         self.backlog.record(is_overloaded, now_ms);
+        self.lookahead.end_round();
         if !unplaced.is_empty() {
             self.widen_for(&unplaced, now_ms, &mut effects);
         }
@@ -156,6 +161,9 @@
         let requirements =
             self.late_requirements(state, &state.job.steps[usize::from(step)], now_ms);
         let plan = self.plan_step(key, state, step, &requirements);
+        if plan.is_full {
+            self.lookahead.record_full(&state.job.pool, &requirements);
+        }
         if !plan.unplaced.is_empty() {
             return false;
         }
@@ -175,6 +183,9 @@
         let state = &self.jobs[&key];
         let requirements = self.requirements(state, &state.job.steps[usize::from(step)], now_ms);
         let plan = self.plan_step(key, state, step, &requirements);
+        if plan.is_full {
+            self.lookahead.record_full(&state.job.pool, &requirements);
+        }
         self.send_attempts(key, step, plan, now_ms, effects);
     }
 
@@ -189,11 +200,17 @@
         let mut placing = self.placing(key, state, step, requirements);
         placing.usable_milli_cores = self.usable_milli_cores(state, requirements);
         let mut planned: Vec<(AgentKey, u32)> = Vec::new();
-        let mut plan = StepPlan { tasks_by_agent: IndexMap::new(), unplaced: Vec::new() };
-        let mut is_exhausted = false;
+        let mut plan =
+            StepPlan { tasks_by_agent: IndexMap::new(), unplaced: Vec::new(), is_full: false };
+        let mut is_exhausted = self.lookahead.is_full(&state.job.pool, requirements);
         for &task in state.steps[usize::from(step)].pending.iter().rev() {
-            let agent =
-                if is_exhausted { None } else { self.choose_agent(&placing, task, &planned) };
+            let agent = if is_exhausted {
+                None
+            } else {
+                let chosen = self.choose_agent(&placing, task, &planned);
+                plan.is_full |= chosen == Err(NoAgent::Full);
+                chosen.ok()
+            };
             let Some(agent) = agent else {
                 // Tasks of a step differ only in the agents that they avoid.
                 is_exhausted |= state.avoids_no_agent(step, task);
