Add the command explain-placement

Cause: an operator could not tell why a job waits or where it would be placed.

Change: an entry answers GET /placement at its metrics address: where the tasks of a job would start now, and why each agent gets none or no more. The reasons come from the checks that placement uses; the dispatcher is not changed by the question. The command explain-placement prints the reply as text or JSON, and says what to check when the entry cannot be reached.

--- a/crates/direct/src/dispatcher/admission.rs
+++ b/crates/direct/src/dispatcher/admission.rs
@@ -25,49 +25,7 @@
     /// Creates the state of a job that arrived now, with the times that follow from its objective.
     pub(crate) fn new_state(&mut self, job: DirectJob, key: JobKey, now_ms: u64) -> JobState {
         let age_ms = self.caller_ages.observe(&job);
-        #[allow(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss
-        )]
-        let chain_ms = (job.longest_chain_ms() as f64 * job.stretch) as u64;
-        let objective_ms = chain_ms.saturating_add(job.allowance_ms);
-        let share_ms = |share: f64| {
-            #[allow(
-                clippy::cast_precision_loss,
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss
-            )]
-            let share_ms = (objective_ms as f64 * share) as u64;
-            share_ms
-        };
-        let steps = job
-            .steps
-            .iter()
-            .map(|step| StepState {
-                pending: (0..step.tasks).rev().collect(),
-                unfinished: step.tasks,
-            })
-            .collect();
-        JobState {
-            name: job.name(),
-            tasks: job.tasks(),
-            arrived_ms: now_ms,
-            objective_ms,
-            objective_at_ms: now_ms.saturating_add(objective_ms).saturating_sub(age_ms),
-            is_late: age_ms.saturating_add(job.longest_chain_ms()) > objective_ms,
-            deadline_ms: now_ms.saturating_add(job.caller_timeout_ms),
-            refuse_at_ms: now_ms.saturating_add(share_ms(MAX_WAIT_SHARE)),
-            refuse_at_brief_ms: now_ms.saturating_add(share_ms(MAX_BRIEF_WAIT_SHARE)),
-            steps,
-            histories: IndexMap::new(),
-            outstanding: 0,
-            has_run: false,
-            waiters: vec![key],
-            held_waiters: Vec::new(),
-            claim: JobClaim::default(),
-            job,
-        }
+        state_of(job, key, now_ms, age_ms)
     }
 
     /// Returns the outcome of a job of which some step fits no known upstream of the pool; `None`
@@ -108,3 +66,43 @@
         JobOutcome::NotRun { reason, retry_after_ms }
     }
 }
+
+/// Returns the state of a job that arrived now, whose caller began to wait `age_ms` ago.
+pub(crate) fn state_of(job: DirectJob, key: JobKey, now_ms: u64, age_ms: u64) -> JobState {
+    #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let chain_ms = (job.longest_chain_ms() as f64 * job.stretch) as u64;
+    let objective_ms = chain_ms.saturating_add(job.allowance_ms);
+    let share_ms = |share: f64| {
+        #[allow(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss
+        )]
+        let share_ms = (objective_ms as f64 * share) as u64;
+        share_ms
+    };
+    let steps = job
+        .steps
+        .iter()
+        .map(|step| StepState { pending: (0..step.tasks).rev().collect(), unfinished: step.tasks })
+        .collect();
+    JobState {
+        name: job.name(),
+        tasks: job.tasks(),
+        arrived_ms: now_ms,
+        objective_ms,
+        objective_at_ms: now_ms.saturating_add(objective_ms).saturating_sub(age_ms),
+        is_late: age_ms.saturating_add(job.longest_chain_ms()) > objective_ms,
+        deadline_ms: now_ms.saturating_add(job.caller_timeout_ms),
+        refuse_at_ms: now_ms.saturating_add(share_ms(MAX_WAIT_SHARE)),
+        refuse_at_brief_ms: now_ms.saturating_add(share_ms(MAX_BRIEF_WAIT_SHARE)),
+        steps,
+        histories: IndexMap::new(),
+        outstanding: 0,
+        has_run: false,
+        waiters: vec![key],
+        held_waiters: Vec::new(),
+        claim: JobClaim::default(),
+        job,
+    }
+}
--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 mod contention;
 mod crash_ledger;
 mod crash_response;
+mod explanation;
 mod health;
 mod job_claim;
 mod job_outcomes;
@@ -31,6 +32,7 @@
 use types::Resources;
 
 pub use crate::dispatcher::{
+    explanation::{AgentPlacement, PlacementAnswer, PlacementQuestion},
     lookahead::LookAheadCounts,
     passed_over::PassedOver,
     summary::{AgentSummary, PoolCapacity},
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,8 +22,9 @@
 pub use crate::{
     claim::{Claim, ClaimEnd, ClaimId, ClaimNews},
     dispatcher::{
-        Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, LookAheadCounts,
-        LossCause, PassedOver, PoolCapacity, WithdrawalCause,
+        Admission, AgentKey, AgentPlacement, AgentSummary, Dispatcher, DispatcherEffect, JobKey,
+        LookAheadCounts, LossCause, PassedOver, PlacementAnswer, PlacementQuestion, PoolCapacity,
+        WithdrawalCause,
     },
     fencing::FencingToken,
     job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
--- a/crates/ebonycroft/src/cli_error.rs
+++ b/crates/ebonycroft/src/cli_error.rs
@@ -29,6 +29,18 @@
     /// A step of the command failed.
     #[error(transparent)]
     Step(#[from] StepError),
+    /// An entry's metrics address gives no usable reply.
+    #[error(
+        "asking the entry at {address}: {problem}. Check that the entry runs, that `process.metrics` \
+         in its settings is this address, and that this machine can connect to it; an agent or an \
+         earlier version does not answer this question"
+    )]
+    Unreachable {
+        /// The address.
+        address: String,
+        /// What happened.
+        problem: String,
+    },
     /// An entry or agent refused a request.
     #[error("{step}: {status}: {detail}")]
     Refused {
@@ -53,7 +65,7 @@
     /// patch.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Step(_) | Self::Read { .. } => 1,
+            Self::Step(_) | Self::Read { .. } | Self::Unreachable { .. } => 1,
             Self::Usage(_) => 2,
             Self::Settings { .. } => 3,
             Self::Refused { .. } => 4,
--- a/crates/ebonycroft/src/command.rs
+++ b/crates/ebonycroft/src/command.rs
@@ -17,11 +17,12 @@
         Status,
         Drain,
         Explain,
+        ExplainPlacement,
     }
 }
 
 impl Command {
-    pub(crate) const ALL: [Self; 13] = [
+    pub(crate) const ALL: [Self; 14] = [
         Self::Try,
         Self::Entry,
         Self::Agent,
@@ -35,6 +36,7 @@
         Self::Status,
         Self::Drain,
         Self::Explain,
+        Self::ExplainPlacement,
     ];
 
     pub(crate) fn name(self) -> &'static str {
@@ -52,6 +54,7 @@
             Self::Status => "status",
             Self::Drain => "drain",
             Self::Explain => "explain",
+            Self::ExplainPlacement => "explain-placement",
         }
     }
 
@@ -70,6 +73,7 @@
             Self::Status => "print the state of an entry or its upstreams",
             Self::Drain => "stop an entry or agent without interrupting requests",
             Self::Explain => "show the path of one request through the logs of several processes",
+            Self::ExplainPlacement => "ask an entry where a job would be placed now, and why",
         }
     }
 
--- a/crates/ebonycroft/src/commands/mod.rs
+++ b/crates/ebonycroft/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod direct;
 mod emulator;
 mod explain;
+mod explain_placement;
 mod load;
 mod local_system;
 mod operator;
@@ -26,6 +27,7 @@
         Command::Load => load::run(args).await,
         Command::Check => check::run(args),
         Command::Explain => explain::run(args),
+        Command::ExplainPlacement => explain_placement::run(args).await,
         Command::Get | Command::Patch | Command::Status | Command::Drain => {
             operator::run(command, args).await
         }
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -7,6 +7,7 @@
 mod decisions;
 mod direct_system;
 mod ending_entry;
+mod explain_placement;
 mod fleet;
 mod held_up_request;
 mod held_up_start;
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -76,7 +76,7 @@
     ) -> Result<(), StepError> {
         let watch = file.map(SettingsWatch::new).transpose()?;
         let Self { file_settings, settings, state, control } = self;
-        metrics_server::start(settings.process.metrics).await?;
+        metrics_server::start(settings.process.metrics, |_| None).await?;
         let store = StoreAccess::new(&settings.process.store, Rc::clone(&state.events))?;
         let fields = [
             ("control", json!(settings.control.to_string())),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod agent_links;
 mod callers;
 mod link_progress;
+mod placement_query;
 mod state;
 
 use std::{
@@ -92,7 +93,10 @@
     ) -> Result<(), StepError> {
         let watch = file.map(SettingsWatch::new).transpose()?;
         let Self { file_settings, settings, state, callers, readiness, links } = self;
-        metrics_server::start(settings.process.metrics).await?;
+        let placement_state = Rc::clone(&state);
+        let placement =
+            move |req: &Request<Incoming>| placement_query::respond(&placement_state, req.uri());
+        metrics_server::start(settings.process.metrics, placement).await?;
         let is_closing = Rc::new(Cell::new(false));
         let store = StoreAccess::new(&settings.process.store, Rc::clone(&state.events))?;
         let fields = [
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,8 +11,8 @@
 
 use direct::{
     Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello,
-    EntryMessage, JobKey, JobName, JobOutcome, LossCause, PoolCapacity, RefusalReason, Report,
-    Routing, Timing, ToAgent, choose_peers,
+    EntryMessage, JobKey, JobName, JobOutcome, LossCause, PlacementAnswer, PlacementQuestion,
+    PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent, choose_peers,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -184,6 +184,12 @@
         self.dispatcher.borrow().pool_capacity(pool, self.suspensions.last_check_ms())
     }
 
+    /// Returns where a job would be placed now; changes nothing.
+    pub(crate) fn explain_placement(&self, question: &PlacementQuestion) -> PlacementAnswer {
+        let now_ms = self.suspensions.last_check_ms();
+        self.dispatcher.borrow().explain_placement(question, now_ms)
+    }
+
     pub(crate) fn routing(&self) -> Option<Rc<Routing>> {
         self.config.borrow().as_ref().map(|config| Rc::clone(&config.routing))
     }
--- a/crates/node/src/metrics_server.rs
+++ b/crates/node/src/metrics_server.rs
@@ -1,12 +1,12 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use http_body_util::Full;
-use hyper::Response;
+use hyper::{Request, Response, body::Incoming};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{task::spawn_local, time::sleep};
 use types::{Peer, StepError};
 
-use crate::http_server::{ConnectionLimits, HttpServer, listen};
+use crate::http_server::{ConnectionLimits, HttpResponse, HttpServer, listen};
 
 /// Period of the recorder's maintenance. At 1,000 answers a second it keeps some 5,000 observations.
 const MAINTENANCE_PERIOD: Duration = Duration::from_secs(5);
@@ -14,8 +14,12 @@
 /// Upper bounds of the latency buckets, seconds, for tasks that run for 50 ms to a few seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
 
-/// Installs the metrics recorder and serves the metrics at `addr`; does nothing without an address.
-pub(crate) async fn start(addr: Option<SocketAddr>) -> Result<(), StepError> {
+/// Installs the metrics recorder and serves the metrics at `addr`, except requests that `other`
+/// answers; does nothing without an address.
+pub(crate) async fn start(
+    addr: Option<SocketAddr>,
+    other: impl Fn(&Request<Incoming>) -> Option<HttpResponse> + Clone + 'static,
+) -> Result<(), StepError> {
     let Some(addr) = addr else { return Ok(()) };
     let fail = |e: metrics_exporter_prometheus::BuildError| {
         StepError::new("installing the metrics recorder", Peer::Local, e)
@@ -26,7 +30,11 @@
     spawn_local(maintain(handle.clone()));
     spawn_local(async move {
         let server = HttpServer::new(Rc::new(Cell::new(false)));
-        let handler = move |_req| render(handle.clone());
+        let handler = move |req| {
+            let response = other(&req);
+            let handle = handle.clone();
+            async move { response.unwrap_or_else(|| render(&handle)) }
+        };
         server.accept_until(&listener, || LIMITS, handler, std::future::pending()).await;
     });
     Ok(())
@@ -41,6 +49,6 @@
     }
 }
 
-async fn render(handle: PrometheusHandle) -> Response<Full<bytes::Bytes>> {
+fn render(handle: &PrometheusHandle) -> HttpResponse {
     Response::new(Full::new(handle.render().into()))
 }
