Make the test of capacity that another entry takes stricter

Cause: it also passed without the end of reservations, because the large job is refused at 1,008 ms. Change: the held-back task must start before 900 ms.

--- a/crates/direct/tests/look_ahead.rs
+++ b/crates/direct/tests/look_ahead.rs
@@ -264,7 +264,9 @@
         let effects = site.entry.on_report(agent, report(None, cores(2), 1), now_ms);
         site.apply(&effects, now_ms);
     }
-    assert!(site.start_of("long").is_some());
+    // From 1,008 on, the large job is refused.
+    let started_ms = site.start_of("long").expect("the reservations end");
+    assert!(started_ms < 900, "{started_ms}");
 }
 
 // A long task of a less urgent job took the last capacity, and each urgent job of the next tenths
