--- a/crates/direct/src/dispatcher/mod.rs
+++ b/crates/direct/src/dispatcher/mod.rs
@@ -15,11 +15,14 @@
 mod crash_ledger;
 mod crash_response;
 mod evacuation;
+mod explanation;
 mod health;
 mod job_claim;
 mod job_outcomes;
 mod job_state;
 mod link_activity;
+mod lookahead;
+mod passed_over;
 mod placement;
 mod refusals;
 mod report_pacing;
@@ -31,8 +34,14 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use indexmap::IndexMap;
+use types::Resources;
 
-pub use crate::dispatcher::summary::{AgentSummary, PoolCapacity};
+pub use crate::dispatcher::{
+    explanation::{AgentPlacement, PlacementAnswer, PlacementQuestion},
+    lookahead::LookAheadCounts,
+    passed_over::PassedOver,
+    summary::{AgentSummary, PoolCapacity},
+};
 use crate::{
     AgentHello, AttemptId, DirectJob, Evacuations, JobName, JobOutcome, JobTasks, RefusalReason,
     Report, TaskId, Timing, ToAgent, UnsettledAttempts,
@@ -47,6 +56,7 @@
         job_claim::StoppingJob,
         job_state::JobState,
         link_activity::LinkActivity,
+        lookahead::{ExpectedEnd, LookAhead},
         report_pacing::ReportPacing,
         return_schedule::ReturnSchedule,
         run_times::KindRunTimes,
@@ -193,6 +203,8 @@
     is_cold: bool,
     /// Whether it was stopped although its job goes on.
     is_withdrawn: bool,
+    need: Resources,
+    expected_end: ExpectedEnd,
 }
 
 impl OutstandingAttempt {
@@ -248,6 +260,7 @@
     crashes: CrashLedger,
     containment: Containment,
     evacuations: Evacuations,
+    lookahead: LookAhead,
     next_job: u64,
     next_attempt: u64,
     admission: Admission,
@@ -277,6 +290,7 @@
             crashes: CrashLedger::default(),
             containment: Containment::default(),
             evacuations: Evacuations::default(),
+            lookahead: LookAhead::default(),
             next_job: 0,
             next_attempt: 0,
             admission: Admission::Open,
@@ -352,6 +366,7 @@
         }
         let mut state = self.new_state(job, key, now_ms);
         state.held_waiters.extend(is_held.then_some(key));
+        self.lookahead.record_arrival(&state.job, now_ms);
         self.by_name.insert(state.name().clone(), key);
         self.queue.insert(state.queue_place(key));
         self.jobs.insert(key, state);
--- a/crates/direct/src/dispatcher/placement.rs
+++ b/crates/direct/src/dispatcher/placement.rs
@@ -9,16 +9,21 @@
     Attempt, AttemptBatch, AttemptId, RefusalReason, ToAgent,
     dispatcher::{
         Admission, AgentKey, Dispatcher, DispatcherEffect, JobKey, OutstandingAttempt,
-        agent_choice::TaskRequirements, agent_view::AgentView, crash_ledger::Suspicion,
-        job_state::JobState, refusals::RefusalWait,
+        agent_choice::{NoAgent, Placing, TaskRequirements},
+        agent_view::AgentView,
+        crash_ledger::Suspicion,
+        job_state::JobState,
+        refusals::RefusalWait,
     },
 };
 
 /// Assignment of the tasks of one step to agents.
-struct StepPlan {
-    tasks_by_agent: IndexMap<AgentKey, Vec<u32>>,
+pub(crate) struct StepPlan {
+    pub(crate) tasks_by_agent: IndexMap<AgentKey, Vec<u32>>,
     /// Tasks for which there is no agent, the next one to start last.
-    unplaced: Vec<u32>,
+    pub(crate) unplaced: Vec<u32>,
+    /// Whether no agent has the capacity for one more task.
+    is_full: bool,
 }
 
 impl Dispatcher {
@@ -31,8 +36,10 @@
         if self.admission == Admission::Closed(RefusalReason::Suspended) {
             return effects;
         }
+        self.begin_look_ahead_round(now_ms);
         if self.queue.is_empty() {
             self.backlog.record(false, now_ms);
+            self.lookahead.end_round();
             return effects;
         }
         let keys: Vec<JobKey> = self.queue.iter().map(|(.., key)| *key).collect();
@@ -77,8 +84,12 @@
             if self.start_late_or_refuse(key, is_brief, now_ms, &mut effects) {
                 free = self.max_free(now_ms);
             }
+            if !is_late {
+                self.reserve_for(key, now_ms);
+            }
         }
         self.backlog.record(is_overloaded, now_ms);
+        self.lookahead.end_round();
         if !unplaced.is_empty() {
             self.widen_for(&unplaced, now_ms, &mut effects);
         }
@@ -190,7 +201,10 @@
         effects: &mut Vec<DispatcherEffect>,
     ) -> bool {
         let Some(state) = self.jobs.get(&key) else { return false };
-        let plan = self.plan_step(state, step, requirements);
+        let plan = self.plan_step(key, state, step, requirements);
+        if plan.is_full {
+            self.lookahead.record_full(&state.job.pool, requirements);
+        }
         if !plan.unplaced.is_empty() {
             return false;
         }
@@ -209,23 +223,37 @@
     ) {
         let state = &self.jobs[&key];
         let requirements = self.requirements(state, step, now_ms);
-        let plan = self.plan_step(state, step, &requirements);
+        let plan = self.plan_step(key, state, step, &requirements);
+        if plan.is_full {
+            self.lookahead.record_full(&state.job.pool, &requirements);
+        }
         self.send_attempts(key, step, plan, now_ms, effects);
     }
 
     /// Chooses an agent for each pending task of a step.
-    fn plan_step(&self, state: &JobState, step: u16, requirements: &TaskRequirements) -> StepPlan {
+    pub(crate) fn plan_step(
+        &self,
+        key: JobKey,
+        state: &JobState,
+        step: u16,
+        requirements: &TaskRequirements,
+    ) -> StepPlan {
+        let mut placing = self.placing(key, state, step, requirements);
+        placing.usable_milli_cores = self.usable_milli_cores(state, requirements);
         let mut planned: Vec<(AgentKey, u32)> = Vec::new();
-        let mut plan = StepPlan { tasks_by_agent: IndexMap::new(), unplaced: Vec::new() };
-        let mut is_exhausted = false;
+        let mut plan =
+            StepPlan { tasks_by_agent: IndexMap::new(), unplaced: Vec::new(), is_full: false };
+        let mut is_exhausted = self.lookahead.is_full(&state.job.pool, requirements);
         for &task in state.steps[usize::from(step)].pending.iter().rev() {
             let agent = if is_exhausted {
                 None
             } else {
-                self.choose_agent(state, step, task, requirements, &planned)
+                let chosen = self.choose_agent(&placing, task, &planned);
+                plan.is_full |= chosen == Err(NoAgent::Full);
+                chosen.ok()
             };
             let Some(agent) = agent else {
-                is_exhausted |= self.has_no_room(state, step, task, requirements, &planned);
+                is_exhausted |= self.has_no_room(&placing, task, &planned);
                 plan.unplaced.push(task);
                 continue;
             };
@@ -241,18 +269,14 @@
 
     /// Returns whether a task for which no agent was chosen shows that there is none for the other
     /// tasks of its step. These differ only in the agents that they avoid or that have refused them.
-    fn has_no_room(
-        &self,
-        state: &JobState,
-        step: u16,
-        task: u32,
-        requirements: &TaskRequirements,
-        planned: &[(AgentKey, u32)],
-    ) -> bool {
-        let without_wait = TaskRequirements { refusal_wait: RefusalWait::Skipped, ..*requirements };
-        state.avoids_no_agent(step, task)
-            && (state.refusals(step, task).is_empty()
-                || self.choose_agent(state, step, task, &without_wait, planned).is_none())
+    fn has_no_room(&self, placing: &Placing, task: u32, planned: &[(AgentKey, u32)]) -> bool {
+        let Placing { state, step_index, .. } = *placing;
+        let requirements =
+            TaskRequirements { refusal_wait: RefusalWait::Skipped, ..placing.requirements };
+        let without_wait = Placing { requirements, ..*placing };
+        state.avoids_no_agent(step_index, task)
+            && (state.refusals(step_index, task).is_empty()
+                || self.choose_agent(&without_wait, task, planned).is_err())
     }
 
     /// Sends the tasks of a plan to their agents and charges these for them; the rest stay pending.
@@ -266,9 +290,14 @@
     ) {
         let Some(state) = self.jobs.get(&key) else { return };
         let need = state.job.steps[usize::from(step)].need;
+        let place = state.queue_place(key);
+        let expected_ms = self.expected_ms(state, step, now_ms);
         let is_suspect = self.suspicion(state) != Suspicion::None;
         let contests: Vec<AgentKey> =
             plan.tasks_by_agent.keys().copied().filter(|key| self.is_contest(*key, need)).collect();
+        let is_reserved = |agent: &AgentKey| self.lookahead.has_reservation(*agent);
+        let reserved: Vec<AgentKey> =
+            plan.tasks_by_agent.keys().copied().filter(is_reserved).collect();
         let Some(state) = self.jobs.get_mut(&key) else { return };
         let task_work =
             f64::from(need.milli_cores) * f64::from(state.job.steps[usize::from(step)].estimate_ms);
@@ -280,6 +309,9 @@
             self.containment.record_start(&state.job.kind, &state.job.pool, work, now_ms);
             let is_cold = self.agents[agent.0 as usize].is_cold();
             let mut attempts = Vec::with_capacity(tasks.len());
+            let expected_end = self
+                .lookahead
+                .expect_end(now_ms, expected_ms / self.agents[agent.0 as usize].speed.value());
             for index in tasks {
                 let id = AttemptId(self.next_attempt);
                 self.next_attempt += 1;
@@ -297,12 +329,15 @@
                     is_suspect,
                     is_cold,
                     is_withdrawn: false,
+                    need,
+                    expected_end,
                 };
                 self.attempts.insert(id, attempt);
                 self.agents[agent.0 as usize].attempts.insert(id);
             }
             let ids = attempts.iter().map(|attempt| attempt.id).collect();
             self.agents[agent.0 as usize].charge(need, ids);
+            self.lookahead.record_starts(place, agent, attempts.len());
             let payload = Arc::clone(&state.job.payload);
             let batch = AttemptBatch {
                 job: Arc::clone(&state.job.id),
@@ -315,5 +350,8 @@
             };
             effects.push(DispatcherEffect::Send(agent, ToAgent::Start(batch)));
         }
+        for agent in reserved {
+            self.update_slack(agent, now_ms);
+        }
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,8 +24,9 @@
 pub use crate::{
     claim::{Claim, ClaimEnd, ClaimId, ClaimNews},
     dispatcher::{
-        Admission, AgentKey, AgentSummary, Dispatcher, DispatcherEffect, JobKey, LossCause,
-        PoolCapacity, WithdrawalCause,
+        Admission, AgentKey, AgentPlacement, AgentSummary, Dispatcher, DispatcherEffect, JobKey,
+        LookAheadCounts, LossCause, PassedOver, PlacementAnswer, PlacementQuestion, PoolCapacity,
+        WithdrawalCause,
     },
     evacuations::{Evacuations, ZoneChange, ZoneRecord},
     fencing::FencingToken,
--- a/crates/ebonycroft/tests/direct_roles/main.rs
+++ b/crates/ebonycroft/tests/direct_roles/main.rs
@@ -8,6 +8,7 @@
 mod direct_system;
 mod ending_entry;
 mod evacuation;
+mod explain_placement;
 mod fleet;
 mod held_up_request;
 mod held_up_start;
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -11,8 +11,8 @@
 
 use direct::{
     Admission, AgentHello, AgentKey, DirectJob, Dispatcher, DispatcherEffect, EntryHello,
-    EntryMessage, Evacuations, JobKey, JobName, JobOutcome, LossCause, PoolCapacity, RefusalReason,
-    Report, Routing, Timing, ToAgent, choose_peers,
+    EntryMessage, Evacuations, JobKey, JobName, JobOutcome, LossCause, PlacementAnswer,
+    PlacementQuestion, PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent, choose_peers,
 };
 use indexmap::IndexMap;
 use metrics::{counter, gauge};
@@ -115,6 +115,7 @@
         if let Some(cores) = settings.processor_share {
             dispatcher.set_processor_share(cores);
         }
+        dispatcher.set_look_ahead(settings.placement.look_ahead);
         Rc::new(Self {
             timing: process.timing,
             incarnation: clock::unix_ms(),
@@ -197,6 +198,12 @@
         self.dispatcher.borrow().pool_capacity(pool, self.suspensions.last_check_ms())
     }
 
+    /// Returns where a job would be placed now; changes nothing.
+    pub(crate) fn explain_placement(&self, question: &PlacementQuestion) -> PlacementAnswer {
+        let now_ms = self.suspensions.last_check_ms();
+        self.dispatcher.borrow().explain_placement(question, now_ms)
+    }
+
     pub(crate) fn routing(&self) -> Option<Rc<Routing>> {
         self.config.borrow().as_ref().map(|config| Rc::clone(&config.routing))
     }
@@ -298,6 +305,9 @@
         let effects = self.dispatcher.borrow_mut().tick(now_ms);
         self.apply(effects);
         self.intake.tick(self.connection_limits().idle_ms);
+        let counts = self.dispatcher.borrow().look_ahead_counts();
+        counter!("entry_reservations").absolute(counts.reservations);
+        counter!("entry_backfilled_tasks").absolute(counts.backfilled_tasks);
         self.events.flush();
         self.loop_delay.set_timer(if self.is_busy() { BUSY_TICK } else { IDLE_TICK });
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,6 +43,18 @@
         /// File descriptors that the process may have. It limits callers' connections.
         #[serde(default = "default_max_descriptors")]
         pub max_descriptors: u64,
+        /// Optional parts of the placement of tasks.
+        #[serde(default)]
+        pub placement: PlacementSettings,
+    }
+
+    /// Settings of the placement of tasks.
+    #[derive(Copy, Default, Eq)]
+    #[serde(default)]
+    pub struct PlacementSettings {
+        /// Whether placement considers queued tasks and expected completions; otherwise each task
+        /// only uses what is free.
+        pub look_ahead: bool,
     }
 
     /// Settings of an agent for direct jobs.
