--- a/crates/ebonycroft/tests/direct_roles/templates.rs
+++ b/crates/ebonycroft/tests/direct_roles/templates.rs
@@ -4,7 +4,7 @@
 use std::{fs, path::Path, process::Command};
 
 /// Placeholders of the templates and the values that replace them.
-const VALUES: [(&str, &str); 17] = [
+const VALUES: [(&str, &str); 18] = [
     ("node|json", r#""edge-a-1""#),
     ("ip", "10.1.0.13"),
     ("zone|json", r#""mid-a""#),
@@ -22,6 +22,7 @@
     ("bounds.stopTimeoutMs", "50"),
     ("limits.memoryMb", "120"),
     ("limits.maxFds", "4100"),
+    ("limits.cpuShare", "0.12"),
 ];
 
 fn fill_in(template: &str) -> String {
