--- a/crates/ebonycroft/tests/many_clients/refused_clients.rs
+++ b/crates/ebonycroft/tests/many_clients/refused_clients.rs
@@ -54,8 +54,8 @@
     with_request_limits(test, Timing::default(), &settings, &limits, check).await;
 }
 
-/// Guards against an entry that waits for the rest of a refused body, and against a response that is
-/// lost because the connection is reset.
+/// Guards against an entry that keeps the connection of a refused client open while that client goes on
+/// sending.
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_clients_get_a_response_and_are_disconnected_while_they_send() {
     with_small_entry("many-refused", async |system| {
