--- a/crates/ebonycroft/tests/many_clients/client_load.rs
+++ b/crates/ebonycroft/tests/many_clients/client_load.rs
@@ -11,6 +11,8 @@
     Whole,
     /// In chunks of this number of bytes.
     Chunks(usize),
+    /// There is no body, and the head does not end.
+    HeadOnly,
 }
 
 /// Load from clients, all at the same time, each with one body.
@@ -28,9 +30,20 @@
     /// Sends the load and returns the connections that are still open. The entry may refuse clients
     /// and close connections at any time.
     pub(crate) async fn send(self, entry: SocketAddr) -> Vec<TcpStream> {
+        let head = |client| format!("POST /j/{client:016x} HTTP/1.1\r\nHost: jobs.example\r\n");
+        self.send_with_head(entry, head).await
+    }
+
+    /// As [`ClientLoad::send`]; `head` returns the head of a client's request up to the fields about
+    /// the body.
+    pub(crate) async fn send_with_head(
+        self,
+        entry: SocketAddr,
+        head: impl Fn(usize) -> String,
+    ) -> Vec<TcpStream> {
         let mut tasks = JoinSet::new();
         for client in 0..self.clients {
-            tasks.spawn(self.send_body(entry, client));
+            tasks.spawn(self.send_request(entry, head(client)));
         }
         let mut connections = Vec::new();
         while let Some(connection) = tasks.join_next().await {
@@ -39,10 +52,9 @@
         connections
     }
 
-    /// Sends one body; returns `None` when the entry has closed the connection.
-    async fn send_body(self, entry: SocketAddr, client: usize) -> Option<TcpStream> {
+    /// Sends one request; returns `None` when the entry has closed the connection.
+    async fn send_request(self, entry: SocketAddr, head: String) -> Option<TcpStream> {
         let mut stream = TcpStream::connect(entry).await.ok()?;
-        let head = format!("POST /j/{client:016x} HTTP/1.1\r\nHost: jobs.example\r\n");
         let body = vec![b' '; self.sent_bytes];
         let message = match self.framing {
             Framing::Whole => {
@@ -59,6 +71,7 @@
                 }
                 message
             }
+            Framing::HeadOnly => head.into_bytes(),
         };
         stream.write_all(&message).await.ok()?;
         Some(stream)
--- a/crates/ebonycroft/tests/many_clients/unfinished_bodies.rs
+++ b/crates/ebonycroft/tests/many_clients/unfinished_bodies.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use reqwest::StatusCode;
 use serde_json::{Value, json};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::{
     ONE_TEST_AT_A_TIME,
     client_load::{ClientLoad, Framing},
-    direct_system::{DirectSystem, Timing, with_entry_settings},
+    direct_system::{Timing, with_entry_settings},
+    ordinary_request,
     process_usage::Usage,
 };
 
@@ -19,30 +19,11 @@
 const MAX_DESCRIPTORS: usize = 256;
 /// Time after which the entry counts as hanging.
 const HANG: Duration = Duration::from_secs(90);
-/// Attempts at an ordinary request, and the pause between them. A refusal with 503 asks for a pause.
-const MAX_CALLS: u32 = 100;
-const CALL_PERIOD: Duration = Duration::from_millis(200);
 
 fn entry_settings() -> Value {
     json!({ "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS })
 }
 
-/// Submits an ordinary job until it is accepted and checks that it succeeds.
-async fn check_ordinary_request(system: &DirectSystem) {
-    let job = json!({ "spec": "payload", "bestEffort": true,
-        "steps": [{ "count": 1, "cpu": 1_000, "memMb": 64, "estimateMs": 100 }] });
-    for _ in 0..MAX_CALLS {
-        match system.try_submit("5c0e7a21d94b36f8", &job).await {
-            Some(StatusCode::OK) => return,
-            None | Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
-                sleep(CALL_PERIOD).await;
-            }
-            Some(status) => panic!("an ordinary request was answered {status}"),
-        }
-    }
-    panic!("an ordinary request was not served");
-}
-
 /// Sends the load, and checks the usage and an ordinary request while the connections are open.
 async fn check_load(test: &str, load: ClientLoad) {
     let _lock = ONE_TEST_AT_A_TIME.lock().await;
@@ -50,7 +31,7 @@
         let entry = system.entry.addr("callers");
         let connections = timeout(HANG, load.send(entry)).await.expect("the entry reads");
         let loaded = Usage::read_until_settled(system.entry.id()).await;
-        timeout(HANG, check_ordinary_request(&system)).await.expect("the entry replies");
+        timeout(HANG, ordinary_request::check(&system)).await.expect("the entry replies");
         let Some(usage) = loaded else {
             eprintln!("memory and descriptors are not checked: this system has no /proc");
             return;
