Pause after a failed accept of a link

Cause: the servers for links of the roles for stored jobs tried to accept again at once when that failed. Without a free descriptor each attempt fails until a connection is closed, so the loop took a whole thread of the process.

Change: rpc::accept logs the failure and waits for 20 ms, as the HTTP servers do.

Found by reading; no test shows it, because the descriptors of a process under test cannot be limited without further dependencies.

--- a/crates/agent/src/rpc_server.rs
+++ b/crates/agent/src/rpc_server.rs
@@ -28,13 +28,11 @@
 }
 
 impl RpcServer {
-    /// Accepts connections of entries and serves them.  Errors while accepting are ignored.
+    /// Accepts connections of entries and serves them, without end.
     pub(crate) async fn serve_links(self, listener: TcpListener) {
         use futures::StreamExt;
         loop {
-            let Ok((transport, _)) = rpc::accept(&listener).await else {
-                continue;
-            };
+            let transport = rpc::accept(&listener).await;
             let requests = BaseChannel::with_defaults(transport).execute(self.clone().serve());
             tokio::spawn(requests.for_each(|response| async move {
                 tokio::spawn(response);
--- a/crates/entry/src/peer_server.rs
+++ b/crates/entry/src/peer_server.rs
@@ -33,13 +33,10 @@
 }
 
 impl PeerServer {
-    /// Accepts connections and serves them, without end.  Connections that cannot be accepted are
-    /// skipped.
+    /// Accepts connections and serves them, without end.
     pub(crate) async fn serve_peers(self, listener: TcpListener) {
         loop {
-            let Ok((transport, _)) = rpc::accept(&listener).await else {
-                continue;
-            };
+            let transport = rpc::accept(&listener).await;
             let requests = BaseChannel::with_defaults(transport).execute(self.clone().serve());
             tokio::spawn(requests.for_each(|response| async move {
                 tokio::spawn(response);
--- a/crates/rpc/src/codec.rs
+++ b/crates/rpc/src/codec.rs
@@ -1,12 +1,12 @@
 //! Framed, typed TCP connections between processes.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tarpc::serde_transport::{self, Transport as SerdeTransport};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use types::{Peer, StepError};
@@ -15,6 +15,9 @@
 
 const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a failed accept. The usual cause is a lack of file descriptors, which passes when other
+/// connections are closed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A connection that receives items of type `I` and sends items of type `O`, in frames of at most
 /// 32 MiB.
@@ -57,17 +60,20 @@
     TcpListener::bind(addr).await.map_err(|e| StepError::new("binding", Peer::Address(addr), e))
 }
 
-/// Accepts one connection and returns it with the address of the peer.
-///
-/// # Errors
-///
-/// The I/O error of the listener or of the new connection.
-pub async fn accept<I, O>(listener: &TcpListener) -> io::Result<(Transport<I, O>, SocketAddr)>
+/// Accepts the next connection. Failures are logged, and accepting is tried again after a pause.
+pub async fn accept<I, O>(listener: &TcpListener) -> Transport<I, O>
 where
     I: for<'de> Deserialize<'de> + MessageName,
     O: Serialize + MessageName,
 {
-    let (stream, addr) = listener.accept().await?;
-    stream.set_nodelay(true)?;
-    Ok((framed(stream), addr))
+    loop {
+        let accepted = listener.accept().await;
+        match accepted.and_then(|(stream, _)| stream.set_nodelay(true).map(|()| stream)) {
+            Ok(stream) => return framed(stream),
+            Err(e) => {
+                log::warn!("accepting a connection failed: {e}; retrying in {ACCEPT_PAUSE:?}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
 }
