Serve HTTP from a crate that both kinds of entries can use

The decisions on bodies and connections were part of crate direct, and the server that keeps them part of crate node, so the entry for stored jobs could use neither. Crate intake has both, with the tests of the decisions. The server is generic over the task that runs a connection, and its state is behind a lock, because the entry for stored jobs has several threads.

With it change: - The budget is for requests, not only for bodies: it knows complete requests, which are not evicted, and responses above 8,192 bytes that are not read. A response that is ready evicts incomplete bodies of any age. - Bodies are held in blocks of up to 16 KiB instead of a buffer that doubles, whose released parts later bodies could not reuse. - The listeners for metrics, readiness probes and heartbeats of the upstream have the same server, with 64 connections each. Heartbeats have a budget of 8 MiB and 10 s; before, nothing ended one that stalled. - The metrics have the label listener and are named after the intake.

The limits of the listener for callers are unchanged here.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,7 +10,6 @@
 mod dispatcher;
 mod evacuations;
 mod fencing;
-mod intake;
 mod job;
 mod link_message;
 mod list_position;
@@ -30,10 +29,6 @@
     },
     evacuations::{Evacuations, ZoneChange, ZoneRecord},
     fencing::FencingToken,
-    intake::{
-        BodyBudget, BodyKey, BudgetDecision, ConnectionDecision, ConnectionKey, ConnectionLimit,
-        PressureCounts, PressureMonitor, Rejected,
-    },
     job::{DirectJob, JobName, JobOutcome, JobStep, RefusalReason},
     link_message::{
         AgentHello, Attempt, AttemptBatch, AttemptId, AttemptOutcome, Crash, CrashNotice,
--- a/crates/direct/src/intake/connection_limit.rs
+++ b/crates/intake/src/connection_limit.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use crate::intake::MIN_EVICTION_AGE_MS;
+use crate::MIN_EVICTION_AGE_MS;
 
 types::identifier! {
     /// Number of a connection in the lifetime of a server.
--- a/crates/direct/src/intake/pressure.rs
+++ b/crates/intake/src/pressure.rs
@@ -9,10 +9,10 @@
     /// What was evicted or refused at a limit.
     #[derive(Copy, Eq)]
     pub enum Rejected {
-        /// An incomplete body was evicted for another one.
-        EvictedBody,
-        /// A body was refused when it requested bytes.
-        RefusedBody,
+        /// An incomplete request was evicted for another one.
+        EvictedRequest,
+        /// A request was refused when it needed bytes.
+        RefusedRequest,
         /// A connection was closed for a new one.
         EvictedConnection,
         /// A new connection was closed.
@@ -26,10 +26,10 @@
         pub since_ms: u64,
         /// Time of the last one.
         pub last_ms: u64,
-        /// Bodies that were evicted.
-        pub evicted_bodies: u64,
-        /// Bodies that were refused.
-        pub refused_bodies: u64,
+        /// Incomplete requests that were evicted.
+        pub evicted_requests: u64,
+        /// Requests that were refused.
+        pub refused_requests: u64,
         /// Connections that were closed for new ones.
         pub evicted_connections: u64,
         /// New connections that were closed.
@@ -52,8 +52,8 @@
             .get_or_insert(PressureCounts { since_ms: now_ms, ..PressureCounts::default() });
         counts.last_ms = now_ms;
         match rejected {
-            Rejected::EvictedBody => counts.evicted_bodies += 1,
-            Rejected::RefusedBody => counts.refused_bodies += 1,
+            Rejected::EvictedRequest => counts.evicted_requests += 1,
+            Rejected::RefusedRequest => counts.refused_requests += 1,
             Rejected::EvictedConnection => counts.evicted_connections += 1,
             Rejected::RefusedConnection => counts.refused_connections += 1,
         }
--- a/crates/direct/tests/intake.rs
+++ b/crates/intake/tests/decisions.rs
@@ -1,8 +1,8 @@
 //! Tests of the limits on incomplete bodies and connections.
 
-use direct::{
-    BodyBudget, BodyKey, BudgetDecision, ConnectionDecision, ConnectionKey, ConnectionLimit,
-    PressureMonitor, Rejected,
+use intake::{
+    BudgetDecision, ByteBudget, ConnectionDecision, ConnectionKey, ConnectionLimit,
+    PressureMonitor, Rejected, RequestKey,
 };
 use proptest::prelude::*;
 
@@ -15,8 +15,8 @@
 }
 
 /// Returns a budget with bodies of 400 and 500 bytes, started at 0 and 10 ms.
-fn nearly_full() -> (BodyBudget, BodyKey, BodyKey) {
-    let mut budget = BodyBudget::new(LIMIT_BYTES);
+fn nearly_full() -> (ByteBudget, RequestKey, RequestKey) {
+    let mut budget = ByteBudget::new(LIMIT_BYTES);
     let first = budget.begin(0);
     let second = budget.begin(10);
     assert_eq!(budget.request(first, 400, 0), granted());
@@ -69,7 +69,7 @@
 /// more. A body without bytes is not evicted, because it frees nothing.
 #[test]
 fn many_small_bodies_make_room_for_one() {
-    let mut budget = BodyBudget::new(LIMIT_BYTES);
+    let mut budget = ByteBudget::new(LIMIT_BYTES);
     let empty = budget.begin(0);
     let small: Vec<_> = (0..100).map(|_| budget.begin(0)).collect();
     for key in &small {
@@ -86,7 +86,7 @@
 /// impossible.
 #[test]
 fn a_body_that_is_alone_is_always_served() {
-    let mut budget = BodyBudget::new(BODY_BYTES / 4);
+    let mut budget = ByteBudget::new(BODY_BYTES / 4);
     let _idle = budget.begin(0);
     let key = budget.begin(0);
     for now_ms in [0, 500, 1_500, 10_000] {
@@ -96,6 +96,48 @@
     assert_eq!(budget.held_bytes(), 0);
 }
 
+/// Guards against evicting a request that has been accepted, and against bytes of waiting jobs that no
+/// longer count.
+#[test]
+fn a_complete_request_holds_its_bytes_until_its_end() {
+    let (mut budget, first, second) = nearly_full();
+    assert_eq!(budget.complete(first, 300, 10), granted());
+    assert_eq!(budget.held_bytes(), 800);
+    let third = budget.begin(5_000);
+    assert_eq!(budget.request(third, 400, 5_000), BudgetDecision::Granted(vec![second]));
+    let fourth = budget.begin(9_000);
+    assert_eq!(budget.request(fourth, 800, 9_000), BudgetDecision::Refused);
+    assert_eq!(budget.complete(first, 500, 9_000), granted());
+    budget.end(first);
+    assert_eq!(budget.held_bytes(), 400);
+}
+
+/// Guards against a job whose decoded form exceeds the budget, and against refusing one because it was
+/// received slowly.
+#[test]
+fn a_complete_request_that_grows_evicts_incomplete_ones_or_is_refused() {
+    let (mut budget, first, second) = nearly_full();
+    assert_eq!(budget.complete(first, 900, 500), BudgetDecision::Refused, "second is young");
+    assert_eq!((budget.held_bytes(), budget.len()), (500, 1));
+    let third = budget.begin(600);
+    assert_eq!(budget.request(third, 100, 600), granted());
+    assert_eq!(budget.complete(second, 700, 2_000), granted());
+    assert_eq!(budget.complete(second, 950, 2_000), BudgetDecision::Granted(vec![third]));
+}
+
+/// Guards against losing an answer that is ready to bodies that have just begun, and against evicting a job
+/// that waits for one.
+#[test]
+fn a_response_evicts_young_bodies_but_no_complete_request() {
+    let (mut budget, first, second) = nearly_full();
+    assert_eq!(budget.complete(second, 500, 10), granted());
+    let response = budget.begin(20);
+    assert_eq!(budget.respond(response, 400, 20), BudgetDecision::Granted(vec![first]));
+    let next = budget.begin(30);
+    assert_eq!(budget.respond(next, 600, 30), BudgetDecision::Refused);
+    assert_eq!(budget.respond(response, 100, 30), granted());
+}
+
 /// Guards against a limit at which one client's idle connections lock out all other callers.
 #[test]
 fn the_connection_that_has_waited_longest_is_closed() {
@@ -153,14 +195,14 @@
 #[test]
 fn an_overload_is_reported_once_at_its_start_and_its_end() {
     let mut pressure = PressureMonitor::default();
-    assert!(pressure.record(Rejected::EvictedBody, 100));
+    assert!(pressure.record(Rejected::EvictedRequest, 100));
     assert!(!pressure.record(Rejected::RefusedConnection, 4_000));
     assert_eq!(pressure.take_ended(8_999), None);
     let counts = pressure.take_ended(9_000).expect("nothing was rejected for 5,000 ms");
     assert_eq!((counts.since_ms, counts.last_ms), (100, 4_000));
-    assert_eq!((counts.evicted_bodies, counts.refused_connections), (1, 1));
+    assert_eq!((counts.evicted_requests, counts.refused_connections), (1, 1));
     assert_eq!(pressure.take_ended(20_000), None);
-    assert!(pressure.record(Rejected::RefusedBody, 20_000));
+    assert!(pressure.record(Rejected::RefusedRequest, 20_000));
 }
 
 proptest! {
@@ -168,8 +210,8 @@
     /// is exceeded by a body that is alone only.
     #[test]
     fn the_budget_is_kept(steps in prop::collection::vec((0..4_u8, 0..8_usize, 1..BODY_BYTES, 0..700_u64), 1..200)) {
-        let mut budget = BodyBudget::new(LIMIT_BYTES);
-        let mut bodies: Vec<(BodyKey, usize)> = Vec::new();
+        let mut budget = ByteBudget::new(LIMIT_BYTES);
+        let mut bodies: Vec<(RequestKey, usize)> = Vec::new();
         let mut now_ms = 0;
         for (step, place, bytes, pause_ms) in steps {
             now_ms += pause_ms;
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -1,24 +1,46 @@
 //! Handlers of the HTTP requests of the upstream on this machine.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, header::CONNECTION, header::HeaderValue,
+};
+use intake::{BodyLimits, Intake, discard, read_body};
 use platform::{UpstreamRequest, decode_upstream_request, encode_error};
 
-use crate::{agent::state::AgentState, http_server::HttpResponse};
+use tokio::task::spawn_local;
+
+use crate::{agent::state::AgentState, http::HttpResponse};
 
 /// Largest heartbeat that the platform allows, bytes.
 const MAX_HEARTBEAT_BYTES: usize = 4 << 20;
+/// Most bytes of all heartbeats that are not complete: two of the largest.
+pub(super) const MAX_REQUEST_BYTES: usize = 2 * MAX_HEARTBEAT_BYTES;
+/// Longest time for a heartbeat to be complete.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Handles one request.
-pub(crate) async fn handle(state: Rc<AgentState>, req: Request<Incoming>) -> HttpResponse {
-    let (head, body) = req.into_parts();
-    let Ok(body) = Limited::new(body, MAX_HEARTBEAT_BYTES).collect().await else {
-        return error_response(400, "the body cannot be read");
+pub(crate) async fn handle(
+    state: Rc<AgentState>,
+    intake: Arc<Intake>,
+    req: Request<Incoming>,
+) -> HttpResponse {
+    let (head, mut body) = req.into_parts();
+    let limits = BodyLimits { bytes: MAX_HEARTBEAT_BYTES, time: HEARTBEAT_TIMEOUT };
+    let received = match read_body(&intake, &mut body, limits).await {
+        Ok(received) => received,
+        Err(e) => {
+            let mut response = error_response(e.status(), &e.to_string());
+            if e.closes_connection() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                spawn_local(discard(body));
+            }
+            return response;
+        }
     };
-    match decode_upstream_request(head.method.as_str(), head.uri.path(), &body.to_bytes()) {
+    match decode_upstream_request(head.method.as_str(), head.uri.path(), received.bytes()) {
         Some(UpstreamRequest::Heartbeat { upstream, seq }) => {
             state.on_heartbeat(upstream, seq);
             Response::new(Full::new(Bytes::from_static(b"{}")))
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -5,24 +5,19 @@
 mod executor_calls;
 mod state;
 
-use std::{cell::Cell, future::Future, path::PathBuf, rc::Rc, time::Duration};
+use std::{future::Future, path::PathBuf, rc::Rc, sync::Arc, time::Duration};
 
+use intake::ConnectionLimits;
 use serde_json::json;
 use tokio::{
-    net::TcpListener,
     task::{JoinSet, spawn_local},
     time::sleep,
 };
 use types::StepError;
 
 use crate::{
-    DirectAgentSettings, EXIT_MARGIN_MS,
-    agent::state::AgentState,
-    clock, directory,
-    events::Level,
-    http_server::{ConnectionLimits, HttpServer, listen, local_addr},
-    metrics_server,
-    settings_watch::SettingsWatch,
+    DirectAgentSettings, EXIT_MARGIN_MS, agent::state::AgentState, clock, directory, events::Level,
+    http::InternalListener, metrics_server, settings_watch::SettingsWatch,
     store_access::StoreAccess,
 };
 
@@ -39,7 +34,7 @@
     file_settings: DirectAgentSettings,
     settings: DirectAgentSettings,
     state: Rc<AgentState>,
-    control: TcpListener,
+    control: InternalListener,
 }
 
 impl DirectAgent {
@@ -50,8 +45,9 @@
     /// Fails when an address cannot be bound or the HTTP client cannot be built.
     pub async fn bind(mut settings: DirectAgentSettings) -> Result<Self, StepError> {
         let file_settings = settings.clone();
-        let control = listen(settings.control).await?;
-        settings.control = local_addr(&control)?;
+        let (addr, bytes) = (settings.control, control::MAX_REQUEST_BYTES);
+        let control = InternalListener::bind("control", addr, bytes, CONTROL_LIMITS)?;
+        settings.control = control.addr()?;
         let state = AgentState::new(&settings)?;
         Ok(Self { file_settings, settings, state, control })
     }
@@ -76,7 +72,7 @@
     ) -> Result<(), StepError> {
         let watch = file.map(SettingsWatch::new).transpose()?;
         let Self { file_settings, settings, state, control } = self;
-        metrics_server::start(settings.process.metrics, |_| None).await?;
+        metrics_server::start(settings.process.metrics, |_| None)?;
         let store = StoreAccess::new(&settings.process.store, Rc::clone(&state.events))?;
         let fields = [
             ("control", json!(settings.control.to_string())),
@@ -107,10 +103,9 @@
     }
 }
 
-async fn serve_control(listener: TcpListener, state: Rc<AgentState>) {
-    let server = HttpServer::new(Rc::new(Cell::new(false)));
-    let handle = move |req| control::handle(Rc::clone(&state), req);
-    server.accept_until(&listener, || CONTROL_LIMITS, handle, std::future::pending()).await;
+async fn serve_control(listener: InternalListener, state: Rc<AgentState>) {
+    let intake = Arc::clone(&listener.intake);
+    listener.serve(move |req| control::handle(Rc::clone(&state), Arc::clone(&intake), req)).await;
 }
 
 /// Stops accepting attempts and waits for the tasks that run.
--- a/crates/node/src/entry/agent_links.rs
+++ b/crates/node/src/entry/agent_links.rs
@@ -9,7 +9,7 @@
     task::spawn_local,
     time::timeout,
 };
-use types::StepError;
+use types::{Peer, StepError};
 
 use crate::{
     entry::{link_progress::LinkProgress, state::EntryState},
@@ -32,6 +32,11 @@
     }
 }
 
+/// Binds the listener for links.
+pub(crate) async fn listen(addr: SocketAddr) -> Result<TcpListener, StepError> {
+    TcpListener::bind(addr).await.map_err(|e| StepError::new("listening", Peer::Address(addr), e))
+}
+
 /// Accepts and serves connections, for ever.
 pub(crate) async fn accept(listener: TcpListener, state: Rc<EntryState>) {
     loop {
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -10,6 +10,7 @@
     body::Incoming,
     header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
 };
+use intake::{BodyLimits, ConnectionActivity, discard, read_body};
 use metrics::{counter, histogram};
 use platform::{
     CallerRequest, JobError, Reply, decode_caller_request, decode_job, encode_cancelled,
@@ -22,14 +23,7 @@
 };
 
 use crate::{
-    clock,
-    entry::{
-        request_body::{self, BodyLimits},
-        state::EntryState,
-    },
-    events::Level,
-    http_server::{ConnectionActivity, HttpResponse},
-    task_names::job_fields,
+    clock, entry::state::EntryState, events::Level, http::HttpResponse, task_names::job_fields,
 };
 
 /// Request header with the time that the caller waits for its answer, milliseconds.
@@ -100,7 +94,7 @@
     let Some(routing) = state.first_routing().await else {
         return reject(state, req.uri().path(), 503, "no configuration yet");
     };
-    let (head, body) = req.into_parts();
+    let (head, mut body) = req.into_parts();
     let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let host = header(HOST.as_str()).or(head.uri.host()).unwrap_or("");
     let request = match decode_caller_request(&routing, head.method.as_str(), host, head.uri.path())
@@ -126,27 +120,30 @@
         bytes: routing.limits.body_bytes,
         time: Duration::from_millis(routing.limits.idle_ms),
     };
-    let body = match request_body::read(&state.intake, body, limits).await {
-        Ok(body) => body,
+    let received = match read_body(&state.intake, &mut body, limits).await {
+        Ok(received) => received,
         Err(e) => {
             *closes_connection = e.closes_connection();
-            let (status, cause) = e.reply();
-            return reject(state, head.uri.path(), status, &cause);
+            if e.closes_connection() {
+                spawn_local(discard(body));
+            }
+            return reject(state, head.uri.path(), e.status(), &e.to_string());
         }
     };
     if let Some(activity) = activity {
         state.intake.serve(activity.connection);
     }
-    let decoded = decode_job(id, queue, &body, caller_timeout_ms);
-    // The job may run for long; its body is no longer needed.
-    drop(body);
-    match decoded {
+    match decode_job(id, queue, received.bytes(), caller_timeout_ms) {
         Ok(job) if job.task_count() > state.max_job_tasks => {
             let (tasks, most) = (job.task_count(), state.max_job_tasks);
             let cause = format!("the job has {tasks} tasks; at most {most} are accepted");
             reject(state, head.uri.path(), 413, &cause)
         }
-        Ok(job) => run(state, job, routing.version, activity).await,
+        Ok(job) => {
+            // The job may run for long; its body is no longer needed.
+            drop(received);
+            run(state, job, routing.version, activity).await
+        }
         Err(e @ JobError::Malformed(_)) => reject(state, head.uri.path(), 400, &e.to_string()),
         Err(e @ JobError::Unsupported(_)) => reject(state, head.uri.path(), 503, &e.to_string()),
     }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -4,18 +4,26 @@
 mod agent_links;
 mod callers;
 mod evacuations;
-mod intake;
 mod link_progress;
 mod placement_query;
-mod request_body;
 mod state;
 
 use std::{
-    cell::Cell, future::Future, net::SocketAddr, path::PathBuf, pin::pin, rc::Rc, time::Duration,
+    future::Future,
+    net::SocketAddr,
+    path::PathBuf,
+    pin::pin,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use intake::{ConnectionLimits, HttpServer};
 use platform::is_readiness_probe;
 use serde_json::json;
 use tokio::{
@@ -30,7 +38,7 @@
     DirectEntrySettings, EXIT_MARGIN_MS, clock, config_watch, directory,
     entry::state::EntryState,
     events::Level,
-    http_server::{ConnectionLimits, HttpResponse, HttpServer, listen, local_addr},
+    http::{HttpResponse, InternalListener, accept_until},
     metrics_server, peer_links,
     settings_watch::SettingsWatch,
     store_access::StoreAccess,
@@ -54,7 +62,7 @@
     settings: DirectEntrySettings,
     state: Rc<EntryState>,
     callers: TcpListener,
-    readiness: TcpListener,
+    readiness: InternalListener,
     links: TcpListener,
 }
 
@@ -66,12 +74,13 @@
     /// Fails when an address cannot be bound.
     pub async fn bind(mut settings: DirectEntrySettings) -> Result<Self, StepError> {
         let file_settings = settings.clone();
-        let links = listen(settings.links).await?;
-        let readiness = listen(settings.readiness).await?;
-        let callers = listen(settings.callers).await?;
-        settings.links = local_addr(&links)?;
-        settings.readiness = local_addr(&readiness)?;
-        settings.callers = local_addr(&callers)?;
+        let links = agent_links::listen(settings.links).await?;
+        // Probes have no bodies.
+        let readiness = InternalListener::bind("readiness", settings.readiness, 0, PROBE_LIMITS)?;
+        let callers = intake::listen(settings.callers, settings.intake_limits())?;
+        settings.links = intake::local_addr(&links)?;
+        settings.readiness = readiness.addr()?;
+        settings.callers = intake::local_addr(&callers)?;
         let state = EntryState::new(&settings);
         Ok(Self { file_settings, settings, state, callers, readiness, links })
     }
@@ -99,8 +108,8 @@
         let placement_state = Rc::clone(&state);
         let placement =
             move |req: &Request<Incoming>| placement_query::respond(&placement_state, req.uri());
-        metrics_server::start(settings.process.metrics, placement).await?;
-        let is_closing = Rc::new(Cell::new(false));
+        metrics_server::start(settings.process.metrics, placement)?;
+        let is_closing = Arc::new(AtomicBool::new(false));
         let store = StoreAccess::new(&settings.process.store, Rc::clone(&state.events))?;
         let fields = [
             ("callers", json!(settings.callers.to_string())),
@@ -120,7 +129,7 @@
         let name = settings.process.name.as_ref().into();
         tasks.spawn_local(directory::announce(store.clone(), name, state.links));
         tasks.spawn_local(directory::follow(store.clone(), known_entries, Some(state.links)));
-        tasks.spawn_local(serve_readiness(readiness, Rc::clone(&state), Rc::clone(&is_closing)));
+        tasks.spawn_local(serve_readiness(readiness, Rc::clone(&state), Arc::clone(&is_closing)));
         if let Some(watch) = watch {
             let (events, settings_state) = (Rc::clone(&state.events), Rc::clone(&state));
             let apply = move |new: &DirectEntrySettings| {
@@ -139,15 +148,14 @@
 async fn serve_callers(
     listener: &TcpListener,
     state: &Rc<EntryState>,
-    is_closing: &Rc<Cell<bool>>,
+    is_closing: &Arc<AtomicBool>,
     stop: impl Future<Output = Result<(), StepError>>,
 ) -> Result<(), StepError> {
-    let gate = Rc::clone(&state.intake);
-    let server = HttpServer::with_gate(Rc::clone(is_closing), gate);
+    let server = HttpServer::new(Arc::clone(&state.intake), Arc::clone(is_closing));
     let mut stop_result = Ok(());
     let stopping = async {
         stop_result = stop.await;
-        is_closing.set(true);
+        is_closing.store(true, Ordering::Relaxed);
         let fields = [("unanswered", json!(state.unanswered()))];
         state.events.emit(Level::Notable, "stopping", &fields);
         sleep(ROTATION_DELAY).await;
@@ -155,7 +163,7 @@
     let limits = || state.connection_limits();
     let caller_state = Rc::clone(state);
     let handle = move |req: Request<Incoming>| callers::handle(Rc::clone(&caller_state), req);
-    server.accept_until(listener, limits, handle, stopping).await;
+    accept_until(&server, listener, limits, handle, stopping).await;
     let rotation_delay_ms = u64::try_from(ROTATION_DELAY.as_millis()).unwrap_or(u64::MAX);
     let remaining_ms = state.grace_ms().saturating_sub(EXIT_MARGIN_MS + rotation_delay_ms);
     let mut shutdown = pin!(server.shutdown());
@@ -172,14 +180,17 @@
     stop_result
 }
 
-async fn serve_readiness(listener: TcpListener, state: Rc<EntryState>, is_closing: Rc<Cell<bool>>) {
-    let server = HttpServer::new(Rc::new(Cell::new(false)));
+async fn serve_readiness(
+    listener: InternalListener,
+    state: Rc<EntryState>,
+    is_closing: Arc<AtomicBool>,
+) {
     let handle = move |req: Request<Incoming>| {
-        let is_ready = !is_closing.get() && state.is_ready();
+        let is_ready = !is_closing.load(Ordering::Relaxed) && state.is_ready();
         let is_probe = is_readiness_probe(req.method().as_str(), req.uri().path());
         async move { readiness_response(is_probe, is_ready) }
     };
-    server.accept_until(&listener, || PROBE_LIMITS, handle, std::future::pending()).await;
+    listener.serve(handle).await;
 }
 
 fn readiness_response(is_probe: bool, is_ready: bool) -> HttpResponse {
--- a/crates/node/src/entry/placement_query.rs
+++ b/crates/node/src/entry/placement_query.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use types::Resources;
 
-use crate::{entry::state::EntryState, http_server::HttpResponse};
+use crate::{entry::state::EntryState, http::HttpResponse};
 
 const PATH: &str = "/placement";
 /// Maximum number of tasks of a question: three of the largest jobs. Each task costs a pass over
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -15,6 +15,7 @@
     PlacementQuestion, PoolCapacity, RefusalReason, Report, Routing, Timing, ToAgent, choose_peers,
 };
 use indexmap::IndexMap;
+use intake::{ConnectionLimits, Intake, IntakeEvent, LimitKind};
 use metrics::{counter, gauge};
 use serde_json::{Value, json};
 use tokio::{
@@ -26,9 +27,8 @@
 use crate::{
     DirectEntrySettings, ProcessSettings,
     clock::{self, SuspensionDetector},
-    entry::{BUSY_TICK, IDLE_TICK, intake::Intake, link_progress::LinkProgress},
+    entry::{BUSY_TICK, IDLE_TICK, link_progress::LinkProgress},
     events::{self, Events, Level},
-    http_server::ConnectionLimits,
     known_entries::KnownEntries,
     loop_delay::LoopDelay,
     peer_links::PeerHandler,
@@ -60,8 +60,8 @@
     pub(crate) max_job_tasks: u64,
     pub(crate) known_entries: Rc<KnownEntries>,
     pub(crate) events: Rc<Events>,
-    /// Incomplete bodies and connections of callers.
-    pub(crate) intake: Rc<Intake>,
+    /// Requests and connections of callers.
+    pub(crate) intake: Arc<Intake>,
     loop_delay: LoopDelay,
     name: Arc<str>,
     grace_ms: Cell<u64>,
@@ -122,7 +122,7 @@
             links,
             max_job_tasks: settings.max_job_tasks,
             known_entries,
-            intake: Intake::new(settings, Rc::clone(&events)),
+            intake: Intake::new("callers", settings.intake_limits(), clock::now_ms),
             loop_delay: LoopDelay::new(Rc::clone(&events)),
             events,
             name: Arc::clone(&process.name),
@@ -304,7 +304,9 @@
         let now_ms = self.now_ms();
         let effects = self.dispatcher.borrow_mut().tick(now_ms);
         self.apply(effects);
-        self.intake.tick(self.connection_limits().idle_ms);
+        for event in self.intake.tick(self.connection_limits().idle_ms) {
+            self.emit_intake(event);
+        }
         let counts = self.dispatcher.borrow().look_ahead_counts();
         counter!("entry_reservations").absolute(counts.reservations);
         counter!("entry_backfilled_tasks").absolute(counts.backfilled_tasks);
@@ -312,6 +314,34 @@
         self.loop_delay.set_timer(if self.is_busy() { BUSY_TICK } else { IDLE_TICK });
     }
 
+    fn emit_intake(&self, event: IntakeEvent) {
+        match event {
+            IntakeEvent::Full(limit, usage) => {
+                let limit = match limit {
+                    LimitKind::RequestBytes => "request_bytes",
+                    LimitKind::Connections => "connections",
+                };
+                let fields = [
+                    ("limit", json!(limit)),
+                    ("requests", json!(usage.requests)),
+                    ("request_bytes", json!(usage.request_bytes)),
+                    ("connections", json!(usage.connections)),
+                ];
+                self.events.emit(Level::Notable, "intake_full", &fields);
+            }
+            IntakeEvent::Free(counts) => {
+                let fields = [
+                    ("full_ms", json!(counts.last_ms - counts.since_ms)),
+                    ("evicted_requests", json!(counts.evicted_requests)),
+                    ("refused_requests", json!(counts.refused_requests)),
+                    ("evicted_connections", json!(counts.evicted_connections)),
+                    ("refused_connections", json!(counts.refused_connections)),
+                ];
+                self.events.emit(Level::Notable, "intake_free", &fields);
+            }
+        }
+    }
+
     /// Starts a session on a new connection of an agent, with the handshake as the first message in
     /// the outbox. Returns the agent's key and the connection's id.
     pub(crate) fn on_agent_connected(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,7 @@
 mod entry;
 mod events;
 mod frames;
-mod http_server;
+mod http;
 mod known_entries;
 mod line_budget;
 mod loop_delay;
--- a/crates/node/src/metrics_server.rs
+++ b/crates/node/src/metrics_server.rs
@@ -1,22 +1,25 @@
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
+use intake::ConnectionLimits;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{task::spawn_local, time::sleep};
 use types::{Peer, StepError};
 
-use crate::http_server::{ConnectionLimits, HttpResponse, HttpServer, listen};
+use crate::http::{HttpResponse, InternalListener};
 
 /// Period of the recorder's maintenance. At 1,000 answers a second it keeps some 5,000 observations.
 const MAINTENANCE_PERIOD: Duration = Duration::from_secs(5);
 const LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 8_192, idle_ms: 10_000 };
+/// Most bytes of responses that their clients have not read.
+const UNREAD_METRICS_BYTES: usize = 1 << 20;
 /// Upper bounds of the latency buckets, seconds, for tasks that run for 50 ms to a few seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
 
 /// Installs the metrics recorder and serves the metrics at `addr`, except requests that `other`
 /// answers; does nothing without an address.
-pub(crate) async fn start(
+pub(crate) fn start(
     addr: Option<SocketAddr>,
     other: impl Fn(&Request<Incoming>) -> Option<HttpResponse> + Clone + 'static,
 ) -> Result<(), StepError> {
@@ -26,17 +29,14 @@
     };
     let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS_S).map_err(fail)?;
     let handle = builder.install_recorder().map_err(fail)?;
-    let listener = listen(addr).await?;
+    // Requests have no bodies, but the text of the metrics is charged while it is not read.
+    let listener = InternalListener::bind("metrics", addr, UNREAD_METRICS_BYTES, LIMITS)?;
     spawn_local(maintain(handle.clone()));
-    spawn_local(async move {
-        let server = HttpServer::new(Rc::new(Cell::new(false)));
-        let handler = move |req| {
-            let response = other(&req);
-            let handle = handle.clone();
-            async move { response.unwrap_or_else(|| render(&handle)) }
-        };
-        server.accept_until(&listener, || LIMITS, handler, std::future::pending()).await;
-    });
+    spawn_local(listener.serve(move |req| {
+        let response = other(&req);
+        let handle = handle.clone();
+        async move { response.unwrap_or_else(|| render(&handle)) }
+    }));
     Ok(())
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,12 +1,9 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use direct::Timing;
+use intake::IntakeLimits;
 use settings::{InvalidFields, Validate};
 
-const MIB_BYTES: u64 = 1_048_576;
-/// Memory of one connection: its read buffer, which has 16 KiB by default, the head of a request and
-/// the state of the connection, bytes.
-const CONNECTION_BYTES: u64 = 32_768;
 /// Smallest memory of a host, MiB. An entry without callers has 11 MB resident.
 const MIN_MEMORY_MB: u64 = 16;
 /// Fewest descriptors: half of them are for links, the store, listeners and probes.
@@ -36,7 +33,7 @@
         /// their load less often to an entry with a small share. Without it reports are not limited.
         #[serde(default)]
         pub processor_share: Option<f64>,
-        /// Memory of the host, MiB. It determines how much of callers' incomplete bodies is held, and
+        /// Memory of the host, MiB. It determines how many bytes of callers' requests are held, and
         /// how many connections.
         #[serde(default = "default_memory_mb")]
         pub memory_mb: u64,
@@ -171,16 +168,9 @@
 }
 
 impl DirectEntrySettings {
-    /// Returns the most bytes that the buffers of all incomplete bodies may have.
-    pub(crate) fn body_budget_bytes(&self) -> usize {
-        let bytes = self.memory_mb.saturating_mul(MIB_BYTES) / 4;
-        usize::try_from(bytes).unwrap_or(usize::MAX)
-    }
-
-    /// Returns the most connections of callers.
-    pub(crate) fn max_connections(&self) -> usize {
-        let by_memory = self.memory_mb.saturating_mul(MIB_BYTES) / 4 / CONNECTION_BYTES;
-        usize::try_from(by_memory.min(self.max_descriptors / 2)).unwrap_or(usize::MAX)
+    /// Returns the limits on callers' requests and connections.
+    pub(crate) fn intake_limits(&self) -> IntakeLimits {
+        IntakeLimits::for_host(self.memory_mb, self.max_descriptors)
     }
 }
 
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -20,8 +20,9 @@
         let mut errors = InvalidFields::default();
         settings.validate(&mut errors);
         assert!(errors.into_vec().is_empty());
-        assert_eq!(settings.body_budget_bytes(), bytes);
-        assert_eq!(settings.max_connections(), connections);
+        let limits = settings.intake_limits();
+        assert_eq!(limits.request_bytes, bytes);
+        assert_eq!(limits.connections, connections);
     }
     defaults: (json!({}), 31_457_280, 960),
     large_host: (json!({ "memory_mb": 512, "max_descriptors": 8_192 }), 134_217_728, 4_096),
