Limit the bytes that a process has not read yet

What callers saw: an entry that got no processor time for a moment was ended by its memory, although its bodies and connections were limited.

Cause: bytes that the system has received for a process count toward the memory of its host. The system gave each connection a receive buffer of its own choice, also to those that wait to be accepted, and no limit counted it. The 32 KiB that a connection counted did not cover the buffers of the HTTP library either: one for reading and one for a frame of 16 KiB each, one for writing of 8 KiB, and the state of the connection.

Change: the listeners set a receive buffer of 16 KiB, which their connections inherit before they are accepted. The queue of connections is limited, and a connection counts with 48 KiB of memory and 32 KiB of unread bytes. Connections get three eighths of the memory of the host instead of a quarter, so that a host of 120 MiB has 470 (before: 960).

--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -19,7 +19,7 @@
     connection_limit::{ConnectionDecision, ConnectionKey, ConnectionLimit},
     http_server::{ConnectionActivity, ConnectionLimits, HttpServer},
     intake::{ChargedBody, Intake, IntakeEvent, IntakeUsage, LimitKind},
-    limits::IntakeLimits,
+    limits::{CONNECTION_BYTES, IntakeLimits, UNREAD_BYTES},
     listener::{accept, listen, local_addr},
     pressure::{PressureCounts, PressureMonitor, Rejected},
     request_body::{BodyError, BodyLimits, discard, read_body},
--- a/crates/intake/src/listener.rs
+++ b/crates/intake/src/listener.rs
@@ -1,17 +1,17 @@
-//! Listeners of HTTP servers.
+//! Listeners whose connections have a small receive buffer.
 
 use std::{net::SocketAddr, time::Duration};
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use types::{Peer, StepError};
 
-use crate::IntakeLimits;
+use crate::{IntakeLimits, limits::RECEIVE_BUFFER_BYTES};
 
 /// Pause after a failed accept, milliseconds. The usual cause is a lack of file descriptors, which
 /// passes when other connections are closed.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
-/// Binds a listener.
+/// Binds a listener. Its connections inherit the receive buffer, also while they wait to be accepted.
 ///
 /// # Errors
 ///
@@ -20,6 +20,7 @@
     let bind = || {
         let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_reuseaddr(true)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         socket.bind(addr)?;
         socket.listen(limits.queue)
     };
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -15,18 +15,17 @@
 
 // Guards against limits that exceed the memory or the descriptors of a host.
 types::cases! {
-    fn limits_follow_from_the_host(limits: Value, bytes: usize, connections: usize) {
+    fn limits_follow_from_the_host(limits: Value, bytes: usize, connections: usize, queue: u32) {
         let settings = entry(&limits);
         let mut errors = InvalidFields::default();
         settings.validate(&mut errors);
         assert!(errors.into_vec().is_empty());
-        let limits = settings.intake_limits();
-        assert_eq!(limits.request_bytes, bytes);
-        assert_eq!(limits.connections, connections);
+        let limits = IntakeLimits { request_bytes: bytes, connections, queue };
+        assert_eq!(settings.intake_limits(), limits);
     }
-    defaults: (json!({}), 31_457_280, 960),
-    large_host: (json!({ "memory_mb": 512, "max_descriptors": 8_192 }), 134_217_728, 4_096),
-    few_descriptors: (json!({ "max_descriptors": 256 }), 31_457_280, 128),
+    defaults: (json!({}), 31_457_280, 470, 117),
+    large_host: (json!({ "memory_mb": 512, "max_descriptors": 8_192 }), 134_217_728, 2_006, 501),
+    few_descriptors: (json!({ "max_descriptors": 256 }), 31_457_280, 128, 32),
 }
 
 // Guards against a limit of no connections at all.
