Count the bytes of a job until its response

Cause: the bytes of a body were released when it was complete, and admission bounds the work that waits, not its memory. A body of some hundred bytes can be a job of 10,000 tasks, whose state the entry keeps until the response.

Change: when a job is decoded, an estimate of what it occupies replaces its body in the byte budget: 1 KiB, its payload, 192 bytes a step and 256 bytes a task. A job of 8 tasks takes 3.2 KiB, so that a host of 120 MiB has room for more than 9,000.

--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -4,6 +4,12 @@
 
 use crate::JobTasks;
 
+/// Memory of a job without its steps, of a step without its tasks and of a task, bytes. That of a task
+/// includes its history, its attempt and the message with it to an agent.
+const JOB_BYTES: usize = 1_024;
+const STEP_BYTES: usize = 192;
+const TASK_BYTES: usize = 256;
+
 types::wire! {
     /// Identity of a job: callers of different queues may choose the same id.
     #[derive(Eq, Hash)]
@@ -132,6 +138,21 @@
         end_times_ms.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns an estimate of the memory that the job occupies until its outcome, bytes: its fields, and
+    /// the state and the messages of its tasks.
+    pub fn memory_bytes(&self) -> usize {
+        let names = |step: &JobStep| {
+            [&step.label, &step.rack].into_iter().flatten().map(|n| n.len()).sum::<usize>()
+        };
+        let steps: usize = self
+            .steps
+            .iter()
+            .map(|step| STEP_BYTES + step.after.len() * size_of::<u16>() + names(step))
+            .sum();
+        let tasks = usize::try_from(self.task_count()).unwrap_or(usize::MAX);
+        JOB_BYTES + self.payload.len() + steps + tasks.saturating_mul(TASK_BYTES)
+    }
+
     /// Returns the number of tasks over all steps.
     pub fn task_count(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.tasks)).sum()
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -120,7 +120,7 @@
         bytes: routing.limits.body_bytes,
         time: Duration::from_millis(routing.limits.idle_ms),
     };
-    let received = match read_body(&state.intake, &mut body, limits).await {
+    let mut received = match read_body(&state.intake, &mut body, limits).await {
         Ok(received) => received,
         Err(e) => {
             *closes_connection = e.closes_connection();
@@ -140,8 +140,10 @@
             reject(state, head.uri.path(), 413, &cause)
         }
         Ok(job) => {
-            // The job may run for long; its body is no longer needed.
-            drop(received);
+            // The job may wait and run for long; its bytes count until the response.
+            if let Err(e) = received.replace(job.memory_bytes()) {
+                return reject(state, head.uri.path(), e.status(), &e.to_string());
+            }
             run(state, job, routing.version, activity).await
         }
         Err(e @ JobError::Malformed(_)) => reject(state, head.uri.path(), 400, &e.to_string()),
