Limit what clients occupy in an entry for stored jobs

What callers saw: stalled clients filled the memory and the descriptors of the entry that the README runs. Nothing ended a head or a body that did not arrive, and no limit held for all bodies or connections together.

Cause: the listeners were served without any limit but that of one body, a body was kept in the frames in which it arrived, and a list of small tasks was decoded as a whole, whatever its length, before its limit was checked.

Change: the listeners for callers and operators are served by crate intake, by the same decisions as those of the direct entry. A list of tasks is read up to max_tasks only, and each task is copied once instead of twice. New settings, which no client inside the documented limits meets: limits.memory_mb (640), limits.max_descriptors (4100) and limits.idle_ms (60000). The memory must hold queue_bytes, answer_bytes and backlog_bytes beside requests and connections, which is checked at the start. New problem: body-timeout (408).

The tests now set the memory and the descriptors that were their bounds before; loads and bounds are unchanged.

--- a/crates/ebonycroft/tests/many_clients/stored_jobs.rs
+++ b/crates/ebonycroft/tests/many_clients/stored_jobs.rs
@@ -29,7 +29,8 @@
 }
 
 fn entry_settings() -> Value {
-    let limits = json!({ "body_bytes": BODY_BYTES, "queue_bytes": 8_388_608 });
+    let limits = json!({ "body_bytes": BODY_BYTES, "queue_bytes": 8_388_608,
+        "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS });
     let jobs = json!({ "answer_bytes": 8_388_608 });
     let journal = json!({ "backlog_bytes": 8_388_608 });
     json!({ "limits": limits, "jobs": jobs, "journal": journal })
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -1,15 +1,16 @@
 //! The admin API of an entry, for operators.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use axum::{
-    Json, Router,
-    body::Bytes,
+    Extension, Json, Router,
+    body::Body,
     extract::{Path, State},
     http::{HeaderMap, HeaderValue, StatusCode, header},
     response::{IntoResponse, Response},
     routing::{MethodRouter, get, patch, post},
 };
+use intake::{BodyLimits, ConnectionActivity, Intake};
 use journal::{JournalError, Submission};
 use metrics_exporter_prometheus::PrometheusHandle;
 use rpc::PeerContact;
@@ -19,16 +20,21 @@
 use types::{EntryName, Incarnation, Route};
 
 use crate::{
-    api::Problem,
+    api::{Problem, read_body},
     entry::Entry,
     messages::{ListUpstreams, UpstreamsView},
     ownership::DescribeContacts,
 };
 
 const PATCH_ID: &str = "x-patch-id";
+/// Largest patch, bytes.
+pub(crate) const MAX_PATCH_BYTES: usize = 2 * 1024 * 1024;
+/// Longest time for a patch to be complete.
+const PATCH_TIMEOUT: Duration = Duration::from_secs(60);
 
 pub(crate) struct AdminState {
     pub(crate) entry: Entry,
+    pub(crate) intake: Arc<Intake>,
     pub(crate) tokens: Vec<TokenDigest>,
     pub(crate) metrics: Option<PrometheusHandle>,
     pub(crate) traces: Option<Traces>,
@@ -205,14 +211,18 @@
 
 async fn patch_config(
     State(state): State<Arc<AdminState>>,
+    activity: Option<Extension<ConnectionActivity>>,
     headers: HeaderMap,
-    body: Bytes,
+    body: Body,
 ) -> Result<Response, Problem> {
     authenticate(&state, &headers)?;
     let base = base_version(&headers)?;
     let patch_id = patch_id(&headers)?;
-    let patch = String::from_utf8(body.to_vec())
+    let limits = BodyLimits { bytes: MAX_PATCH_BYTES, time: PATCH_TIMEOUT };
+    let received = read_body(&state.intake, activity, body, limits).await?;
+    let patch = std::str::from_utf8(received.bytes())
         .ok()
+        .map(str::to_owned)
         .filter(|text| serde_json::from_str::<serde::de::IgnoredAny>(text).is_ok())
         .ok_or_else(|| {
             Problem::new(StatusCode::BAD_REQUEST, "invalid-request", "the patch is not json")
--- a/crates/entry/src/api/problem.rs
+++ b/crates/entry/src/api/problem.rs
@@ -3,8 +3,12 @@
     http::{HeaderValue, StatusCode, header},
     response::{IntoResponse, Response},
 };
+use intake::BodyError;
 use types::Refusal;
 
+/// Time after which a request that exceeded the byte budget may be repeated, milliseconds.
+const BUDGET_RETRY_MS: u64 = 1_000;
+
 types::wire! {
     /// A problem document (RFC 9457) with the extension members `not_run` and
     /// `retry_after_ms`.
@@ -43,6 +47,21 @@
     }
 }
 
+impl From<BodyError> for Problem {
+    fn from(e: BodyError) -> Self {
+        let slug = match e {
+            BodyError::TooLarge(_) | BodyError::Unreadable(_) => "invalid-body",
+            BodyError::TimedOut => "body-timeout",
+            BodyError::BudgetExhausted => "overloaded",
+        };
+        let status = StatusCode::from_u16(e.status()).unwrap_or(StatusCode::BAD_REQUEST);
+        Self {
+            retry_after_ms: matches!(e, BodyError::BudgetExhausted).then_some(BUDGET_RETRY_MS),
+            ..Self::new(status, slug, e.to_string())
+        }
+    }
+}
+
 impl From<Refusal> for Problem {
     fn from(refusal: Refusal) -> Self {
         Self {
--- a/crates/entry/src/api/routes.rs
+++ b/crates/entry/src/api/routes.rs
@@ -1,24 +1,28 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use axum::{
-    Router,
-    body::Bytes,
-    extract::{DefaultBodyLimit, Path, Query, State, rejection::BytesRejection},
+    Extension, Router,
+    body::Body,
+    extract::{Path, Query, State},
     http::{HeaderMap, StatusCode},
     routing::{MethodRouter, delete, get, post},
 };
+use intake::{BodyLimits, ConnectionActivity, Intake};
 use rpc::{ForwardedJob, JobQuery};
 use serde::Deserialize;
-use services::{KindConfig, ServiceConfig};
+use services::KindConfig;
 use telemetry::{Hop, HopSpan};
-use types::{JobId, Refusal, Route, ServiceName, TeamName};
+use types::{JobId, Payload, Refusal, Route, ServiceName, TeamName};
 
 use crate::{
-    api::{Problem, job_body::JobBody, submit_body::SubmitBody, team::authenticate},
+    api::{Problem, job_body::JobBody, read_body, submit_body::SubmitBody, team::authenticate},
     router::Router as JobRouter,
     settings::{CallerSettings, LimitSettings},
 };
 
+/// Memory of a task besides its payload, bytes: its entries in the job table and in the queue.
+const TASK_BYTES: usize = 256;
+
 types::plain! {
     /// A route of the caller API.
     #[derive(Copy, Eq)]
@@ -53,6 +57,7 @@
 pub(crate) struct CallerState {
     pub(crate) callers: Vec<CallerSettings>,
     pub(crate) limits: LimitSettings,
+    pub(crate) intake: Arc<Intake>,
     pub(crate) jobs: Arc<JobRouter>,
 }
 
@@ -74,14 +79,12 @@
 
 /// Returns the router of the caller API.
 pub(crate) fn router(state: CallerState) -> Router {
-    let limit = DefaultBodyLimit::max(state.limits.body_bytes);
     CallerRoute::ALL
         .into_iter()
         .fold(Router::new(), |router, route| router.route(route.route().path, route.handler()))
         .fallback(|| async {
             Problem::new(StatusCode::NOT_FOUND, "unknown-route", "no such route")
         })
-        .layer(limit)
         .with_state(Arc::new(state))
 }
 
@@ -89,17 +92,24 @@
     State(state): State<Arc<CallerState>>,
     Path(service): Path<String>,
     query: Result<Query<SubmitQuery>, axum::extract::rejection::QueryRejection>,
+    activity: Option<Extension<ConnectionActivity>>,
     headers: HeaderMap,
-    body: Result<Bytes, BytesRejection>,
+    body: Body,
 ) -> Result<JobBody, Problem> {
     let team = authenticate(&headers, &state.callers)?;
     let Query(query) = query.map_err(|e| Problem::from(Refusal::Invalid(e.body_text())))?;
-    let body = body.map_err(|e| Problem::new(e.status(), "invalid-body", e.body_text()))?;
-    let body: SubmitBody = serde_json::from_slice(&body)
+    let limits = BodyLimits {
+        bytes: state.limits.body_bytes,
+        time: Duration::from_millis(state.limits.idle_ms),
+    };
+    let mut received = read_body(&state.intake, activity, body, limits).await?;
+    let body: SubmitBody<'_> = serde_json::from_slice(received.bytes())
         .map_err(|e| Problem::from(Refusal::Invalid(e.to_string())))?;
     let service: ServiceName =
         service.parse().map_err(|e| Problem::from(Refusal::Invalid(format!("service: {e}"))))?;
-    let mut job = state.forwarded_job(team, service, query.wait, body)?;
+    let mut job = state.forwarded_job(team, service, query.wait, &body)?;
+    // The job may wait and run for long; its bytes count until the response.
+    received.replace(job.tasks.iter().map(|task| task.len() + TASK_BYTES).sum())?;
     let id = job.id;
     let span = HopSpan::start(Hop::Entry, traceparent(&headers));
     span.set_attribute("job", id);
@@ -149,7 +159,7 @@
         team: TeamName,
         service: ServiceName,
         wait: bool,
-        body: SubmitBody,
+        body: &SubmitBody<'_>,
     ) -> Result<ForwardedJob, Refusal> {
         let id = body.job_id().map_err(Refusal::Invalid)?;
         let kind = body.kind().map_err(Refusal::Invalid)?;
@@ -162,9 +172,9 @@
         let kind_terms =
             terms.kinds.get(&kind).ok_or_else(|| Refusal::UnknownKind(kind.clone()))?;
         let timeout_ms = timeout_ms(body.deadline_ms, kind_terms)?;
-        let digest = body.digest(&service);
-        let tasks = body.into_tasks();
-        check_task_count(tasks.len(), terms)?;
+        let tasks = body.tasks(terms.max_tasks as usize).map_err(Refusal::Invalid)?;
+        let digest = body.digest(&service, &tasks);
+        let tasks = tasks.iter().map(|task| Payload::from_json(task.get())).collect();
         Ok(ForwardedJob {
             id,
             team,
@@ -190,12 +200,3 @@
         Some(ms) => Ok(ms),
     }
 }
-
-fn check_task_count(count: usize, terms: &ServiceConfig) -> Result<(), Refusal> {
-    let max = terms.max_tasks as usize;
-    match count {
-        0 => Err(Refusal::Invalid("tasks: must hold at least one task".to_owned())),
-        n if n > max => Err(Refusal::Invalid(format!("tasks: must hold at most {max} tasks"))),
-        _ => Ok(()),
-    }
-}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -11,6 +11,7 @@
     },
 };
 
+use intake::{ConnectionLimits, IntakeLimits, RouterServer};
 use jobs::{ClaimRecord, JobRecord, TableSettings};
 use journal::{
     ConfigFollower, ConfigPublisher, ConfigRecord, PublisherSettings, Writer, WriterSettings,
@@ -50,6 +51,10 @@
 /// Longest time for a reply of the store, in addition to the time that a read waits for records.  A
 /// grouped append of the largest size fits in it behind two seconds of other appends.
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest head of a request, bytes.
+const MAX_HEADER_BYTES: usize = 16_384;
+/// Limits of the listener for operators: four of the largest patches.
+const ADMIN_LIMITS: IntakeLimits = IntakeLimits::internal(4 * admin::MAX_PATCH_BYTES);
 
 /// Parts of the process that an entry uses in addition to its settings.
 #[derive(Clone, Default)]
@@ -174,9 +179,9 @@
     ///
     /// If a listener cannot be bound or the client of the log cannot be created.
     pub async fn start(settings: EntrySettings, parts: EntryParts) -> Result<Self, StepError> {
-        let listener = rpc::listen(settings.listen).await?;
+        let listener = intake::listen(settings.listen, settings.intake_limits())?;
         let peer_listener = rpc::listen(settings.peer).await?;
-        let admin_listener = rpc::listen(settings.admin.listen).await?;
+        let admin_listener = intake::listen(settings.admin.listen, ADMIN_LIMITS)?;
         let peer_addr = local_addr(&peer_listener, settings.peer)?;
         let identity = EntryIdentity {
             name: settings.name.clone(),
@@ -238,10 +243,20 @@
             config: self.config.clone(),
             jobs: Arc::clone(&jobs),
         };
-        let callers =
-            api::router(CallerState { callers: settings.callers, limits: settings.limits, jobs });
+        let limits =
+            ConnectionLimits { header_bytes: MAX_HEADER_BYTES, idle_ms: settings.limits.idle_ms };
+        let caller_server =
+            RouterServer::new("callers", listener, settings.intake_limits(), limits);
+        let admin_server = RouterServer::new("operators", admin_listener, ADMIN_LIMITS, limits);
+        let callers = api::router(CallerState {
+            callers: settings.callers,
+            limits: settings.limits,
+            intake: Arc::clone(caller_server.intake()),
+            jobs,
+        });
         let admin = admin::router(AdminState {
             entry: self.clone(),
+            intake: Arc::clone(admin_server.intake()),
             tokens: settings.admin.tokens,
             metrics: parts.metrics,
             traces: parts.traces,
@@ -249,8 +264,8 @@
         let close = Arc::clone(&self.close_callers);
         let tasks = vec![
             self.supervise(peers.serve_peers(peer_listener)),
-            self.supervise(serve(listener, callers, async move { close.notified().await })),
-            self.supervise(serve(admin_listener, admin, std::future::pending())),
+            self.supervise(caller_server.serve(callers, async move { close.notified().await })),
+            self.supervise(admin_server.serve(admin, std::future::pending())),
             self.supervise(follow_config(self.config.clone(), config_tx, actors.dispatcher)),
         ];
         self.tasks = Arc::new(tasks);
@@ -419,14 +434,6 @@
     }
 }
 
-async fn serve(
-    listener: TcpListener,
-    router: axum::Router,
-    close: impl Future<Output = ()> + Send + 'static,
-) {
-    let _ = axum::serve(listener, router).with_graceful_shutdown(close).await;
-}
-
 fn local_addr(listener: &TcpListener, configured: SocketAddr) -> Result<SocketAddr, StepError> {
     listener.local_addr().map_err(|e| StepError::new("binding", Peer::Address(configured), e))
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use ::settings::{InvalidFields, TokenDigest, Validate};
+use intake::IntakeLimits;
 use telemetry::TraceSettings;
 use types::{EntryName, Location, TeamName};
 
@@ -72,6 +73,13 @@
         pub max_wait_ms: u64,
         /// Most bytes of payloads of tasks that wait for a slot.
         pub queue_bytes: usize,
+        /// Longest wait for a complete request head, and then for a complete body, in milliseconds.
+        pub idle_ms: u64,
+        /// Memory of the host in MiB. Requests may hold a quarter of it, and callers' connections three
+        /// eighths.
+        pub memory_mb: u64,
+        /// File descriptors that the process may have. Callers' connections get half of them.
+        pub max_descriptors: u64,
     }
 
     /// Partitions and retention of jobs.
@@ -99,6 +107,12 @@
     }
 }
 
+const MIB_BYTES: usize = 1024 * 1024;
+/// Memory of the program, its links and its job table, MiB.
+const PROGRAM_MB: u64 = 24;
+/// Fewest descriptors: half of them are for links, the log and listeners.
+const MIN_DESCRIPTORS: u64 = 64;
+
 /// The partitions are handed over first, and then the longest tasks take several seconds.
 fn default_grace_ms() -> u64 {
     30_000
@@ -106,7 +120,14 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { body_bytes: 8 * 1024 * 1024, max_wait_ms: 60_000, queue_bytes: 64 * 1024 * 1024 }
+        Self {
+            body_bytes: 8 * 1024 * 1024,
+            max_wait_ms: 60_000,
+            queue_bytes: 64 * 1024 * 1024,
+            idle_ms: 60_000,
+            memory_mb: 640,
+            max_descriptors: 4_100,
+        }
     }
 }
 
@@ -122,6 +143,21 @@
     }
 }
 
+impl EntrySettings {
+    /// Returns the limits on callers' requests and connections.
+    pub(crate) fn intake_limits(&self) -> IntakeLimits {
+        IntakeLimits::for_host(self.limits.memory_mb, self.limits.max_descriptors)
+    }
+
+    /// Returns the smallest memory of the host in MiB: requests and connections get five eighths of it,
+    /// the program and what other settings bound the rest.
+    fn needed_memory_mb(&self) -> u64 {
+        let bounded = [self.limits.queue_bytes, self.jobs.answer_bytes, self.journal.backlog_bytes];
+        let bounded_mb: u64 = bounded.iter().map(|bytes| bytes.div_ceil(MIB_BYTES) as u64).sum();
+        ((PROGRAM_MB + bounded_mb) * 8).div_ceil(3)
+    }
+}
+
 impl Validate for EntrySettings {
     fn validate(&self, errors: &mut InvalidFields) {
         let is_positive = "must be greater than zero";
@@ -131,6 +167,18 @@
         errors.require(self.limits.body_bytes > 0, "limits.body_bytes", is_positive);
         errors.require(self.limits.queue_bytes > 0, "limits.queue_bytes", is_positive);
         errors.require(self.limits.max_wait_ms > 0, "limits.max_wait_ms", is_positive);
+        errors.require(self.limits.idle_ms > 0, "limits.idle_ms", is_positive);
+        let has_descriptors = self.limits.max_descriptors >= MIN_DESCRIPTORS;
+        errors.require(has_descriptors, "limits.max_descriptors", "must be at least 64");
+        let needed_mb = self.needed_memory_mb();
+        errors.require(
+            self.limits.memory_mb >= needed_mb,
+            "limits.memory_mb",
+            &format!(
+                "must be at least {needed_mb} for limits.queue_bytes, jobs.answer_bytes and \
+                 journal.backlog_bytes"
+            ),
+        );
         errors.require(
             (0.0..=1.0).contains(&self.traces.sample_ratio),
             "traces.sample_ratio",
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -139,6 +139,11 @@
         Arc::new(Self { listener, now_ms, state: Mutex::new(state) })
     }
 
+    /// Returns the name of the listener.
+    pub(crate) fn listener(&self) -> &'static str {
+        self.listener
+    }
+
     /// Returns the time on the intake's clock, milliseconds.
     pub(crate) fn now_ms(&self) -> u64 {
         (self.now_ms)()
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod pressure;
 mod request_body;
+mod router_server;
 
 pub use crate::{
     byte_budget::{BudgetDecision, ByteBudget, RequestKey},
@@ -23,6 +24,7 @@
     listener::{accept, listen, local_addr},
     pressure::{PressureCounts, PressureMonitor, Rejected},
     request_body::{BodyError, BodyLimits, discard, read_body},
+    router_server::RouterServer,
 };
 
 /// Age from which an incomplete request may be evicted, milliseconds. Ordinary bodies are complete
