Limit what clients occupy at an agent's address for operators

Cause: the address was served without limits on connections and without a time for a head, before any token is checked.

No test of its own: the server and its limits are those of the entry's address for operators.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use intake::{ConnectionLimits, IntakeLimits, RouterServer};
 use kameo::actor::{ActorRef, Spawn};
 use metrics_exporter_prometheus::PrometheusHandle;
 use ports::{Executor, HttpExecutor, HttpWorker};
@@ -32,6 +33,11 @@
 
 /// Time after a drain in which the last replies are sent before the process exits.
 const REPLY_FLUSH_TIME: Duration = Duration::from_millis(300);
+/// Limits of the admin listener. Requests have no bodies; the bytes are for responses that their clients
+/// have not read.
+const ADMIN_LIMITS: IntakeLimits = IntakeLimits::internal(1024 * 1024);
+const ADMIN_CONNECTION_LIMITS: ConnectionLimits =
+    ConnectionLimits { header_bytes: 16_384, idle_ms: 60_000 };
 
 /// Components that an agent uses besides its settings.
 #[derive(Clone, Default)]
@@ -65,7 +71,7 @@
     /// executor and a worker, or if the HTTP client cannot be set up.
     pub async fn start(settings: AgentSettings, parts: AgentParts) -> Result<Self, StepError> {
         let listener = rpc::listen(settings.listen).await?;
-        let admin_listener = rpc::listen(settings.admin.listen).await?;
+        let admin_listener = intake::listen(settings.admin.listen, ADMIN_LIMITS)?;
         let addr = local_addr(&listener, settings.listen)?;
         let admin_addr = local_addr(&admin_listener, settings.admin.listen)?;
         let upstream = match parts.executor {
@@ -101,9 +107,9 @@
             metrics: parts.metrics,
             traces: parts.traces,
         });
-        let admin = agent.supervise(async move {
-            let _ = axum::serve(admin_listener, router).await;
-        });
+        let server =
+            RouterServer::new("operators", admin_listener, ADMIN_LIMITS, ADMIN_CONNECTION_LIMITS);
+        let admin = agent.supervise(server.serve(router, std::future::pending()));
         agent.tasks = Arc::new(vec![serve, admin]);
         Ok(agent)
     }
