Let clients read the response to a body that is too large

What callers saw: a connection error instead of 413 while they sent a body that is larger than permitted.

Cause: the rest of such a body was left unread. The system resets a connection that is closed with unread data, and the client may lose the response. With receive buffers of the system's size this was rare; it has become the rule for bodies that are larger than the buffers.

Change: the rest is discarded as after the other refusals, for up to 1,000 ms or twice the largest body, and the response carries Connection: close. At an entry for stored jobs, refusals for other reasons of the body carry it as well.

--- a/crates/entry/src/api/problem.rs
+++ b/crates/entry/src/api/problem.rs
@@ -26,6 +26,9 @@
         /// Milliseconds after which a retry may succeed.
         #[serde(skip_serializing_if = "Option::is_none")]
         pub(crate) retry_after_ms: Option<u64>,
+        /// Whether the connection is closed after the response.
+        #[serde(skip)]
+        pub(crate) closes_connection: bool,
     }
 }
 
@@ -38,6 +41,7 @@
             detail: detail.into(),
             not_run: true,
             retry_after_ms: None,
+            closes_connection: false,
         }
     }
 
@@ -57,6 +61,7 @@
         let status = StatusCode::from_u16(e.status()).unwrap_or(StatusCode::BAD_REQUEST);
         Self {
             retry_after_ms: matches!(e, BodyError::BudgetExhausted).then_some(BUDGET_RETRY_MS),
+            closes_connection: e.closes_connection(),
             ..Self::new(status, slug, e.to_string())
         }
     }
@@ -94,6 +99,7 @@
     fn into_response(self) -> Response {
         const MS_PER_S: u64 = 1_000;
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let closes_connection = self.closes_connection;
         let retry_after_s = self.retry_after_ms.map(|ms| ms.div_ceil(MS_PER_S).max(1));
         let mut resp = (status, Json(self)).into_response();
         let headers = resp.headers_mut();
@@ -102,6 +108,9 @@
         if let Some(seconds) = retry_after_s {
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
+        if closes_connection {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if status == StatusCode::UNAUTHORIZED {
             headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
         }
--- a/crates/entry/src/api/request_body.rs
+++ b/crates/entry/src/api/request_body.rs
@@ -18,7 +18,7 @@
             }
         }
         Err(e) if e.closes_connection() => {
-            tokio::spawn(discard(body));
+            tokio::spawn(discard(body, limits));
         }
         Err(_) => {}
     }
--- a/crates/intake/src/request_body.rs
+++ b/crates/intake/src/request_body.rs
@@ -14,8 +14,8 @@
 /// the response. Data that is unread when a connection is closed makes the system reset the connection, and the
 /// client may lose the response.
 const DISCARD_TIME: Duration = Duration::from_millis(1_000);
-/// Most bytes of a refused body that are discarded; the largest body of direct jobs by default.
-const MAX_DISCARDED_BYTES: usize = 262_144;
+/// Most bytes of a refused body that are discarded, as a multiple of the largest body.
+const MAX_DISCARDED_BODIES: usize = 2;
 
 /// Limits of one body.
 #[derive(Clone, Copy, Debug)]
@@ -57,7 +57,7 @@
     /// Returns whether the connection must be closed after the response, and the rest of the body
     /// [discarded](discard) until then.
     pub fn closes_connection(&self) -> bool {
-        matches!(self, Self::TimedOut | Self::BudgetExhausted)
+        matches!(self, Self::TooLarge(_) | Self::TimedOut | Self::BudgetExhausted)
     }
 }
 
@@ -104,17 +104,18 @@
     intake.end_body(charge).ok_or(BodyError::BudgetExhausted)
 }
 
-/// Reads the rest of a body and discards it, for a limited time. The connection is closed when this
-/// ends.
-pub async fn discard<B>(mut body: B)
+/// Reads the rest of a body and discards it, for a limited time and up to twice the largest body. The
+/// connection is closed when this ends.
+pub async fn discard<B>(mut body: B, limits: BodyLimits)
 where
     B: Body<Data = Bytes> + Unpin,
 {
+    let max_bytes = limits.bytes.saturating_mul(MAX_DISCARDED_BODIES);
     let read = async {
         let mut discarded = 0;
         while let Some(Ok(frame)) = body.frame().await {
             discarded += frame.data_ref().map_or(0, |data| data.len());
-            if discarded > MAX_DISCARDED_BYTES {
+            if discarded > max_bytes {
                 return;
             }
         }
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -35,7 +35,7 @@
             let mut response = error_response(e.status(), &e.to_string());
             if e.closes_connection() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                spawn_local(discard(body));
+                spawn_local(discard(body, limits));
             }
             return response;
         }
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -125,7 +125,7 @@
         Err(e) => {
             *closes_connection = e.closes_connection();
             if e.closes_connection() {
-                spawn_local(discard(body));
+                spawn_local(discard(body, limits));
             }
             return reject(state, head.uri.path(), e.status(), &e.to_string());
         }
