Discard what is left of any body that is not used

What callers saw: a connection error instead of a refusal that does not need the body, such as 401 or 404, while they sent more than the system buffers.

Cause: as for bodies that are too large. Only refusals because of the body itself discarded the rest of it.

Change: the body of a request discards its rest when it is dropped before its end, for up to 1,000 ms or twice the largest body. The handlers no longer do it themselves.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -37,7 +37,7 @@
 /// have not read.
 const ADMIN_LIMITS: IntakeLimits = IntakeLimits::internal(1024 * 1024);
 const ADMIN_CONNECTION_LIMITS: ConnectionLimits =
-    ConnectionLimits { header_bytes: 16_384, idle_ms: 60_000 };
+    ConnectionLimits { header_bytes: 16_384, idle_ms: 60_000, discarded_bytes: 0 };
 
 /// Components that an agent uses besides its settings.
 #[derive(Clone, Default)]
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -53,6 +53,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest head of a request, bytes.
 const MAX_HEADER_BYTES: usize = 16_384;
+/// Most bytes of a body that is not used that are discarded, as a multiple of the largest body.
+const MAX_DISCARDED_BODIES: usize = 2;
 /// Limits of the listener for operators: four of the largest patches.
 const ADMIN_LIMITS: IntakeLimits = IntakeLimits::internal(4 * admin::MAX_PATCH_BYTES);
 
@@ -243,8 +245,11 @@
             config: self.config.clone(),
             jobs: Arc::clone(&jobs),
         };
-        let limits =
-            ConnectionLimits { header_bytes: MAX_HEADER_BYTES, idle_ms: settings.limits.idle_ms };
+        let limits = ConnectionLimits {
+            header_bytes: MAX_HEADER_BYTES,
+            idle_ms: settings.limits.idle_ms,
+            discarded_bytes: settings.limits.body_bytes.saturating_mul(MAX_DISCARDED_BODIES),
+        };
         let caller_server =
             RouterServer::new("callers", listener, settings.intake_limits(), limits);
         let admin_server = RouterServer::new("operators", admin_listener, ADMIN_LIMITS, limits);
--- a/crates/intake/src/http_server.rs
+++ b/crates/intake/src/http_server.rs
@@ -25,7 +25,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
-use crate::Intake;
+use crate::{Intake, RequestBody};
 
 /// Smallest buffer size that the HTTP library accepts, bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
@@ -42,6 +42,9 @@
     pub header_bytes: usize,
     /// Longest wait for a complete request head, milliseconds.
     pub idle_ms: u64,
+    /// Most bytes of a body that is not used that are read and discarded, so that the client gets the
+    /// response.
+    pub discarded_bytes: usize,
 }
 
 types::plain! {
@@ -81,7 +84,7 @@
         handle: H,
     ) -> Option<impl Future<Output = ()> + use<H, F, B>>
     where
-        H: Fn(Request<Incoming>) -> F,
+        H: Fn(Request<RequestBody>) -> F,
         F: Future<Output = Response<B>>,
         B: Body<Data = Bytes> + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -97,7 +100,8 @@
         let intake = Arc::clone(&self.intake);
         // 0 before the first response.
         let responded_ms = Arc::new(AtomicU64::new(0));
-        let service = service_fn(move |mut req: Request<Incoming>| {
+        let service = service_fn(move |req: Request<Incoming>| {
+            let mut req = req.map(|body| RequestBody::new(body, limits.discarded_bytes));
             let last_ms = responded_ms.load(Ordering::Relaxed);
             let last_ms = (last_ms > 0).then_some(last_ms);
             let activity = ConnectionActivity { connection, accepted_ms, responded_ms: last_ms };
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -23,7 +23,7 @@
     limits::{CONNECTION_BYTES, IntakeLimits, UNREAD_BYTES},
     listener::{accept, listen, local_addr},
     pressure::{PressureCounts, PressureMonitor, Rejected},
-    request_body::{BodyError, BodyLimits, discard, read_body},
+    request_body::{BodyError, BodyLimits, RequestBody, read_body},
     router_server::RouterServer,
 };
 
--- a/crates/intake/src/request_body.rs
+++ b/crates/intake/src/request_body.rs
@@ -1,21 +1,27 @@
 //! Reading of request bodies within a byte budget.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::{Pin, pin},
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    runtime::Handle,
+    time::{sleep, timeout},
+};
 
 use crate::{ChargedBody, Intake};
 
-/// Longest time for which the rest of a refused body is read and discarded, so that the client gets
-/// the response. Data that is unread when a connection is closed makes the system reset the connection, and the
-/// client may lose the response.
+/// Longest time for which the rest of a body that is not used is read and discarded. Data that is unread
+/// when a connection is closed makes the system reset the connection, and the client may lose the
+/// response.
 const DISCARD_TIME: Duration = Duration::from_millis(1_000);
-/// Most bytes of a refused body that are discarded, as a multiple of the largest body.
-const MAX_DISCARDED_BODIES: usize = 2;
 
 /// Limits of one body.
 #[derive(Clone, Copy, Debug)]
@@ -54,8 +60,7 @@
         }
     }
 
-    /// Returns whether the connection must be closed after the response, and the rest of the body
-    /// [discarded](discard) until then.
+    /// Returns whether the connection must be closed after the response.
     pub fn closes_connection(&self) -> bool {
         matches!(self, Self::TooLarge(_) | Self::TimedOut | Self::BudgetExhausted)
     }
@@ -104,13 +109,58 @@
     intake.end_body(charge).ok_or(BodyError::BudgetExhausted)
 }
 
-/// Reads the rest of a body and discards it, for a limited time and up to twice the largest body. The
-/// connection is closed when this ends.
-pub async fn discard<B>(mut body: B, limits: BodyLimits)
-where
-    B: Body<Data = Bytes> + Unpin,
-{
-    let max_bytes = limits.bytes.saturating_mul(MAX_DISCARDED_BODIES);
+/// Body of a request. When it is dropped before its end, the rest is discarded for a while, so that the
+/// client gets the response.
+#[derive(Debug)]
+pub struct RequestBody {
+    incoming: Option<Incoming>,
+    max_discarded_bytes: usize,
+}
+
+impl RequestBody {
+    pub(crate) fn new(incoming: Incoming, max_discarded_bytes: usize) -> Self {
+        Self { incoming: Some(incoming), max_discarded_bytes }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match &mut self.incoming {
+            Some(incoming) => Pin::new(incoming).poll_frame(cx),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.as_ref().map_or_else(|| SizeHint::with_exact(0), Body::size_hint)
+    }
+}
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        let Some(incoming) = self.incoming.take().filter(|body| !body.is_end_stream()) else {
+            return;
+        };
+        // There is no runtime when the process ends.
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(discard(incoming, self.max_discarded_bytes));
+        }
+    }
+}
+
+/// Reads the rest of a body and discards it, for a limited time. The connection is closed when this
+/// ends before the body does.
+async fn discard(mut body: Incoming, max_bytes: usize) {
     let read = async {
         let mut discarded = 0;
         while let Some(Ok(frame)) = body.frame().await {
--- a/crates/intake/src/router_server.rs
+++ b/crates/intake/src/router_server.rs
@@ -11,12 +11,13 @@
 };
 
 use axum::{Router, body::Body};
-use hyper::{Request, body::Incoming, service::Service};
+use hyper::{Request, service::Service};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
 
 use crate::{
-    ConnectionActivity, ConnectionLimits, HttpServer, Intake, IntakeEvent, IntakeLimits, accept,
+    ConnectionActivity, ConnectionLimits, HttpServer, Intake, IntakeEvent, IntakeLimits,
+    RequestBody, accept,
 };
 
 /// Period of closing connections whose clients do not read.
@@ -52,7 +53,7 @@
         let server = HttpServer::new(Arc::clone(&self.intake), Arc::clone(&is_closing));
         let service = TowerToHyperService::new(router);
         let intake = Arc::clone(&self.intake);
-        let handle = move |req: Request<Incoming>| {
+        let handle = move |req: Request<RequestBody>| {
             // Without a body, the request is complete.
             if let Some(activity) = req.extensions().get::<ConnectionActivity>()
                 && hyper::body::Body::is_end_stream(req.body())
--- a/crates/intake/tests/requests.rs
+++ b/crates/intake/tests/requests.rs
@@ -9,15 +9,15 @@
 
 use bytes::Bytes;
 use http_body_util::{Full, StreamBody};
-use hyper::{Request, Response, body::Frame, body::Incoming};
+use hyper::{Request, Response, body::Frame};
 use intake::{
-    BodyError, BodyLimits, ChargedBody, ConnectionLimits, HttpServer, Intake, IntakeLimits, accept,
-    listen, local_addr, read_body,
+    BodyError, BodyLimits, ChargedBody, ConnectionLimits, HttpServer, Intake, IntakeLimits,
+    RequestBody, accept, listen, local_addr, read_body,
 };
 use proptest::prelude::*;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 const BODY_LIMITS: BodyLimits = BodyLimits { bytes: 100_000, time: Duration::from_secs(60) };
@@ -84,8 +84,9 @@
     let intake = Intake::new("test", limits, || 0);
     tokio::spawn(async move {
         let server = HttpServer::new(intake, Arc::new(AtomicBool::new(false)));
-        let limits = ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000 };
-        let handle = |_: Request<Incoming>| async {
+        let limits =
+            ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000, discarded_bytes: 4_000_000 };
+        let handle = |_: Request<RequestBody>| async {
             Response::new(Full::new(Bytes::from(vec![b' '; 100_000])))
         };
         loop {
@@ -120,3 +121,22 @@
         drop(second);
     });
 }
+
+/// Guards against a connection that is reset with its response because the body was not read: a client
+/// whose request is refused by its head must learn that nothing has run.
+#[test]
+fn the_response_arrives_although_the_body_is_not_used() {
+    block_on(async {
+        let server = serve_large_responses(1_000_000).await;
+        let socket = TcpSocket::new_v4().expect("a socket can be made");
+        // The body does not fit into the buffers of the system then.
+        socket.set_send_buffer_size(16_384).expect("the buffer can be small");
+        let mut stream = socket.connect(server).await.expect("the server accepts");
+        let head = "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 500000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("the head is read");
+        stream.write_all(&vec![b' '; 500_000]).await.expect("the body is read");
+        let mut buf = [0; 12];
+        stream.read_exact(&mut buf).await.expect("the response arrives");
+        assert_eq!(&buf, b"HTTP/1.1 200");
+    });
+}
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -5,13 +5,12 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::CONNECTION, header::HeaderValue,
+    Request, Response, StatusCode,
+    header::{CONNECTION, HeaderValue},
 };
-use intake::{BodyLimits, Intake, discard, read_body};
+use intake::{BodyLimits, Intake, RequestBody, read_body};
 use platform::{UpstreamRequest, decode_upstream_request, encode_error};
 
-use tokio::task::spawn_local;
-
 use crate::{agent::state::AgentState, http::HttpResponse};
 
 /// Largest heartbeat that the platform allows, bytes.
@@ -25,7 +24,7 @@
 pub(crate) async fn handle(
     state: Rc<AgentState>,
     intake: Arc<Intake>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
 ) -> HttpResponse {
     let (head, mut body) = req.into_parts();
     let limits = BodyLimits { bytes: MAX_HEARTBEAT_BYTES, time: HEARTBEAT_TIMEOUT };
@@ -35,7 +34,6 @@
             let mut response = error_response(e.status(), &e.to_string());
             if e.closes_connection() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                spawn_local(discard(body, limits));
             }
             return response;
         }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -26,7 +26,11 @@
 const IDLE_TICK: Duration = Duration::from_millis(80);
 /// Period of checking whether the agent has opened.
 const OPENING_TICK: Duration = Duration::from_millis(10);
-const CONTROL_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 16_384, idle_ms: 60_000 };
+const CONTROL_LIMITS: ConnectionLimits = ConnectionLimits {
+    header_bytes: 16_384,
+    idle_ms: 60_000,
+    discarded_bytes: control::MAX_REQUEST_BYTES,
+};
 
 /// An agent whose addresses are bound.
 pub struct DirectAgent {
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -7,10 +7,9 @@
 use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
 };
-use intake::{BodyLimits, ConnectionActivity, discard, read_body};
+use intake::{BodyLimits, ConnectionActivity, RequestBody, read_body};
 use metrics::{counter, histogram};
 use platform::{
     CallerRequest, JobError, Reply, decode_caller_request, decode_job, encode_cancelled,
@@ -61,7 +60,7 @@
 }
 
 /// Handles one request of a caller.
-pub(crate) async fn handle(state: Rc<EntryState>, req: Request<Incoming>) -> HttpResponse {
+pub(crate) async fn handle(state: Rc<EntryState>, req: Request<RequestBody>) -> HttpResponse {
     let mut closes_connection = false;
     let reply = reply(&state, req, &mut closes_connection).await;
     let mut response = http_response(reply);
@@ -88,7 +87,7 @@
 
 async fn reply(
     state: &Rc<EntryState>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     closes_connection: &mut bool,
 ) -> Reply {
     let Some(routing) = state.first_routing().await else {
@@ -124,9 +123,6 @@
         Ok(received) => received,
         Err(e) => {
             *closes_connection = e.closes_connection();
-            if e.closes_connection() {
-                spawn_local(discard(body, limits));
-            }
             return reject(state, head.uri.path(), e.status(), &e.to_string());
         }
     };
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -22,8 +22,8 @@
 };
 
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming};
-use intake::{ConnectionLimits, HttpServer};
+use hyper::{Request, Response, StatusCode};
+use intake::{ConnectionLimits, HttpServer, RequestBody};
 use platform::is_readiness_probe;
 use serde_json::json;
 use tokio::{
@@ -53,7 +53,8 @@
 /// Time for the callers to read the answers that they get at the end of the grace period; it is part
 /// of [`EXIT_MARGIN_MS`].
 const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(300);
-const PROBE_LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000 };
+const PROBE_LIMITS: ConnectionLimits =
+    ConnectionLimits { header_bytes: 8_192, idle_ms: 60_000, discarded_bytes: 0 };
 
 /// An entry whose addresses are bound.
 pub struct DirectEntry {
@@ -107,7 +108,7 @@
         let Self { file_settings, settings, state, callers, readiness, links } = self;
         let placement_state = Rc::clone(&state);
         let placement =
-            move |req: &Request<Incoming>| placement_query::respond(&placement_state, req.uri());
+            move |req: &Request<RequestBody>| placement_query::respond(&placement_state, req.uri());
         metrics_server::start(settings.process.metrics, placement)?;
         let is_closing = Arc::new(AtomicBool::new(false));
         let store = StoreAccess::new(&settings.process.store, Rc::clone(&state.events))?;
@@ -162,7 +163,7 @@
     };
     let limits = || state.connection_limits();
     let caller_state = Rc::clone(state);
-    let handle = move |req: Request<Incoming>| callers::handle(Rc::clone(&caller_state), req);
+    let handle = move |req: Request<RequestBody>| callers::handle(Rc::clone(&caller_state), req);
     accept_until(&server, listener, limits, handle, stopping).await;
     let rotation_delay_ms = u64::try_from(ROTATION_DELAY.as_millis()).unwrap_or(u64::MAX);
     let remaining_ms = state.grace_ms().saturating_sub(EXIT_MARGIN_MS + rotation_delay_ms);
@@ -185,7 +186,7 @@
     state: Rc<EntryState>,
     is_closing: Arc<AtomicBool>,
 ) {
-    let handle = move |req: Request<Incoming>| {
+    let handle = move |req: Request<RequestBody>| {
         let is_ready = !is_closing.load(Ordering::Relaxed) && state.is_ready();
         let is_probe = is_readiness_probe(req.method().as_str(), req.uri().path());
         async move { readiness_response(is_probe, is_ready) }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -49,6 +49,8 @@
 /// Time after the start of the process during which requests wait for the first configuration,
 /// milliseconds.
 const FIRST_CONFIG_WAIT_MS: u64 = 400;
+/// Most bytes of a body that is not used that are discarded, as a multiple of the largest body.
+const MAX_DISCARDED_BODIES: usize = 2;
 
 pub(crate) struct EntryState {
     pub(crate) timing: Timing,
@@ -222,7 +224,11 @@
 
     pub(crate) fn connection_limits(&self) -> ConnectionLimits {
         let limits = self.routing().map(|routing| routing.limits).unwrap_or_default();
-        ConnectionLimits { header_bytes: limits.header_bytes, idle_ms: limits.idle_ms }
+        ConnectionLimits {
+            header_bytes: limits.header_bytes,
+            idle_ms: limits.idle_ms,
+            discarded_bytes: limits.body_bytes.saturating_mul(MAX_DISCARDED_BODIES),
+        }
     }
 
     /// Applies a configuration unless the one in force is as new.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -10,8 +10,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming};
-use intake::{ConnectionLimits, HttpServer, Intake, IntakeEvent, IntakeLimits, accept};
+use hyper::{Request, Response};
+use intake::{
+    ConnectionLimits, HttpServer, Intake, IntakeEvent, IntakeLimits, RequestBody, accept,
+};
 use tokio::{net::TcpListener, task::spawn_local, time::sleep};
 use types::StepError;
 
@@ -31,7 +33,7 @@
     handle: H,
     stop: impl Future<Output = ()>,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<RequestBody>) -> F + Clone + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
     let mut stop = pin!(stop);
@@ -76,7 +78,7 @@
     /// Serves connections, for ever.
     pub(crate) async fn serve<H, F>(self, handle: H)
     where
-        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        H: Fn(Request<RequestBody>) -> F + Clone + 'static,
         F: Future<Output = HttpResponse> + 'static,
     {
         let server = HttpServer::new(Arc::clone(&self.intake), Arc::new(AtomicBool::new(false)));
--- a/crates/node/src/metrics_server.rs
+++ b/crates/node/src/metrics_server.rs
@@ -1,8 +1,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming};
-use intake::ConnectionLimits;
+use hyper::{Request, Response};
+use intake::{ConnectionLimits, RequestBody};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{task::spawn_local, time::sleep};
 use types::{Peer, StepError};
@@ -11,7 +11,8 @@
 
 /// Period of the recorder's maintenance. At 1,000 answers a second it keeps some 5,000 observations.
 const MAINTENANCE_PERIOD: Duration = Duration::from_secs(5);
-const LIMITS: ConnectionLimits = ConnectionLimits { header_bytes: 8_192, idle_ms: 10_000 };
+const LIMITS: ConnectionLimits =
+    ConnectionLimits { header_bytes: 8_192, idle_ms: 10_000, discarded_bytes: 0 };
 /// Most bytes of responses that their clients have not read.
 const UNREAD_METRICS_BYTES: usize = 1 << 20;
 /// Upper bounds of the latency buckets, seconds, for tasks that run for 50 ms to a few seconds.
@@ -21,7 +22,7 @@
 /// answers; does nothing without an address.
 pub(crate) fn start(
     addr: Option<SocketAddr>,
-    other: impl Fn(&Request<Incoming>) -> Option<HttpResponse> + Clone + 'static,
+    other: impl Fn(&Request<RequestBody>) -> Option<HttpResponse> + Clone + 'static,
 ) -> Result<(), StepError> {
     let Some(addr) = addr else { return Ok(()) };
     let fail = |e: metrics_exporter_prometheus::BuildError| {
