Check the usage of a process in one place

The tests of many clients had the same checks of memory and descriptors in three modules. The bounds are unchanged.

--- a/crates/ebonycroft/tests/many_clients/complete_requests.rs
+++ b/crates/ebonycroft/tests/many_clients/complete_requests.rs
@@ -45,17 +45,8 @@
         let loaded = timeout(HANG, Usage::read_until_settled(system.entry.id())).await;
         let loaded = loaded.expect("the usage settles");
         timeout(HANG, ordinary_request::check(&system)).await.expect("the entry replies");
-        let Some(usage) = loaded else {
-            eprintln!("memory and descriptors are not checked: this system has no /proc");
-            return;
-        };
         drop(connections);
-        eprintln!("{usage:?}");
-        assert!(
-            usage.peak_kib < MEMORY_MB * 1_024,
-            "the memory of the host is exhausted: {usage:?}"
-        );
-        assert!(usage.descriptors < MAX_DESCRIPTORS, "no descriptor is left: {usage:?}");
+        Usage::check(loaded, MEMORY_MB, MAX_DESCRIPTORS);
     })
     .await;
 }
--- a/crates/ebonycroft/tests/many_clients/process_usage.rs
+++ b/crates/ebonycroft/tests/many_clients/process_usage.rs
@@ -22,6 +22,19 @@
 }
 
 impl Usage {
+    /// Checks that the usage of a process is below the memory and the descriptors of its host. Checks
+    /// nothing without a reading.
+    pub(crate) fn check(usage: Option<Self>, memory_mb: u64, max_descriptors: usize) {
+        let Some(usage) = usage else {
+            eprintln!("memory and descriptors are not checked: this system has no /proc");
+            return;
+        };
+        eprintln!("{usage:?}");
+        let is_in_memory = usage.peak_kib < memory_mb * 1_024;
+        assert!(is_in_memory, "the memory of the host is exhausted: {usage:?}");
+        assert!(usage.descriptors < max_descriptors, "no descriptor is left: {usage:?}");
+    }
+
     /// Reads the usage of a process; `None` on a system without `/proc`. Panics if the process has
     /// ended.
     fn read(process: u32) -> Option<Self> {
--- a/crates/ebonycroft/tests/many_clients/stored_jobs.rs
+++ b/crates/ebonycroft/tests/many_clients/stored_jobs.rs
@@ -48,13 +48,8 @@
     let connections = timeout(HANG, sent).await.expect("the entry reads");
     let loaded = Usage::read_until_settled(system.entry_id()).await;
     timeout(HANG, system.check_ordinary_request()).await.expect("the entry replies");
-    let Some(usage) = loaded else {
-        eprintln!("memory and descriptors are not checked: this system has no /proc");
-        return;
-    };
-    eprintln!("{} of {} connections are open; {usage:?}", connections.len(), load.clients);
-    assert!(usage.peak_kib < MEMORY_MB * 1_024, "the memory of the host is exhausted: {usage:?}");
-    assert!(usage.descriptors < MAX_DESCRIPTORS, "no descriptor is left: {usage:?}");
+    eprintln!("{} of {} connections are open", connections.len(), load.clients);
+    Usage::check(loaded, MEMORY_MB, MAX_DESCRIPTORS);
 }
 
 // Guards against an entry that holds every body until it is complete, whatever its encoding, and against
--- a/crates/ebonycroft/tests/many_clients/unfinished_bodies.rs
+++ b/crates/ebonycroft/tests/many_clients/unfinished_bodies.rs
@@ -32,16 +32,8 @@
         let connections = timeout(HANG, load.send(entry)).await.expect("the entry reads");
         let loaded = Usage::read_until_settled(system.entry.id()).await;
         timeout(HANG, ordinary_request::check(&system)).await.expect("the entry replies");
-        let Some(usage) = loaded else {
-            eprintln!("memory and descriptors are not checked: this system has no /proc");
-            return;
-        };
-        eprintln!("{} of {} connections are open; {usage:?}", connections.len(), load.clients);
-        assert!(
-            usage.peak_kib < MEMORY_MB * 1_024,
-            "the memory of the host is exhausted: {usage:?}"
-        );
-        assert!(usage.descriptors < MAX_DESCRIPTORS, "no descriptor is left: {usage:?}");
+        eprintln!("{} of {} connections are open", connections.len(), load.clients);
+        Usage::check(loaded, MEMORY_MB, MAX_DESCRIPTORS);
     })
     .await;
 }
