Name the listener in the line about its limits

The warning of a listener for metrics, probes or heartbeats did not tell which one it was. The comments of the byte budget say that it holds responses as well.

--- a/crates/intake/src/byte_budget.rs
+++ b/crates/intake/src/byte_budget.rs
@@ -5,7 +5,7 @@
 use crate::MIN_EVICTION_AGE_MS;
 
 types::identifier! {
-    /// Identifies a request; later requests have greater keys.
+    /// Identifies a request or a response; later ones have greater keys.
     pub struct RequestKey(u64);
 }
 
@@ -46,7 +46,7 @@
         Self { limit_bytes, held_bytes: 0, next_key: 0, holders: BTreeMap::new() }
     }
 
-    /// Adds an incomplete request that starts now and holds nothing yet.
+    /// Adds an incomplete request, or a response, that starts now and holds nothing yet.
     pub fn begin(&mut self, now_ms: u64) -> RequestKey {
         let key = RequestKey(self.next_key);
         self.next_key += 1;
@@ -116,12 +116,12 @@
         self.held_bytes
     }
 
-    /// Returns the number of requests.
+    /// Returns the number of requests and responses.
     pub fn len(&self) -> usize {
         self.holders.len()
     }
 
-    /// Returns whether there is no request.
+    /// Returns whether there is none.
     pub fn is_empty(&self) -> bool {
         self.holders.is_empty()
     }
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -30,7 +30,7 @@
     /// What an intake holds.
     #[derive(Copy, Eq)]
     pub struct IntakeUsage {
-        /// Requests with a body that are incomplete or have no response yet.
+        /// Requests with a body that are incomplete or have no response yet, and unread large responses.
         pub requests: usize,
         /// Bytes that they hold.
         pub request_bytes: usize,
@@ -140,7 +140,7 @@
     }
 
     /// Returns the name of the listener.
-    pub(crate) fn listener(&self) -> &'static str {
+    pub fn listener(&self) -> &'static str {
         self.listener
     }
 
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -19,7 +19,7 @@
     /// Limits of an intake.
     #[derive(Copy, Eq)]
     pub struct IntakeLimits {
-        /// Most bytes of all requests, from their first received byte until their response.
+        /// Most bytes of all requests, from their first received byte until their response has been read.
         pub request_bytes: usize,
         /// Most connections.
         pub connections: usize,
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -87,7 +87,10 @@
                 sleep(MAINTENANCE_PERIOD).await;
                 for event in self.intake.tick(self.limits.idle_ms) {
                     if let IntakeEvent::Full(limit, usage) = event {
-                        log::warn!("an internal listener is at its limit: {limit:?}, {usage:?}");
+                        let name = self.intake.listener();
+                        log::warn!(
+                            "the listener for {name} is at its limit of {limit:?}: {usage:?}"
+                        );
                     }
                 }
             }
