Show that a task runs twice while the agents that keep its claim stand still

Cause: an entry starts a job without the answer to its claim after 100 ms and three checks, and only two agents keep a claim. Two of eleven agents freeze for 1.0 s while clients whose channels broke submit their jobs again, and the ends of the channels are late.

--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -44,13 +44,33 @@
 
     def __init__(self, folder):
         self.file = open(os.path.join(folder, "record.txt"), "w")
-        self.start = time.monotonic()
+        self.start, self.group = time.monotonic(), None
 
     def now(self):
         return time.monotonic() - self.start
 
+    def run(self, executor, verb, task, run):
+        """Writes what an executor did with a run; one line for tasks of one job in a row."""
+        key = (executor, verb, task.split(".")[0], run)
+        if self.group is None or self.group[0] != key:
+            self.end_group()
+            self.group = [key, self.now(), [task]]
+        else:
+            self.group[2].append(task)
+
+    def end_group(self):
+        if self.group is not None:
+            (executor, verb, _, run), at, tasks = self.group
+            self.group = None
+            more = f" and {len(tasks) - 1} more, the last {tasks[-1]}," if len(tasks) > 1 else ""
+            self.write(at, f"executor {executor}: {tasks[0]}{more} run {run} {verb}")
+
     def line(self, text):
-        self.file.write(f"{self.now():9.3f} {text}\n")
+        self.end_group()
+        self.write(self.now(), text)
+
+    def write(self, at, text):
+        self.file.write(f"{at:9.3f} {text}\n")
         self.file.flush()
 
 
@@ -159,6 +179,54 @@
     return int(first.split(" ")[1]), decoded
 
 
+class Path:
+    """The way of a client's channel to an entry, which forwards bytes both ways. When it breaks, the
+    client's side is reset; the entry hears of it at once, or nothing for `late_s`."""
+
+    def __init__(self, system, ip, port):
+        self.system, self.target, self.ip, self.port = system, (ip, port), system.address(), port
+        self.server, self.pairs, self.broken = None, [], []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+
+    async def serve(self, reader, writer):
+        try:
+            entry_reader, entry_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, entry_writer)
+        self.pairs.append(pair)
+        back = asyncio.create_task(self.forward(entry_reader, writer, pair))
+        self.system.background.append(back)
+        await self.forward(reader, entry_writer, pair)
+
+    async def forward(self, reader, writer, pair):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        if pair in self.pairs:
+            writer.close()
+
+    def break_all(self, late_s):
+        """Breaks all channels."""
+        pairs, self.pairs = self.pairs, []
+        self.broken += pairs
+        for client, entry in pairs:
+            client.transport.abort()
+            asyncio.get_running_loop().call_later(late_s, entry.transport.abort)
+
+    def close(self):
+        self.break_all(0)
+        for _, entry in self.broken:
+            entry.transport.abort()
+        self.server.close()
+
+
 # --- The platform's store ---------------------------------------------------------------------------
 
 class Store:
@@ -231,6 +299,7 @@
         self.http = HttpServer(self.ip, APP, self.handle)
         self.tasks, self.life = [], 0
         self.starts = []          # (time, task, run, labels, state)
+        self.runs = []            # [task, run, start, end, how]
         self.acked_draining = None  # time at which a ping with `draining` was acknowledged
         self.begin_life()
 
@@ -297,7 +366,11 @@
         self.ended.append([self.next_end, task, run, how, ""])
         self.next_end += 1
         self.end_listed.set()
-        self.system.record.line(f"executor {self.id}: {task} run {run} ended {how}")
+        for row in reversed(self.runs):
+            if row[:2] == [task, run]:
+                row[3:] = [self.system.record.now(), how]
+                break
+        self.system.record.run(self.id, f"ended {how}", task, run)
 
     async def work(self):
         while True:
@@ -353,9 +426,9 @@
         self.extend(deadline)
         spec = json.loads(request["spec"])
         self.running[task] = (run, self.clock_ms() + spec.get("ms", 100), 0)
+        self.runs.append([task, run, self.system.record.now(), None, None])
         self.starts.append((self.system.record.now(), task, run, list(self.labels), self.state))
-        text = f"executor {self.id} ({self.state}, {self.labels}): {task} run {run} started"
-        self.system.record.line(text)
+        self.system.record.run(f"{self.id} ({self.state})", "started", task, run)
         return self.answer(200)
 
     async def hold(self, request):
@@ -540,11 +613,11 @@
         await asyncio.sleep(2.0)
         self.record.line("the system is ready")
 
-    async def submit(self, entry, job_id, steps, ms, patience_ms=10000, queue="q1"):
-        """Submits a job that needn't be kept; returns its answer."""
+    async def submit(self, entry, job_id, steps, ms, patience_ms=10000, queue="q1", ip=None):
+        """Submits a job that needn't be kept, by way of `ip` if that is given; returns its answer."""
         body = {"spec": json.dumps({"ms": ms}), "bestEffort": True, "steps": steps}
         self.record.line(f"client: POST {job_id} to {entry.name}")
-        answer = await call(entry.ip, FRONT, "POST", f"/{queue}/{job_id}", f"{queue}.example", body,
+        answer = await call(ip or entry.ip, FRONT, "POST", f"/{queue}/{job_id}", f"{queue}.example", body,
                             {"Deadline-Ms": patience_ms}, patience_ms / 1000 + 0.5)
         self.record.line(f"client: POST {job_id} at {entry.name} -> {answer}")
         return answer
